Add the stand-ins and the test support for processes

Cause: nothing could be run against the outside interfaces. Each stand-in keeps to docs/OUTSIDE.md and keeps its state in memory; the engine's answer follows from every block it used, so that a wrong one shows. Ruled out: a real state machine of a tokenizer (not needed to tell right from wrong) and answers that follow from the last block alone (a wrong block in the middle would stay unseen).

--- /dev/null
+++ b/crates/fakes/src/table/call.rs
@@ -0,0 +1,242 @@
+//! Calls of the table service, read from their wire form.
+
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde_json::{Map, Value};
+
+use super::row_key;
+
+/// Why a call is not understood.
+#[derive(Debug, thiserror::Error)]
+pub enum CallError {
+    /// An operation the stand-in does not have.
+    #[error("the operation {0:?} is not supported; use GetItem, Query or TransactWriteItems")]
+    Operation(String),
+    /// The body is not the JSON of the operation.
+    #[error("malformed call: {0}")]
+    Json(#[from] serde_json::Error),
+    /// A key attribute is missing or not a string.
+    #[error("the key attribute {0} must be a non-empty string")]
+    Key(&'static str),
+    /// A condition the stand-in does not have.
+    #[error("the expression {0:?} is not supported; see docs/OUTSIDE.md")]
+    Expression(String),
+    /// Two items of a transaction name one row.
+    #[error("a transaction must not name one row twice")]
+    Twice,
+    /// An empty or too large transaction.
+    #[error("a transaction has 1 to 100 items")]
+    Items,
+}
+
+/// A call.
+pub enum Call {
+    /// See [`GetItem`].
+    Get(GetItem),
+    /// See [`Query`].
+    Query(Query),
+    /// See [`Transact`].
+    Transact(Transact),
+}
+
+/// Reads one row.
+pub struct GetItem {
+    pub table: String,
+    pub part: String,
+    pub sort: String,
+}
+
+/// Reads rows of a partition in order.
+pub struct Query {
+    pub table: String,
+    pub part: String,
+    /// Only greater sort keys are read.
+    pub after: String,
+    pub limit: usize,
+}
+
+/// Writes all rows or none.
+pub struct Transact {
+    pub writes: Vec<Write>,
+    /// A transaction is committed once for each token.
+    pub token: Option<String>,
+}
+
+/// One write of a transaction.
+pub struct Write {
+    pub key: Arc<str>,
+    pub expect: Expect,
+    /// The new row; `None` removes it.
+    pub item: Option<Map<String, Value>>,
+}
+
+/// What must hold of the row for its write.
+pub enum Expect {
+    /// Nothing.
+    Nothing,
+    /// The row does not exist.
+    Absent,
+    /// The attribute `ver` has this typed value.
+    Version(Value),
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct GetWire {
+    table_name: String,
+    key: Map<String, Value>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct QueryWire {
+    table_name: String,
+    key_condition_expression: String,
+    #[serde(default)]
+    expression_attribute_names: Map<String, Value>,
+    #[serde(default)]
+    expression_attribute_values: Map<String, Value>,
+    #[serde(default)]
+    limit: Option<usize>,
+    #[serde(default)]
+    exclusive_start_key: Option<Map<String, Value>>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct TransactWire {
+    transact_items: Vec<ItemWire>,
+    #[serde(default)]
+    client_request_token: Option<String>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+enum ItemWire {
+    Put(WriteWire),
+    Delete(WriteWire),
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WriteWire {
+    table_name: String,
+    #[serde(default)]
+    item: Option<Map<String, Value>>,
+    #[serde(default)]
+    key: Option<Map<String, Value>>,
+    #[serde(default)]
+    condition_expression: Option<String>,
+    #[serde(default)]
+    expression_attribute_names: Map<String, Value>,
+    #[serde(default)]
+    expression_attribute_values: Map<String, Value>,
+}
+
+impl Call {
+    /// Reads the call that the header `X-Amz-Target` and the body describe.
+    pub fn parse(target: &str, body: &[u8]) -> Result<Self, CallError> {
+        match target.rsplit('.').next().unwrap_or_default() {
+            "GetItem" => Ok(Self::Get(serde_json::from_slice::<GetWire>(body)?.try_into()?)),
+            "Query" => Ok(Self::Query(serde_json::from_slice::<QueryWire>(body)?.try_into()?)),
+            "TransactWriteItems" => {
+                Ok(Self::Transact(serde_json::from_slice::<TransactWire>(body)?.try_into()?))
+            }
+            other => Err(CallError::Operation(other.to_owned())),
+        }
+    }
+}
+
+impl TryFrom<GetWire> for GetItem {
+    type Error = CallError;
+
+    fn try_from(wire: GetWire) -> Result<Self, CallError> {
+        let (part, sort) = key_of(&wire.key)?;
+        Ok(Self { table: wire.table_name, part, sort })
+    }
+}
+
+impl TryFrom<QueryWire> for Query {
+    type Error = CallError;
+
+    fn try_from(wire: QueryWire) -> Result<Self, CallError> {
+        let text = plain(&wire.key_condition_expression, &wire.expression_attribute_names);
+        let bad = || CallError::Expression(text.clone());
+        let mut terms = text.split(" AND ").map(str::trim);
+        let part = terms.next().and_then(|t| t.strip_prefix("pk = ")).ok_or_else(bad)?;
+        let sort = terms.next().and_then(|t| t.strip_prefix("sk > "));
+        let values = &wire.expression_attribute_values;
+        let mut after = match sort {
+            Some(name) => string(values, name).ok_or_else(bad)?,
+            None => String::new(),
+        };
+        if let Some(start) = &wire.exclusive_start_key {
+            after = after.max(key_of(start)?.1);
+        }
+        let part = string(values, part).ok_or_else(bad)?;
+        Ok(Self { table: wire.table_name, part, after, limit: wire.limit.unwrap_or(usize::MAX) })
+    }
+}
+
+impl TryFrom<TransactWire> for Transact {
+    type Error = CallError;
+
+    fn try_from(wire: TransactWire) -> Result<Self, CallError> {
+        let writes = wire.transact_items.into_iter().map(Write::try_from);
+        let writes = writes.collect::<Result<Vec<_>, _>>()?;
+        let mut keys: Vec<_> = writes.iter().map(|w| &w.key).collect();
+        keys.sort();
+        if keys.windows(2).any(|pair| pair[0] == pair[1]) {
+            return Err(CallError::Twice);
+        }
+        Ok(Self { writes, token: wire.client_request_token })
+    }
+}
+
+impl TryFrom<ItemWire> for Write {
+    type Error = CallError;
+
+    fn try_from(wire: ItemWire) -> Result<Self, CallError> {
+        let (mut wire, put) = match wire {
+            ItemWire::Put(wire) => (wire, true),
+            ItemWire::Delete(wire) => (wire, false),
+        };
+        let attributes = if put { wire.item.take() } else { wire.key.take() };
+        let attributes = attributes.ok_or(CallError::Key("pk"))?;
+        let (part, sort) = key_of(&attributes)?;
+        let key = row_key(&wire.table_name, &part, &sort);
+        Ok(Self { key, expect: wire.expect()?, item: put.then_some(attributes) })
+    }
+}
+
+impl WriteWire {
+    fn expect(&self) -> Result<Expect, CallError> {
+        let Some(text) = &self.condition_expression else { return Ok(Expect::Nothing) };
+        let text = plain(text, &self.expression_attribute_names);
+        if text == "attribute_not_exists(pk)" {
+            return Ok(Expect::Absent);
+        }
+        let value = text.strip_prefix("ver = ");
+        let value = value.and_then(|name| self.expression_attribute_values.get(name));
+        value.cloned().map(Expect::Version).ok_or(CallError::Expression(text))
+    }
+}
+
+/// An expression with its `#name` placeholders filled in.
+fn plain(text: &str, names: &Map<String, Value>) -> String {
+    names.iter().fold(text.trim().to_owned(), |text, (name, value)| {
+        text.replace(name, value.as_str().unwrap_or_default())
+    })
+}
+
+fn string(attributes: &Map<String, Value>, name: &str) -> Option<String> {
+    Some(attributes.get(name)?.get("S")?.as_str()?.to_owned())
+}
+
+fn key_of(attributes: &Map<String, Value>) -> Result<(String, String), CallError> {
+    let part = |name| string(attributes, name).filter(|s| !s.is_empty());
+    let pk = part("pk").ok_or(CallError::Key("pk"))?;
+    let sk = part("sk").ok_or(CallError::Key("sk"))?;
+    Ok((pk, sk))
+}
--- /dev/null
+++ b/crates/fakes/tests/common_faults.rs
@@ -0,0 +1,106 @@
+//! Faults that every stand-in has, and the plain service's own.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Fake, LIMIT};
+use fakes::Control;
+use serde_json::{Value, json};
+
+async fn service() -> Fake {
+    Fake::start(fakes::service(Control::new(Default::default()))).await
+}
+
+async fn runs(service: &Fake) -> usize {
+    service.get("/_log").await.json::<Vec<Value>>().unwrap().len()
+}
+
+#[tokio::test]
+async fn cut_before_and_after() {
+    let service = service().await;
+    let url = format!("{}/bookings?day=2", service.url);
+    service.faults(json!({"cut_before_run": 1}));
+    assert!(service.http.post(&url, &json!(1)).await.is_err());
+    assert_eq!(runs(&service).await, 0);
+    service.faults(json!({"cut_after_run": 1}));
+    assert!(service.http.post(&url, &json!(2)).await.is_err());
+    assert_eq!(runs(&service).await, 1);
+    service.faults(json!({"refuse": true}));
+    let reply = service.http.post(&url, &json!(3)).await.unwrap();
+    assert_eq!((reply.status.as_u16(), reply.header("x-not-run")), (503, Some("1")));
+    assert_eq!(runs(&service).await, 1);
+    service.faults(json!({}));
+    let reply: Value = service.http.post(&url, &json!(4)).await.unwrap().json().unwrap();
+    assert_eq!((&reply["seq"], &reply["path"]), (&json!(2), &json!("/bookings?day=2")));
+}
+
+#[tokio::test]
+async fn silent_and_silent_open() {
+    let service = service().await;
+    let url = format!("{}/x", service.url);
+    service.http.get(&url).await.unwrap();
+    let wait = Duration::from_millis(200);
+    service.faults(json!({"silent_open": true}));
+    let old = tokio::time::timeout(wait, service.http.get(&url)).await;
+    assert!(old.is_err(), "the pooled connection is silent");
+    assert!(rig::Http::new().get(&url).await.is_ok(), "a new one works");
+    service.faults(json!({"silent": true}));
+    assert!(tokio::time::timeout(wait, rig::Http::new().get(&url)).await.is_err());
+    assert_eq!(runs(&service).await, 2);
+    service.faults(json!({"outage": true}));
+    assert_eq!(rig::Http::new().get(&url).await.unwrap().status, 503);
+}
+
+#[tokio::test]
+async fn bodies_are_cut() {
+    let engine = Fake::engine("v1", 0).await;
+    engine.faults(json!({"cut_after_bytes": 300}));
+    let stream = engine.complete(&common::ask("r", "s", "p")).await;
+    assert!(stream.all(LIMIT).await.is_err());
+}
+
+#[tokio::test]
+async fn late_and_lost_entries() {
+    let list = Fake::start(fakes::instances(vec![], Control::new(Default::default()))).await;
+    let entry = |name: &str| json!({"targets": ["127.0.0.1:1"], "labels": {"name": name}});
+    list.post("/_entries", &entry("a")).await;
+    list.post("/_entries", &entry("b")).await;
+    let names = async || {
+        let all: Vec<Value> = list.get("/sd").await.json().unwrap();
+        all.iter().map(|e| e["labels"]["name"].as_str().unwrap().to_owned()).collect::<Vec<_>>()
+    };
+    assert_eq!(names().await, ["a", "b"]);
+    list.faults(json!({"lost": ["a"]}));
+    assert_eq!(names().await, ["b"]);
+    list.faults(json!({"lag_ms": 60_000}));
+    assert!(names().await.is_empty());
+    list.faults(json!({"lag_ms": 1}));
+    rig::wait_for("the lag to pass", LIMIT, async || (names().await.len() == 2).then_some(()))
+        .await
+        .unwrap();
+}
+
+#[tokio::test]
+async fn objects_and_records() {
+    let objects = Fake::start(fakes::objects(Control::new(Default::default()))).await;
+    let url = format!("{}/bucket/a/b.json", objects.url);
+    let put = objects.http.put(&url, &json!({"n": 1})).await.unwrap();
+    let got = objects.http.get(&url).await.unwrap();
+    assert_eq!(got.header("etag"), put.header("etag"));
+    assert!(got.header("last-modified").unwrap().ends_with(" GMT"));
+    assert_eq!(got.text(), r#"{"n":1}"#);
+    assert_eq!(objects.get("/bucket/none").await.status, 404);
+    let store = Fake::store().await;
+    for key in ["k0", "k1", "k3"] {
+        store.http.put(&format!("{}/pieces/{key}", store.url), &json!(1)).await.unwrap();
+    }
+    for key in ["k0", "k1", "k2", "k3"] {
+        store.http.put(&format!("{}/records/{key}", store.url), &json!(key)).await.unwrap();
+    }
+    let run = store.post("/records/run", &json!({"keys": ["k0", "k1", "k2", "k3"]})).await;
+    assert_eq!(run.json::<Value>().unwrap(), json!({"records": ["k0", "k1"]}));
+    store.faults(json!({"full": true}));
+    let full = store.http.put(&format!("{}/pieces/k4", store.url), &json!(1)).await.unwrap();
+    assert_eq!(full.status, 507);
+}
--- a/crates/lentilfake/src/main.rs
+++ b/crates/lentilfake/src/main.rs
@@ -1,3 +1,38 @@
-//! Placeholder.
+//! Runs one stand-in for a system around lentilpitch.
 
-fn main() {}
+mod cli;
+
+use std::{
+    io::{self, Write},
+    net::SocketAddr,
+};
+
+use clap::Parser;
+use eyre::WrapErr;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::cli::Cli;
+
+#[tokio::main]
+async fn main() -> eyre::Result<()> {
+    let cli = Cli::parse();
+    let listen = cli.command.common().listen;
+    let app = cli.command.app()?;
+    let listener =
+        fakes::bind(listen).await.wrap_err_with(|| format!("cannot listen on {listen}"))?;
+    let mut term = signal(SignalKind::terminate())?;
+    let mut int = signal(SignalKind::interrupt())?;
+    announce(listener.local_addr()?)?;
+    tokio::select! {
+        result = fakes::serve(listener, app) => match result? {},
+        _ = term.recv() => Ok(()),
+        _ = int.recv() => Ok(()),
+    }
+}
+
+/// Tells a parent process that the stand-in is ready, and where.
+fn announce(addr: SocketAddr) -> io::Result<()> {
+    let mut out = io::stdout().lock();
+    writeln!(out, "{{\"listening\":\"{addr}\"}}")?;
+    out.flush()
+}
--- /dev/null
+++ b/crates/rig/src/instance.rs
@@ -0,0 +1,53 @@
+//! An instance of lentilpitch in a test.
+
+use std::{fs, ops::Deref};
+
+use crate::{Platform, Proc, RigError};
+
+/// What the platform's list says of an instance.
+#[derive(Debug, Clone, Copy)]
+pub struct Place<'a> {
+    /// Instance name.
+    pub name: &'a str,
+    /// Availability zone.
+    pub zone: &'a str,
+    /// `ip:port` of its peer socket, as in its settings.
+    pub peer: &'a str,
+}
+
+/// A running `lentild`; killed when dropped.
+pub struct Instance {
+    /// Its process.
+    pub proc: Proc,
+    /// Keeps the settings file.
+    _dir: tempfile::TempDir,
+}
+
+impl Instance {
+    /// Writes `settings` to a file, runs `lentild run --settings FILE` and enters the instance in
+    /// the platform's list.
+    pub async fn start(
+        platform: &Platform,
+        place: Place<'_>,
+        settings: &str,
+    ) -> Result<Self, RigError> {
+        let io = |error| RigError::Io { name: "lentild".to_owned(), error };
+        let dir = tempfile::tempdir().map_err(io)?;
+        let file = dir.path().join("settings.yaml");
+        fs::write(&file, settings).map_err(io)?;
+        let file = file.to_string_lossy();
+        let proc = Proc::start("lentild", &["run", "--settings", &file]).await?;
+        let Place { name, zone, peer } = place;
+        let labels = [("name", name), ("role", "entry"), ("zone", zone), ("peer", peer)];
+        platform.enlist(&proc.addr().to_string(), &labels).await?;
+        Ok(Self { proc, _dir: dir })
+    }
+}
+
+impl Deref for Instance {
+    type Target = Proc;
+
+    fn deref(&self) -> &Proc {
+        &self.proc
+    }
+}
