Fit stand-ins and caller to the entry's and the clients' wire forms

Cause: the caller guessed the address answer's form, and the engine told its state while loading in a form its client could not read. The caller now takes expires_ms, the event problem and retry_after_ms, begins anew when its handle is not known, and takes an answer for whole once its last token came. The engine tells no actual state while it loads and no wanted state before its first order, and cancels with idle=true only a run without open stream. The table refuses empty key strings as the published service does.

--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -76,7 +76,8 @@
     /// The version that is reported.
     fn reported(&self) -> Option<String> {
         let lie = self.control.with(|f| f.report_weights.clone());
-        lie.or_else(|| self.weights().map(|w| w.to_string()))
+        let weights = self.weights()?.to_string();
+        Some(lie.unwrap_or(weights))
     }
 
     fn lag(&self) -> Duration {
@@ -97,12 +98,14 @@
     Fence,
     #[error("not_found")]
     Unknown,
+    #[error("not_idle")]
+    Busy,
 }
 
 impl IntoResponse for Refusal {
     fn into_response(self) -> Response {
         let status = match self {
-            Self::Weights | Self::Fence => StatusCode::CONFLICT,
+            Self::Weights | Self::Fence | Self::Busy => StatusCode::CONFLICT,
             Self::Leaving => StatusCode::SERVICE_UNAVAILABLE,
             Self::Overloaded => StatusCode::TOO_MANY_REQUESTS,
             Self::Unknown => StatusCode::NOT_FOUND,
--- a/crates/fakes/src/engine/orders.rs
+++ b/crates/fakes/src/engine/orders.rs
@@ -22,19 +22,26 @@
 #[derive(Debug)]
 pub struct Orders {
     fence: u64,
-    wanted: Wanted,
+    /// `None` before the first order.
+    wanted: Option<Wanted>,
     role: String,
     /// `None` while weights are loading.
     weights: Option<Arc<str>>,
-    loading: Option<AbortHandle>,
+    loading: Option<Loading>,
+}
+
+/// A download under way. Invariant: while there is one, no version is served.
+#[derive(Debug)]
+struct Loading {
+    version: String,
+    task: AbortHandle,
 }
 
 impl Orders {
     /// An engine that serves `weights` and has had no order.
     pub fn new(weights: &str) -> Self {
-        let wanted = Wanted { weights: weights.to_owned(), role: "mixed".to_owned() };
-        let role = wanted.role.clone();
-        Self { fence: 0, wanted, role, weights: Some(weights.into()), loading: None }
+        let role = "mixed".to_owned();
+        Self { fence: 0, wanted: None, role, weights: Some(weights.into()), loading: None }
     }
 
     /// The version that is served.
@@ -59,14 +66,9 @@
 #[derive(Serialize)]
 pub(super) struct Shown {
     fence: u64,
-    wanted: Wanted,
-    actual: Actual,
-}
-
-#[derive(Serialize)]
-struct Actual {
-    weights: Option<String>,
-    role: String,
+    wanted: Option<Wanted>,
+    /// `None` while weights are loading.
+    actual: Option<Wanted>,
 }
 
 pub(super) async fn take(
@@ -84,11 +86,9 @@
         }
         orders.fence = fence;
         orders.role.clone_from(&wanted.role);
-        let change = wanted.weights != orders.wanted.weights;
-        orders.wanted = wanted;
-        if change {
-            start_load(&engine, &mut orders);
-        }
+        let version = wanted.weights.clone();
+        orders.wanted = Some(wanted);
+        orders.load(&engine, version);
     }
     Ok(shown(&engine))
 }
@@ -100,23 +100,30 @@
 fn shown(engine: &Engine) -> Json<Shown> {
     let weights = engine.reported();
     let orders = engine.orders.lock();
-    let actual = Actual { weights, role: orders.role.clone() };
+    let actual = weights.map(|weights| Wanted { weights, role: orders.role.clone() });
     Json(Shown { fence: orders.fence, wanted: orders.wanted.clone(), actual })
 }
 
-fn start_load(engine: &Arc<Engine>, orders: &mut Orders) {
-    if let Some(loading) = orders.loading.take() {
-        loading.abort();
+impl Orders {
+    /// Loads `version` unless it is served or on its way already.
+    fn load(&mut self, engine: &Arc<Engine>, version: String) {
+        let serving = self.weights.as_deref() == Some(&version);
+        let coming = self.loading.as_ref().is_some_and(|l| l.version == version);
+        if serving || coming {
+            return;
+        }
+        if let Some(loading) = self.loading.take() {
+            loading.task.abort();
+        }
+        let Some(source) = &engine.config.source else {
+            self.weights = Some(version.into());
+            return;
+        };
+        self.weights = None;
+        let url = format!("{source}/weights/{}/{version}", engine.config.model);
+        let task = tokio::spawn(load(engine.clone(), url, version.clone())).abort_handle();
+        self.loading = Some(Loading { version, task });
     }
-    let version = orders.wanted.weights.clone();
-    let Some(source) = &engine.config.source else {
-        orders.weights = Some(version.into());
-        return;
-    };
-    orders.weights = None;
-    let url = format!("{source}/weights/{}/{version}", engine.config.model);
-    let task = tokio::spawn(load(engine.clone(), url, version));
-    orders.loading = Some(task.abort_handle());
 }
 
 async fn load(engine: Arc<Engine>, url: String, version: String) {
@@ -124,7 +131,8 @@
         tokio::time::sleep(RETRY).await;
     }
     let mut orders = engine.orders.lock();
-    if orders.wanted.weights == version {
+    if orders.loading.as_ref().is_some_and(|l| l.version == version) {
+        orders.loading = None;
         orders.weights = Some(version.into());
     }
 }
--- a/crates/fakes/src/engine/run.rs
+++ b/crates/fakes/src/engine/run.rs
@@ -1,13 +1,16 @@
 //! Requests: admission, prefill and generation.
 
 use std::{
-    sync::{Arc, OnceLock},
+    sync::{
+        Arc, OnceLock,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
 use axum::{
     Json,
-    extract::{Path, State},
+    extract::{Path, Query, State},
     http::StatusCode,
     response::Response,
 };
@@ -77,6 +80,8 @@
     pub prefill: OnceLock<Prefill>,
     /// Receives each step; closes when the run is cancelled.
     pub progress: watch::Receiver<Progress>,
+    /// Number of open streams.
+    pub streams: AtomicUsize,
     task: Mutex<Option<AbortHandle>>,
 }
 
@@ -116,6 +121,7 @@
         tokens: ask.max_tokens.unwrap_or(DEFAULT_TOKENS).max(1),
         prefill: OnceLock::new(),
         progress,
+        streams: AtomicUsize::new(0),
         task: Mutex::default(),
     });
     engine.keep(&run);
@@ -126,11 +132,27 @@
     Ok(stream::response(engine, run, 0))
 }
 
+#[derive(Deserialize)]
+pub(super) struct Cancel {
+    /// Only if no stream is open.
+    #[serde(default)]
+    idle: bool,
+}
+
 pub(super) async fn cancel(
     State(engine): State<Arc<Engine>>,
     Path(id): Path<String>,
+    Query(how): Query<Cancel>,
 ) -> Result<StatusCode, Refusal> {
-    let run = engine.runs.lock().remove(&*id).ok_or(Refusal::Unknown)?;
+    let run = {
+        let mut runs = engine.runs.lock();
+        let run = runs.get(&*id).cloned().ok_or(Refusal::Unknown)?;
+        if how.idle && run.streams.load(Ordering::SeqCst) > 0 {
+            return Err(Refusal::Busy);
+        }
+        runs.remove(&*id);
+        run
+    };
     if let Some(task) = run.task.lock().take() {
         task.abort();
     }
--- a/crates/fakes/src/engine/stream.rs
+++ b/crates/fakes/src/engine/stream.rs
@@ -1,6 +1,9 @@
 //! Event streams, with their faults.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use axum::{
     body::Body,
@@ -46,6 +49,7 @@
 /// The events of `run` from the token at `from` on.
 pub fn response(engine: Arc<Engine>, run: Arc<Run>, from: u32) -> Response {
     let (sender, receiver) = mpsc::channel(BUFFER);
+    run.streams.fetch_add(1, Ordering::SeqCst);
     let feed = Feed { engine, run, sender, held: Vec::new() };
     tokio::spawn(feed.run(from));
     let events = ReceiverStream::new(receiver).map(Ok::<_, std::io::Error>);
@@ -66,6 +70,12 @@
     held: Vec<(Instant, String)>,
 }
 
+impl Drop for Feed {
+    fn drop(&mut self) {
+        self.run.streams.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
 impl Feed {
     async fn run(mut self, from: u32) {
         // A reader that has gone needs no answer.
@@ -95,7 +105,11 @@
         &self,
         progress: &mut tokio::sync::watch::Receiver<Progress>,
     ) -> Result<(), Ended> {
-        match timeout(KEEP_ALIVE, progress.changed()).await {
+        let changed = tokio::select! {
+            changed = timeout(KEEP_ALIVE, progress.changed()) => changed,
+            () = self.sender.closed() => return Err(Ended),
+        };
+        match changed {
             Ok(changed) => changed.map_err(|_| Ended),
             Err(_) if self.run.prefill.get().is_none() => {
                 self.send(": prefill\n\n".to_owned()).await
--- a/crates/fakes/src/table/call.rs
+++ b/crates/fakes/src/table/call.rs
@@ -230,13 +230,14 @@
     })
 }
 
+/// A string of a key, which the protocol does not allow to be empty.
 fn string(attributes: &Map<String, Value>, name: &str) -> Option<String> {
-    Some(attributes.get(name)?.get("S")?.as_str()?.to_owned())
+    let text = attributes.get(name)?.get("S")?.as_str()?;
+    (!text.is_empty()).then(|| text.to_owned())
 }
 
 fn key_of(attributes: &Map<String, Value>) -> Result<(String, String), CallError> {
-    let part = |name| string(attributes, name).filter(|s| !s.is_empty());
-    let pk = part("pk").ok_or(CallError::Key("pk"))?;
-    let sk = part("sk").ok_or(CallError::Key("sk"))?;
+    let pk = string(attributes, "pk").ok_or(CallError::Key("pk"))?;
+    let sk = string(attributes, "sk").ok_or(CallError::Key("sk"))?;
     Ok((pk, sk))
 }
--- a/crates/fakes/tests/engine_streams.rs
+++ b/crates/fakes/tests/engine_streams.rs
@@ -46,6 +46,7 @@
     let engine = Fake::engine("v1", 60_000).await;
     let mut stream = engine.complete(&ask("r", "s", "short")).await;
     let url = format!("{}/v1/completions/r", engine.url);
+    assert_eq!(engine.http.delete(&format!("{url}?idle=true")).await.unwrap().status, 409);
     assert_eq!(engine.http.delete(&url).await.unwrap().status, 204);
     assert_eq!(stream.next(LIMIT).await.unwrap(), None);
     assert_eq!(engine.get("/v1/completions/r?from=0").await.status, 404);
@@ -56,6 +57,15 @@
     rig::wait_for("a free slot", LIMIT, free).await.unwrap();
 }
 
+#[tokio::test]
+async fn idle_run_is_cancelled() {
+    let engine = Fake::engine("v1", 60_000).await;
+    drop(engine.complete(&ask("r", "s", "short")).await);
+    let url = format!("{}/v1/completions/r?idle=true", engine.url);
+    let cancelled = async || (engine.http.delete(&url).await.unwrap().status == 204).then_some(());
+    rig::wait_for("the stream to be closed", LIMIT, cancelled).await.unwrap();
+}
+
 #[tokio::test]
 async fn spoiled_delivery_keeps_every_event() {
     let engine = Fake::engine("v1", 1).await;
--- a/crates/fakes/tests/order_fence.rs
+++ b/crates/fakes/tests/order_fence.rs
@@ -13,6 +13,8 @@
 #[tokio::test]
 async fn old_fence_is_refused() {
     let engine = Fake::engine("v1", 0).await;
+    let first: Value = engine.get("/orders").await.json().unwrap();
+    assert_eq!((&first["wanted"], &first["fence"]), (&Value::Null, &json!(0)));
     let url = format!("{}/orders", engine.url);
     assert_eq!(engine.http.put(&url, &order(5, "v2")).await.unwrap().status, 200);
     let reply = engine.http.put(&url, &order(4, "v1")).await.unwrap();
@@ -44,7 +46,8 @@
     let url = format!("{}/orders", engine.url);
     engine.http.put(&url, &order(1, "v2")).await.unwrap();
     let shown: Value = engine.get("/orders").await.json().unwrap();
-    assert_eq!(shown["actual"]["weights"], Value::Null);
+    assert_eq!(engine.get("/load").await.json::<Value>().unwrap()["weights"], Value::Null);
+    assert_eq!(shown["actual"], Value::Null);
     assert_eq!(engine.post("/v1/completions", &common::ask("r", "s", "p")).await.status, 409);
     weights.faults(json!({"link_rate": 1_u64 << 40}));
     // The first chunk still waits at the old rate, so a second order starts a fresh download.
--- a/crates/rig/src/caller.rs
+++ b/crates/rig/src/caller.rs
@@ -31,8 +31,10 @@
     pub key: String,
     /// The caller's availability zone.
     pub zone: Option<String>,
-    /// A connection that sends nothing for this long is given up.
+    /// A stream that sends nothing for this long is given up.
     pub silence: Duration,
+    /// An answer that has not begun after this time is given up.
+    pub patience: Duration,
     /// A request that has no whole answer after this time is given up.
     pub limit: Duration,
 }
@@ -119,12 +121,12 @@
         format!("Bearer {}", self.config.key)
     }
 
-    /// Bounds the wait for the head of an answer.
-    async fn head<R, T>(&self, call: R, end: Instant) -> Result<T, HttpError>
+    /// Bounds a wait.
+    async fn within<R, T>(&self, span: Duration, call: R, end: Instant) -> Result<T, HttpError>
     where
         R: Future<Output = Result<T, HttpError>>,
     {
-        let limit = self.config.silence.min(end.saturating_duration_since(Instant::now()));
+        let limit = span.min(end.saturating_duration_since(Instant::now()));
         let answer = tokio::time::timeout(limit, call).await;
         answer.unwrap_or(Err(HttpError::Silent(limit)))
     }
@@ -141,7 +143,7 @@
                 Ok(())
             }
             Failure::Problem(problem) => {
-                let wait = problem.retry.filter(|w| Instant::now() + *w < end);
+                let wait = advice(&problem).filter(|w| Instant::now() + *w < end);
                 let Some(wait) = wait else { return Err(CallError::Problem(problem)) };
                 tokio::time::sleep(wait).await;
                 Ok(())
@@ -149,3 +151,9 @@
         }
     }
 }
+
+/// How long to wait before another try; `None` when that is useless.
+fn advice(problem: &Problem) -> Option<Duration> {
+    let elsewhere = ["stale", "not-ready", "bad-handle"].iter().any(|name| problem.is(name));
+    problem.retry.or(elsewhere.then_some(PAUSE))
+}
--- a/crates/rig/src/caller/assembly.rs
+++ b/crates/rig/src/caller/assembly.rs
@@ -62,7 +62,7 @@
     pub next: u64,
     /// The last received event id, to resume from.
     pub handle: Option<String>,
-    /// The request's id.
+    /// The request's id; each connection has its own.
     pub request: Option<String>,
     /// The weight version that answered.
     pub weights: String,
@@ -79,7 +79,7 @@
             *self = Self::default();
             return Ok(Step::Restart);
         }
-        if event.kind == "error" {
+        if event.kind == "problem" {
             return Ok(Step::Problem(Box::new(Problem::of_text(&event.data, 200))));
         }
         if event.data == "[DONE]" {
--- a/crates/rig/src/caller/book.rs
+++ b/crates/rig/src/caller/book.rs
@@ -48,11 +48,39 @@
         let headers = [JSON, ("authorization", &*bearer), ("idempotency-key", key)];
         let body = Bytes::from(body.to_owned());
         let call = http.send(hyper::Method::POST, url, &headers, body);
-        let reply = self.head(call, end).await?;
-        let kind = reply.header("content-type").unwrap_or_default();
-        if kind.starts_with("application/problem+json") {
-            return Err(Failure::Problem(Box::new(Problem::of_reply(&reply))));
+        run(self.within(self.config.patience, call, end).await?)
+    }
+
+    /// Looks the outcome of a call up by its key, at any instance.
+    pub async fn outcome(&self, service: &str, key: &str) -> Result<Booked, CallError> {
+        let end = Instant::now() + self.config.limit;
+        let mut attempts = 0;
+        loop {
+            let addresses = self.addresses(service, end).await?;
+            let addr = &addresses[attempts as usize % addresses.len()];
+            attempts += 1;
+            match self.look_up(addr, key, end).await {
+                Ok(reply) => return Ok(Booked { reply, attempts }),
+                Err(failure) => self.after(failure, end).await?,
+            }
+            tokio::time::sleep(PAUSE).await;
         }
-        Ok(reply)
     }
+
+    async fn look_up(&self, addr: &str, key: &str, end: Instant) -> Result<Reply, Failure> {
+        let (http, bearer) = (self.http(), self.bearer());
+        let url = format!("http://{addr}/v1/outcomes/{}", encode(key));
+        let headers = [("authorization", &*bearer)];
+        let call = http.send(hyper::Method::GET, &url, &headers, Bytes::new());
+        run(self.within(self.config.silence, call, end).await?)
+    }
+}
+
+/// A service's answer, as opposed to a problem of the system.
+fn run(reply: Reply) -> Result<Reply, Failure> {
+    let kind = reply.header("content-type").unwrap_or_default();
+    if kind.starts_with("application/problem+json") {
+        return Err(Failure::Problem(Box::new(Problem::of_reply(&reply))));
+    }
+    Ok(reply)
 }
--- a/crates/rig/src/caller/problem.rs
+++ b/crates/rig/src/caller/problem.rs
@@ -43,25 +43,29 @@
     title: String,
     detail: String,
     ran: Ran,
-    /// Seconds; only in an event, where there is no header.
-    retry_after: Option<f64>,
+    retry_after_ms: Option<u64>,
 }
 
 impl Problem {
+    /// Whether its type ends with this name.
+    pub fn is(&self, name: &str) -> bool {
+        self.kind.rsplit(':').next() == Some(name)
+    }
+
     /// Reads a whole answer that is not a success.
     pub(super) fn of_reply(reply: &Reply) -> Self {
         let seconds = reply.header("retry-after").and_then(|v| v.parse().ok());
         let mut problem = Self::of_text(&reply.text(), reply.status.as_u16());
-        problem.retry = seconds.map(Duration::from_secs).or(problem.retry);
+        problem.retry = problem.retry.or(seconds.map(Duration::from_secs));
         problem
     }
 
-    /// Reads the data of an event `error`, or any text that should be a problem document.
+    /// Reads the data of an event `problem`, or any text that should be a problem document.
     pub(super) fn of_text(text: &str, status: u16) -> Self {
         let wire: ProblemWire = serde_json::from_str(text)
             .unwrap_or_else(|_| ProblemWire { detail: text.to_owned(), ..ProblemWire::default() });
         let detail = if wire.detail.is_empty() { wire.title } else { wire.detail };
-        let retry = wire.retry_after.and_then(|s| Duration::try_from_secs_f64(s).ok());
+        let retry = wire.retry_after_ms.map(Duration::from_millis);
         let status = wire.status.unwrap_or(status);
         Self { status, kind: wire.kind, detail, ran: wire.ran, retry }
     }
--- a/crates/rig/src/caller/stream.rs
+++ b/crates/rig/src/caller/stream.rs
@@ -23,6 +23,8 @@
     pub tokens: u32,
     /// The context the prompt returns to.
     pub context: String,
+    /// Whether it may wait behind interactive requests.
+    pub batch: bool,
 }
 
 /// A whole answer.
@@ -30,7 +32,7 @@
 pub struct Answer {
     /// Its text.
     pub text: String,
-    /// The request's id.
+    /// The request's id on the last connection.
     pub request: String,
     /// The weight version that answered.
     pub weights: String,
@@ -88,7 +90,13 @@
         for turn in 0.. {
             let addresses = self.addresses(&ask.context, course.end).await?;
             let addr = &addresses[turn % addresses.len()];
-            let Err(failure) = self.attempt(addr, &mut course).await else { break };
+            let failure = match self.attempt(addr, ask.batch, &mut course).await {
+                // The last token came; only the end mark is missing.
+                Err(Failure::Link(_)) if course.assembly.finish.is_some() => break,
+                Err(failure) => failure,
+                Ok(()) => break,
+            };
+            course.note(&failure);
             self.after(failure, course.end).await?;
             if turn % addresses.len() == addresses.len() - 1 {
                 tokio::time::sleep(PAUSE).await;
@@ -97,10 +105,14 @@
         Ok(course.answer())
     }
 
-    async fn attempt(&self, addr: &str, course: &mut Course) -> Result<(), Failure> {
+    async fn attempt(&self, addr: &str, batch: bool, course: &mut Course) -> Result<(), Failure> {
         course.attempts += 1;
+        course.assembly.request = None;
         let (http, bearer) = (self.http(), self.bearer());
+        let deadline = course.left().as_millis().max(1).to_string();
+        let class = if batch { "batch" } else { "interactive" };
         let mut headers = vec![JSON, ("authorization", &*bearer)];
+        headers.extend([("x-class", class), ("x-deadline-ms", &deadline)]);
         let handle = course.assembly.handle.clone();
         if let Some(handle) = &handle {
             headers.push(("last-event-id", handle));
@@ -108,12 +120,12 @@
         }
         let url = format!("http://{addr}/v1/completions");
         let call = http.events(hyper::Method::POST, &url, &headers, course.body.clone());
-        let mut events = match self.head(call, course.end).await? {
+        let mut events = match self.within(self.config.patience, call, course.end).await? {
             Ok(events) => events,
             Err(reply) => return Err(Failure::Problem(Box::new(Problem::of_reply(&reply)))),
         };
         loop {
-            let left = course.end.saturating_duration_since(Instant::now());
+            let left = course.left();
             let wait = tokio::time::timeout(left, events.next(self.config.silence)).await;
             let event = wait.map_err(|_| HttpError::Silent(left))??;
             let event = event.ok_or(HttpError::Ended)?;
@@ -135,6 +147,21 @@
         Self { body, start, end: start + limit, assembly, first: None, attempts, resumes, restarts }
     }
 
+    fn left(&self) -> Duration {
+        self.end.saturating_duration_since(Instant::now())
+    }
+
+    /// Drops what came when the system does not know its handle any more.
+    fn note(&mut self, failure: &Failure) {
+        if let Failure::Problem(problem) = failure
+            && problem.is("bad-handle")
+            && self.assembly.handle.is_some()
+        {
+            self.assembly = Assembly::default();
+            self.restarts += 1;
+        }
+    }
+
     fn answer(self) -> Answer {
         let took = self.start.elapsed();
         let (prompt, cached) = self.assembly.usage.unwrap_or_default();
--- a/crates/rig/tests/caller_resume.rs
+++ b/crates/rig/tests/caller_resume.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use common::{Entry, Script, caller, chunk, problem};
+use common::{Entry, Script, caller, chunk, problem, problem_of};
 use rig::{CallError, Completion, Ran};
 
 fn ask() -> Completion {
@@ -13,6 +13,7 @@
         prompt: "Ann and Bo".to_owned(),
         tokens: 3,
         context: "gala 7".to_owned(),
+        batch: false,
     }
 }
 
@@ -52,6 +53,30 @@
     assert_eq!(body(sent), body(again));
 }
 
+#[tokio::test]
+async fn unknown_handle_starts_anew() {
+    let second = Entry::start(&[]).await;
+    second.expect(problem_of("bad-handle", 409, "no", None));
+    let first = Entry::start(&[&second]).await;
+    first.expect(Script::events(&chunk("r", 0, "")).cut());
+    first.expect(Script::events(&(chunk("q", 0, "") + &chunk("q", 1, "stop"))));
+    let answer = caller(&first).complete(&ask()).await.unwrap();
+    let got = (&*answer.text, answer.attempts, answer.resumes, answer.restarts);
+    assert_eq!(got, ("t0 t1 ", 3, 1, 1), "the end mark may be missing");
+    assert!(!first.heads()[2].contains("last-event-id"));
+}
+
+#[tokio::test]
+async fn problem_in_the_stream() {
+    let entry = Entry::start(&[]).await;
+    let problem = "event: problem\ndata: {\"type\":\"x:upstream\",\"status\":502,\
+        \"ran\":\"unknown\",\"retry_after_ms\":1}\n\n";
+    entry.expect(Script::events(&(chunk("r", 0, "") + problem)));
+    entry.expect(Script::events(&end(1)));
+    let answer = caller(&entry).complete(&ask()).await.unwrap();
+    assert_eq!((&*answer.text, answer.attempts, answer.resumes), ("t0 t1 ", 2, 1));
+}
+
 #[tokio::test]
 async fn silent_stream_is_left() {
     let second = Entry::start(&[]).await;
@@ -88,6 +113,7 @@
         chunk("r", 0, "") + &end(2),
         chunk("r", 0, "") + &end(0),
         chunk("q", 0, "") + &end(1),
+        chunk("r", 1, ""),
         chunk("r", 0, "") + "data: [DONE]\n\n",
         "id: x\ndata: {}\n\n".to_owned(),
     ];
--- a/crates/rig/tests/common/mod.rs
+++ b/crates/rig/tests/common/mod.rs
@@ -107,7 +107,7 @@
         state.heads.push(request.clone());
         if request.starts_with("GET /v1/where") {
             let addresses: Vec<_> = state.addresses.iter().map(|a| json!({"addr": a})).collect();
-            let body = json!({"addresses": addresses, "expires": u64::MAX / 1_000_000});
+            let body = json!({"addresses": addresses, "expires_ms": 60_000});
             Script::answer("200 OK", "application/json", "", &body.to_string())
         } else {
             state.scripts.pop_front().expect("no call is expected")
@@ -147,7 +147,13 @@
 }
 
 pub fn problem(status: u16, ran: &str, retry: Option<u64>) -> Script {
-    let body = json!({"type": "overloaded", "title": "Busy", "status": status, "ran": ran});
+    problem_of("limited", status, ran, retry)
+}
+
+pub fn problem_of(kind: &str, status: u16, ran: &str, retry: Option<u64>) -> Script {
+    let kind = format!("urn:lentilpitch:problem:{kind}");
+    let body = json!({"type": kind, "title": "x", "status": status, "ran": ran,
+        "retry_after_ms": retry.map(|s| s * 1000)});
     let headers = retry.map_or_else(String::new, |s| format!("retry-after: {s}\r\n"));
     let status = format!("{status} Refused");
     Script::answer(&status, "application/problem+json", &headers, &body.to_string())
@@ -159,6 +165,7 @@
         key: "key".to_owned(),
         zone: None,
         silence: SILENCE,
+        patience: Duration::from_secs(10),
         limit: Duration::from_secs(30),
     })
 }
