--- /dev/null
+++ b/crates/member/tests/fresh_cases.rs
@@ -0,0 +1,151 @@
+//! When an instance takes new work.
+
+mod sim;
+
+use std::time::Duration;
+
+use ident::{Name, Rev, Time};
+use member::{CONFIRM_TERM, Config, Freshness, Me, Members};
+use sim::Sim;
+
+fn secs(n: u64) -> Duration {
+    Duration::from_secs(n)
+}
+
+fn fresh(sim: &Sim, i: usize) -> Freshness {
+    sim.nodes[i].members.freshness(sim.now)
+}
+
+fn count(sim: &Sim, kind: Freshness) -> usize {
+    (0..sim.nodes.len()).filter(|&i| sim.nodes[i].alive && fresh(sim, i) == kind).count()
+}
+
+fn tables(sim: &mut Sim, up: fn(usize) -> bool) {
+    for (i, node) in sim.nodes.iter_mut().enumerate() {
+        node.table = up(i);
+    }
+}
+
+#[test]
+fn alone() {
+    let name = Name::new("a").unwrap();
+    let addr = "10.0.0.1:1".parse().unwrap();
+    let zone = Name::new("z").unwrap();
+    let boot = ident::Boot(1);
+    let me = Me { name, zone, addr, peer: addr, boot, started: Time(1000) };
+    let mut members = Members::new(me, Config::default());
+    let at = Time(50_000);
+    assert_eq!(members.freshness(at), Freshness::Stale);
+    members.table_read(at, true, Rev(3));
+    assert_eq!(members.freshness(at), Freshness::Stale, "a newer revision is not applied yet");
+    members.set_rev(Rev(3));
+    members.table_read(at, true, Rev(3));
+    assert_eq!(members.freshness(at), Freshness::Fresh);
+    let last = at.after(CONFIRM_TERM).before(Duration::from_millis(1));
+    assert_eq!(members.freshness(last), Freshness::Fresh);
+    assert_eq!(members.freshness(at.after(CONFIRM_TERM)), Freshness::Stale);
+    members.table_read(at, false, Rev(3));
+    assert_eq!(members.freshness(at.after(CONFIRM_TERM)), Freshness::Outage);
+    members.set_rev(Rev(1));
+    assert_eq!(members.rev(), Rev(3), "a revision never falls");
+}
+
+#[test]
+fn never_ready_without_confirmation() {
+    let mut sim = Sim::new(8, 4, 1);
+    tables(&mut sim, |_| false);
+    sim.run(secs(20));
+    assert_eq!(count(&sim, Freshness::Stale), 8);
+}
+
+#[test]
+fn peer_confirms() {
+    let mut sim = Sim::new(8, 4, 2);
+    sim.run(secs(8));
+    tables(&mut sim, |i| i == 0);
+    for _ in 0..300 {
+        sim.step();
+        assert_eq!(count(&sim, Freshness::Stale), 0);
+    }
+    assert!(count(&sim, Freshness::Fresh) >= 7);
+}
+
+#[test]
+fn outage_serves_on() {
+    for size in [3, 8, 80] {
+        let mut sim = Sim::new(size, 4, 3);
+        sim.run(secs(8));
+        tables(&mut sim, |_| false);
+        sim.run(secs(3));
+        for _ in 0..600 {
+            sim.step();
+            assert_eq!(count(&sim, Freshness::Stale), 0, "{size}");
+        }
+        assert_eq!(count(&sim, Freshness::Outage), size);
+        tables(&mut sim, |_| true);
+        sim.run(secs(9));
+        assert_eq!(count(&sim, Freshness::Fresh), size);
+    }
+}
+
+#[test]
+fn cut_off_stops() {
+    for (size, cut) in [
+        (8, (|a, b| (a == 0) != (b == 0)) as fn(usize, usize) -> bool),
+        (8, |a, b| (a < 3) != (b < 3)),
+        (80, |a, b| (a < 10) != (b < 10)),
+    ] {
+        let mut sim = Sim::new(size, 4, 4);
+        sim.run(secs(8));
+        tables(&mut sim, |_| false);
+        sim.cut = cut;
+        sim.run(secs(14));
+        assert_eq!(fresh(&sim, 0), Freshness::Stale, "{size}");
+        assert_eq!(fresh(&sim, size - 1), Freshness::Outage, "{size}");
+        sim.run(secs(200));
+        assert_eq!(fresh(&sim, 0), Freshness::Stale, "the dead still count, {size}");
+    }
+}
+
+#[test]
+fn even_split_stops() {
+    let mut sim = Sim::new(8, 4, 5);
+    sim.run(secs(8));
+    tables(&mut sim, |_| false);
+    sim.cut = |a, b| a % 2 != b % 2;
+    sim.run(secs(14));
+    assert_eq!(count(&sim, Freshness::Stale), 8);
+}
+
+#[test]
+fn one_heard_reader_ends_outage() {
+    let mut sim = Sim::new(8, 4, 6);
+    sim.run(secs(8));
+    tables(&mut sim, |i| i == 0);
+    sim.nodes[0].members.set_rev(Rev(9));
+    let later = sim.now;
+    for _ in 0..120 {
+        sim.step();
+        let now = sim.now;
+        sim.nodes[0].members.table_read(now, true, Rev(9));
+    }
+    assert!(sim.now > later.after(CONFIRM_TERM));
+    assert_eq!(fresh(&sim, 0), Freshness::Fresh);
+    assert_eq!(count(&sim, Freshness::Stale), 7, "a newer revision exists and was not fetched");
+}
+
+#[test]
+fn rolling_replacement_in_outage() {
+    let mut sim = Sim::new(8, 4, 7);
+    sim.run(secs(8));
+    tables(&mut sim, |_| false);
+    sim.run(secs(10));
+    for i in 0..5 {
+        let now = sim.now;
+        sim.nodes[i].members.leave(now);
+        sim.run(secs(12));
+        sim.kill(i);
+        sim.run(secs(20));
+    }
+    assert_eq!(count(&sim, Freshness::Outage), 3, "those that said they leave do not count");
+}
--- /dev/null
+++ b/crates/member/tests/sim/mod.rs
@@ -0,0 +1,229 @@
+//! Many instances stepped in one thread.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::{collections::BTreeMap, time::Duration};
+
+use ident::{Boot, Name, Rev, Time};
+use member::{Action, Config, Entry, Me, Members, News, Peer, PeerState, Ping, Pong, Status};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+pub const STEP: Duration = Duration::from_millis(100);
+const START: u64 = 1_700_000_000_000;
+const TIMEOUT: Duration = Duration::from_secs(1);
+const LIST_LAG: u64 = 5_000;
+const READ_PERIOD: u64 = 4_000;
+
+/// Size of a message on the wire.
+pub type Size = fn(&Status, &[News]) -> u64;
+
+pub struct Node {
+    pub members: Members,
+    pub alive: bool,
+    pub table: bool,
+    pub bytes: u64,
+    asks: BTreeMap<Name, Time>,
+    read: Time,
+}
+
+enum Mail {
+    Ping(usize, usize, Ping, Time),
+    Pong(usize, usize, Pong, Time),
+}
+
+pub struct Sim {
+    pub now: Time,
+    pub nodes: Vec<Node>,
+    pub rng: SmallRng,
+    pub rev: Rev,
+    /// Messages from the first to the second are lost.
+    pub cut: fn(usize, usize) -> bool,
+    pub size: Size,
+    pub zones: usize,
+    pub changes: Vec<(Time, usize, Name, PeerState)>,
+    list: Vec<(u64, Vec<Entry>)>,
+    mail: Vec<Mail>,
+}
+
+pub fn name(i: usize) -> Name {
+    Name::new(&format!("entry-{i:03}")).unwrap()
+}
+
+pub fn entry(i: usize, zones: usize) -> Entry {
+    let port = 1000 + u16::try_from(i).unwrap();
+    let at = |host: u8| ([10, 0, 0, host], port).into();
+    let zone = Name::new(&format!("zone-{}", i % zones)).unwrap();
+    Entry { name: name(i), zone, addr: at(1), peer: at(2), leaving: false }
+}
+
+fn me(i: usize, zones: usize, now: Time, boot: u128) -> Me {
+    let Entry { name, zone, addr, peer, .. } = entry(i, zones);
+    Me { name, zone, addr, peer, boot: Boot(boot), started: now }
+}
+
+impl Sim {
+    pub fn new(count: usize, zones: usize, seed: u64) -> Self {
+        let now = Time(START);
+        let mut sim = Self {
+            now,
+            nodes: Vec::new(),
+            rng: SmallRng::seed_from_u64(seed),
+            rev: Rev(1),
+            cut: |_, _| false,
+            size: |_, _| 0,
+            zones,
+            changes: Vec::new(),
+            list: vec![(0, (0..count).map(|i| entry(i, zones)).collect())],
+            mail: Vec::new(),
+        };
+        for i in 0..count {
+            let node = sim.boot(i);
+            sim.nodes.push(node);
+        }
+        sim
+    }
+
+    fn boot(&mut self, i: usize) -> Node {
+        let me = me(i, self.zones, self.now, self.rng.random());
+        let mut members = Members::new(me, Config::default());
+        members.sync_list(self.seen(), self.now);
+        let read = Time(self.now.0 + self.rng.random_range(0..1000));
+        Node { members, alive: true, table: true, bytes: 0, asks: BTreeMap::new(), read }
+    }
+
+    /// The list as the platform shows it now.
+    fn seen(&self) -> &[Entry] {
+        let at = self.now.0 - LIST_LAG;
+        let shown = self.list.iter().rev().find(|(t, _)| *t <= at).unwrap_or(&self.list[0]);
+        &shown.1
+    }
+
+    pub fn set_list(&mut self, entries: Vec<Entry>) {
+        self.list.push((self.now.0, entries));
+    }
+
+    pub fn kill(&mut self, i: usize) {
+        self.nodes[i].alive = false;
+    }
+
+    pub fn restart(&mut self, i: usize) {
+        self.nodes[i] = self.boot(i);
+    }
+
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now.after(span);
+        while !end.passed(self.now) {
+            self.step();
+        }
+    }
+
+    /// Steps until `done`, at most for `limit`; returns how long it took.
+    pub fn until<F>(&mut self, limit: Duration, done: F) -> Option<Duration>
+    where
+        F: Fn(&Self) -> bool,
+    {
+        let start = self.now;
+        while self.now.since(start) < limit {
+            if done(self) {
+                return Some(self.now.since(start));
+            }
+            self.step();
+        }
+        None
+    }
+
+    pub fn step(&mut self) {
+        self.now = self.now.after(STEP);
+        for mail in std::mem::take(&mut self.mail) {
+            self.deliver(mail);
+        }
+        for i in 0..self.nodes.len() {
+            if self.nodes[i].alive {
+                self.advance(i);
+            }
+        }
+    }
+
+    fn advance(&mut self, i: usize) {
+        let (now, draw, rev) = (self.now, self.rng.random(), self.rev);
+        if self.rng.random_range(0..60) == 0 {
+            let list = self.seen().to_vec();
+            self.nodes[i].members.sync_list(&list, now);
+        }
+        let node = &mut self.nodes[i];
+        if node.read.passed(now) {
+            node.read = now.after(Duration::from_millis(READ_PERIOD));
+            if node.table {
+                node.members.set_rev(rev);
+            }
+            node.members.table_read(now, node.table, rev);
+        }
+        let late: Vec<_> =
+            node.asks.iter().filter(|(_, t)| t.passed(now)).map(|(n, _)| n.clone()).collect();
+        for peer in late {
+            node.asks.remove(&peer);
+            node.members.on_silent(&peer, now);
+        }
+        let actions = node.members.tick(now, draw);
+        self.act(i, actions);
+    }
+
+    fn act(&mut self, i: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Ping { to, ping, .. } => {
+                    let j: usize = to.as_str()[6..].parse().unwrap();
+                    self.nodes[i].bytes += (self.size)(&ping.status, &ping.news);
+                    self.nodes[i].asks.insert(to, self.now.after(TIMEOUT));
+                    self.mail.push(Mail::Ping(i, j, ping, self.now));
+                }
+                Action::Changed { peer, state } => {
+                    self.changes.push((self.now, i, peer, state));
+                }
+                Action::FetchChanges { .. } | Action::Forget { .. } => {}
+            }
+        }
+    }
+
+    fn deliver(&mut self, mail: Mail) {
+        let now = self.now;
+        match mail {
+            Mail::Ping(i, j, ping, at) => {
+                if (self.cut)(i, j) || !self.nodes[j].alive {
+                    return;
+                }
+                let node = &mut self.nodes[j];
+                node.bytes += (self.size)(&ping.status, &ping.news);
+                let pong = node.members.on_ping(&name(i), ping, now);
+                node.bytes += (self.size)(&pong.status, &pong.news);
+                self.mail.push(Mail::Pong(j, i, pong, at));
+            }
+            Mail::Pong(j, i, pong, at) => {
+                let deadline = at.after(TIMEOUT);
+                let node = &mut self.nodes[i];
+                if (self.cut)(j, i) || !node.alive || node.asks.get(&name(j)) != Some(&deadline) {
+                    return;
+                }
+                node.asks.remove(&name(j));
+                node.bytes += (self.size)(&pong.status, &pong.news);
+                let actions = node.members.on_pong(&name(j), pong, now);
+                self.act(i, actions);
+            }
+        }
+    }
+
+    /// The states in which living instances hold instance `i`.
+    pub fn states(&self, i: usize) -> Vec<PeerState> {
+        let of = |n: &Node| find(n, i).map(|p| p.state);
+        let others = self.nodes.iter().enumerate().filter(|(j, n)| *j != i && n.alive);
+        others.filter_map(|(_, n)| of(n)).collect()
+    }
+
+    pub fn all_hold(&self, i: usize, state: PeerState) -> bool {
+        self.states(i).iter().all(|s| *s == state)
+    }
+}
+
+pub fn find(node: &Node, i: usize) -> Option<&Peer> {
+    let (name, peers) = (name(i), node.members.peers());
+    peers.binary_search_by(|p| p.name.cmp(&name)).ok().map(|at| &peers[at])
+}
