Carry sealed peer messages over hyper instead of zeromq

zeromq was tried first: a frame header of nine bytes after the greeting, from anybody who reaches the port, ends the process through a failed allocation; a router can't close a client that fell silent; a send to a silent peer reports success; a dealer does not find its peer again at the same address.

--- /dev/null
+++ b/crates/wire/src/codec.rs
@@ -0,0 +1,210 @@
+//! The format of messages on the wire.
+
+use conf::{Change, Doc, DocKey, Kind};
+use ident::{Boot, Name, RequestId, Rev};
+use member::{MAX_NEWS, News, PeerState, Ping, Pong, Status};
+use serde::{Deserialize, Serialize};
+
+use crate::{CodecError, Message, error::Field};
+
+const LEAVING: u8 = 1;
+const FRESH: u8 = 2;
+const TABLE: u8 = 4;
+
+/// Bytes of a change beside its name and document, at most.
+const CHANGE_FRAME: usize = 48;
+
+/// Encodes a message.
+pub fn encode(message: &Message) -> Result<Vec<u8>, CodecError> {
+    Ok(postcard::to_stdvec(&MessageWire::try_from(message)?)?)
+}
+
+/// Decodes a message that the life `boot` of its sender sealed.
+pub fn decode(bytes: &[u8], boot: Boot) -> Result<Message, CodecError> {
+    Message::try_from((postcard::from_bytes::<MessageWire>(bytes)?, boot))
+}
+
+/// An upper bound of a change's size on the wire, in bytes.
+pub(crate) fn change_bytes(change: &Change) -> usize {
+    let doc = change.doc.as_ref().map_or(0, |d| serde_json::to_vec(d).map_or(0, |v| v.len()));
+    CHANGE_FRAME + change.key.name.as_str().len() + doc
+}
+
+#[derive(Serialize, Deserialize)]
+enum MessageWire {
+    Ping(TalkWire),
+    Pong(TalkWire),
+    ChangesAsk(u64),
+    Changes(Vec<ChangeWire>),
+}
+
+/// A ping or a pong. The sender's boot is part of the seal.
+#[derive(Serialize, Deserialize)]
+struct TalkWire {
+    incarnation: u64,
+    seen: u64,
+    flags: u8,
+    rev: u64,
+    age: Option<u32>,
+    load: u16,
+    news: Vec<NewsWire>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct NewsWire {
+    name: String,
+    incarnation: u64,
+    state: u8,
+}
+
+/// A change; its document is JSON, which tolerates fields that one end does not know yet.
+#[derive(Serialize, Deserialize)]
+struct ChangeWire {
+    rev: u64,
+    id: [u8; 16],
+    kind: u8,
+    name: String,
+    doc: Option<Vec<u8>>,
+}
+
+impl TryFrom<&Message> for MessageWire {
+    type Error = CodecError;
+
+    fn try_from(message: &Message) -> Result<Self, CodecError> {
+        Ok(match message {
+            Message::Ping(p) => Self::Ping(TalkWire::from((&p.status, p.news.as_slice()))),
+            Message::Pong(p) => Self::Pong(TalkWire::from((&p.status, p.news.as_slice()))),
+            Message::ChangesAsk { after } => Self::ChangesAsk(after.0),
+            Message::Changes { list } => {
+                Self::Changes(list.iter().map(ChangeWire::try_from).collect::<Result<_, _>>()?)
+            }
+        })
+    }
+}
+
+impl TryFrom<(MessageWire, Boot)> for Message {
+    type Error = CodecError;
+
+    fn try_from((wire, boot): (MessageWire, Boot)) -> Result<Self, CodecError> {
+        Ok(match wire {
+            MessageWire::Ping(talk) => {
+                let (status, news) = talk.open(boot)?;
+                Self::Ping(Ping { status, news })
+            }
+            MessageWire::Pong(talk) => {
+                let (status, news) = talk.open(boot)?;
+                Self::Pong(Pong { status, news })
+            }
+            MessageWire::ChangesAsk(after) => Self::ChangesAsk { after: Rev(after) },
+            MessageWire::Changes(list) => Self::Changes {
+                list: list.into_iter().map(Change::try_from).collect::<Result<_, _>>()?,
+            },
+        })
+    }
+}
+
+impl From<(&Status, &[News])> for TalkWire {
+    fn from((status, news): (&Status, &[News])) -> Self {
+        let flag = |set: bool, bit: u8| if set { bit } else { 0 };
+        Self {
+            incarnation: status.incarnation,
+            seen: status.seen,
+            flags: flag(status.leaving, LEAVING)
+                | flag(status.fresh, FRESH)
+                | flag(status.table, TABLE),
+            rev: status.rev.0,
+            age: status.age,
+            load: status.load,
+            news: news.iter().map(NewsWire::from).collect(),
+        }
+    }
+}
+
+impl TalkWire {
+    fn open(self, boot: Boot) -> Result<(Status, Vec<News>), CodecError> {
+        if self.news.len() > MAX_NEWS {
+            return Err(CodecError::News(self.news.len()));
+        }
+        let status = Status {
+            boot,
+            incarnation: self.incarnation,
+            seen: self.seen,
+            leaving: self.flags & LEAVING != 0,
+            fresh: self.flags & FRESH != 0,
+            table: self.flags & TABLE != 0,
+            rev: Rev(self.rev),
+            age: self.age,
+            load: self.load,
+        };
+        let news = self.news.into_iter().map(News::try_from).collect::<Result<_, _>>()?;
+        Ok((status, news))
+    }
+}
+
+impl From<&News> for NewsWire {
+    fn from(news: &News) -> Self {
+        let state = match news.state {
+            PeerState::Live => 0,
+            PeerState::Suspect => 1,
+            PeerState::Leaving => 2,
+            PeerState::Down => 3,
+        };
+        Self { name: news.name.as_str().to_owned(), incarnation: news.incarnation, state }
+    }
+}
+
+impl TryFrom<NewsWire> for News {
+    type Error = CodecError;
+
+    fn try_from(wire: NewsWire) -> Result<Self, CodecError> {
+        let state = match wire.state {
+            0 => PeerState::Live,
+            1 => PeerState::Suspect,
+            2 => PeerState::Leaving,
+            3 => PeerState::Down,
+            got => return Err(CodecError::Unknown { what: Field::State, got }),
+        };
+        Ok(Self { name: Name::new(&wire.name)?, incarnation: wire.incarnation, state })
+    }
+}
+
+impl TryFrom<&Change> for ChangeWire {
+    type Error = CodecError;
+
+    fn try_from(change: &Change) -> Result<Self, CodecError> {
+        let kind = match change.key.kind {
+            Kind::Template => 0,
+            Kind::Team => 1,
+            Kind::Target => 2,
+            Kind::Model => 3,
+        };
+        Ok(Self {
+            rev: change.rev.0,
+            id: change.id.0.to_be_bytes(),
+            kind,
+            name: change.key.name.as_str().to_owned(),
+            doc: change.doc.as_ref().map(serde_json::to_vec).transpose()?,
+        })
+    }
+}
+
+impl TryFrom<ChangeWire> for Change {
+    type Error = CodecError;
+
+    fn try_from(wire: ChangeWire) -> Result<Self, CodecError> {
+        let kind = match wire.kind {
+            0 => Kind::Template,
+            1 => Kind::Team,
+            2 => Kind::Target,
+            3 => Kind::Model,
+            got => return Err(CodecError::Unknown { what: Field::Kind, got }),
+        };
+        let doc: Option<Doc> = wire.doc.map(|d| serde_json::from_slice(&d)).transpose()?;
+        Ok(Self {
+            rev: Rev(wire.rev),
+            id: RequestId(u128::from_be_bytes(wire.id)),
+            key: DocKey { kind, name: Name::new(&wire.name)? },
+            doc,
+        })
+    }
+}
--- /dev/null
+++ b/crates/wire/src/link.rs
@@ -0,0 +1,76 @@
+//! Connections to one peer.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Request, StatusCode, client::conn::http1, header};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
+
+use crate::{
+    MAX_FRAME, WireError,
+    stats::{Counted, Counters, count},
+};
+
+/// One connection; closed when dropped.
+#[derive(Debug)]
+pub(crate) struct Link {
+    addr: SocketAddr,
+    sender: http1::SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+impl Link {
+    /// Opens a connection.
+    pub(crate) async fn open(
+        addr: SocketAddr,
+        counters: &Arc<Counters>,
+    ) -> Result<Self, WireError> {
+        let stream =
+            TcpStream::connect(addr).await.map_err(|source| WireError::Connect { addr, source })?;
+        stream.set_nodelay(true).map_err(|source| WireError::Connect { addr, source })?;
+        count(&counters.connections);
+        let io = TokioIo::new(Counted { stream, counters: counters.clone() });
+        let (sender, connection) = http1::handshake(io).await?;
+        let driver = tokio::spawn(async move {
+            // A failure shows at the request that meets it.
+            let _ = connection.await;
+        });
+        Ok(Self { addr, sender, driver })
+    }
+
+    /// Whether the connection leads to `addr` and still seems usable.
+    pub(crate) fn usable(&self, addr: SocketAddr) -> bool {
+        self.addr == addr && !self.sender.is_closed()
+    }
+
+    /// Sends a sealed question and returns the sealed answer.
+    pub(crate) async fn exchange(
+        &mut self,
+        frame: Vec<u8>,
+        limit: Duration,
+    ) -> Result<Bytes, WireError> {
+        timeout(limit, self.send(frame)).await.map_err(|_| WireError::Timeout(self.addr))?
+    }
+
+    async fn send(&mut self, frame: Vec<u8>) -> Result<Bytes, WireError> {
+        let mut request = Request::post("/")
+            .body(Full::new(Bytes::from(frame)))
+            .map_err(|_| WireError::Forged)?;
+        request.headers_mut().insert(header::HOST, header::HeaderValue::from_static("peer"));
+        self.sender.ready().await?;
+        let response = self.sender.send_request(request).await?;
+        if response.status() != StatusCode::OK {
+            return Err(WireError::Refused(response.status().as_u16()));
+        }
+        let body = Limited::new(response.into_body(), MAX_FRAME).collect().await;
+        Ok(body.map_err(|_| WireError::TooLarge(MAX_FRAME))?.to_bytes())
+    }
+}
--- /dev/null
+++ b/crates/wire/tests/sealed_frames.rs
@@ -0,0 +1,107 @@
+//! Encoding and sealing of messages.
+
+use conf::{Change, Doc, DocKey, Kind, Model};
+use ident::{Boot, Name, RequestId, Rev, Secret};
+use member::{News, PeerState, Ping, Pong, Status};
+use wire::{MAX_FRAME, MAX_PAGE, Message, decode, encode, fit, seal::Identity};
+
+fn name(text: &str) -> Name {
+    Name::new(text).unwrap()
+}
+
+fn identity(who: &str) -> Identity {
+    Identity { name: name(who), boot: Boot(3), secret: Secret::derive("peers", b"k") }
+}
+
+fn status(n: u64) -> Status {
+    Status {
+        boot: Boot(3),
+        incarnation: n,
+        seen: n / 3,
+        leaving: n & 1 == 0,
+        fresh: n & 2 == 0,
+        table: n & 4 == 0,
+        rev: Rev(n),
+        age: (n & 8 == 0).then_some(n as u32),
+        load: n as u16,
+    }
+}
+
+fn change(rev: u64, doc: bool) -> Change {
+    let model = name(&format!("model-{}", rev % 7));
+    let key = DocKey { kind: Kind::Model, name: model.clone() };
+    let (version, previous) = (name("v1"), None);
+    let doc = doc.then_some(Doc::Model(Model { name: model, version, previous }));
+    Change { rev: Rev(rev), id: RequestId(u128::from(rev)), key, doc }
+}
+
+#[test]
+fn messages_survive() {
+    for n in [0, 1, 2, 4, 9, 14, 1_700_000_000_123] {
+        let states = [PeerState::Live, PeerState::Suspect, PeerState::Leaving, PeerState::Down];
+        let news: Vec<_> = states
+            .into_iter()
+            .map(|state| News { name: name("x"), incarnation: n, state })
+            .collect();
+        for message in [
+            Message::Ping(Ping { status: status(n), news: news.clone() }),
+            Message::Pong(Pong { status: status(n), news }),
+            Message::ChangesAsk { after: Rev(n) },
+            Message::Changes { list: vec![change(1, true), change(2, false)] },
+        ] {
+            assert_eq!(decode(&encode(&message).unwrap(), Boot(3)).unwrap(), message);
+        }
+    }
+}
+
+#[test]
+fn any_bytes_decode_or_fail() {
+    bolero::check!().with_iterations(5000).with_type().for_each(|bytes: &Vec<u8>| {
+        let _ = decode(bytes, Boot(1));
+        assert!(identity("b").open_ask(bytes).is_err());
+        assert!(identity("b").open_answer(&name("a"), 1, bytes).is_err());
+    });
+}
+
+#[test]
+fn any_change_is_noticed() {
+    let (a, b) = (identity("a"), identity("b"));
+    let ask = a.ask(&b.name, 5, b"body");
+    let opened = b.open_ask(&ask).unwrap();
+    let got = (opened.from, opened.boot, opened.seq, opened.body);
+    assert_eq!(got, (name("a"), Boot(3), 5, b"body".as_slice()));
+    let answer = b.answer(&a.name, a.boot, 5, b"reply");
+    assert_eq!(a.open_answer(&b.name, 5, &answer).unwrap(), (Boot(3), b"reply".as_slice()));
+    for bit in 0..ask.len() * 8 {
+        let mut bytes = ask.clone();
+        bytes[bit / 8] ^= 1 << (bit % 8);
+        assert!(b.open_ask(&bytes).is_err());
+    }
+    for bit in 0..answer.len() * 8 {
+        let mut bytes = answer.clone();
+        bytes[bit / 8] ^= 1 << (bit % 8);
+        assert!(a.open_answer(&b.name, 5, &bytes).is_err());
+    }
+    assert!(a.open_answer(&b.name, 6, &answer).is_err(), "another question");
+    assert!(a.open_answer(&name("c"), 5, &answer).is_err(), "another instance");
+    let reborn = Identity { boot: Boot(4), ..a.clone() };
+    assert!(reborn.open_answer(&b.name, 5, &answer).is_err(), "another life");
+    assert!(identity("c").open_ask(&ask).is_err(), "another receiver");
+    assert!(a.open_ask(&answer).is_err() && b.open_answer(&a.name, 5, &ask).is_err());
+}
+
+#[test]
+fn pages_are_bounded() {
+    let all: Vec<_> = (1..5000).map(|r| change(r, r % 3 != 0)).collect();
+    let page = fit(all.clone());
+    assert!(page.len() < all.len() && page == all[..page.len()]);
+    let bytes = encode(&Message::Changes { list: page }).unwrap().len();
+    assert!(bytes <= MAX_PAGE && bytes > MAX_PAGE / 2 && MAX_PAGE < MAX_FRAME, "{bytes}");
+}
+
+#[test]
+fn too_much_news_is_refused() {
+    let news = vec![News { name: name("x"), incarnation: 1, state: PeerState::Live }; 7];
+    let bytes = encode(&Message::Ping(Ping { status: status(1), news })).unwrap();
+    assert!(decode(&bytes, Boot(3)).is_err());
+}
