Add piece keys, sealed records and the checks before a piece is used

A store may return a freed, stale or partly written piece, so a piece counts only through a record sealed with the deployment's secret, chained to its parent, and confirmed by the receipt of the engine that read it.

--- /dev/null
+++ b/crates/kv/src/key.rs
@@ -0,0 +1,88 @@
+//! Keys of pieces.
+
+use std::{fmt, str::FromStr};
+
+use ident::{Digest, Name, ParseIdError, Secret};
+use serde::{Deserialize, Serialize};
+
+/// Bytes of prompt text that one piece covers.
+pub const PIECE_BYTES: usize = 1024;
+
+const SCOPE_LABEL: &[u8] = b"piece scope";
+const PIECE_LABEL: &[u8] = b"piece key";
+const SALT_LABEL: &[u8] = b"engine cache salt";
+
+/// Whose context it is and which weights computed it. Contexts of different scopes share no key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Scope {
+    /// The team's organisation.
+    pub org: Name,
+    /// The team, as its credential names it.
+    pub team: Name,
+    /// The model.
+    pub model: Name,
+    /// The weight version.
+    pub weights: Name,
+    /// The adapter over the weights.
+    pub adapter: Option<Name>,
+}
+
+/// The key of a piece.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct PieceKey(pub Digest);
+
+impl fmt::Display for PieceKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl fmt::Debug for PieceKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+impl FromStr for PieceKey {
+    type Err = ParseIdError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIdError> {
+        text.parse().map(Self)
+    }
+}
+
+/// The keys of the full pieces of `prompt`, in order. A last part shorter than [`PIECE_BYTES`] has
+/// no key.
+pub fn chain(secret: &Secret, scope: &Scope, prompt: &[u8]) -> Vec<PieceKey> {
+    let root = scope_digest(secret, scope);
+    let mut prev = root;
+    let pieces = prompt.chunks_exact(PIECE_BYTES);
+    pieces
+        .map(|text| {
+            prev = secret.mac(&[PIECE_LABEL, &root.0, &prev.0, text]);
+            PieceKey(prev)
+        })
+        .collect()
+}
+
+/// The salt that separates an engine's own prefix cache by organisation and team.
+pub fn salt(secret: &Secret, scope: &Scope) -> Digest {
+    secret.mac(&[SALT_LABEL, scope.org.as_str().as_bytes(), scope.team.as_str().as_bytes()])
+}
+
+fn scope_digest(secret: &Secret, scope: &Scope) -> Digest {
+    let (has_adapter, adapter) = match &scope.adapter {
+        Some(name) => (b"1", name.as_str()),
+        None => (b"0", ""),
+    };
+    secret.mac(&[
+        SCOPE_LABEL,
+        scope.org.as_str().as_bytes(),
+        scope.team.as_str().as_bytes(),
+        scope.model.as_str().as_bytes(),
+        scope.weights.as_str().as_bytes(),
+        has_adapter,
+        adapter.as_bytes(),
+    ])
+}
--- a/crates/kv/src/lib.rs
+++ b/crates/kv/src/lib.rs
@@ -1,1 +1,17 @@
-//! Placeholder.
+//! Kept KV cache: keys of pieces, records of what a store holds, and the checks that decide
+//! whether a piece may be used.
+//!
+//! A prompt is cut into pieces of [`PIECE_BYTES`] bytes of its text. The key of a piece is a keyed
+//! digest over its scope, all earlier pieces and its own text, so equal keys mean equal context of
+//! one team. A piece is used only through a sealed [`Record`], and only when the receipt of the
+//! engine that read it equals that record; anything else is recomputed.
+
+mod check;
+mod key;
+mod record;
+
+pub use crate::{
+    check::{ConfirmError, Sent, SentWire, confirm, sealable, usable},
+    key::{PIECE_BYTES, PieceKey, Scope, chain, salt},
+    record::{Receipt, ReceiptWire, Record, RecordWire, WireError, seal},
+};
--- /dev/null
+++ b/crates/kv/src/record.rs
@@ -0,0 +1,149 @@
+//! Receipts of engines and sealed records of pieces, with their JSON forms.
+
+use ident::{Digest, ParseIdError, Secret};
+use serde::{Deserialize, Serialize};
+
+use crate::PieceKey;
+
+const RECORD_LABEL: &[u8] = b"piece record";
+
+/// What an engine really read from or wrote to a store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Receipt {
+    /// Key of the piece.
+    pub key: PieceKey,
+    /// Drawn anew for each write of the piece.
+    pub generation: u64,
+    /// Length of the piece, in bytes.
+    pub len: u64,
+    /// xxh3-64 of the piece's bytes.
+    pub sum: u64,
+}
+
+/// A sealed statement of what a store was given for a piece.
+///
+/// Invariant: `mac` is the keyed digest of the receipt and the parent, so no store can make or
+/// alter a record that [`crate::usable`] accepts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Record {
+    /// What the exporting engine wrote.
+    pub receipt: Receipt,
+    /// The piece before this one in the prompt; `None` for the first.
+    pub parent: Option<PieceKey>,
+    /// Keyed digest of the above.
+    pub mac: Digest,
+}
+
+/// Seals what an engine wrote.
+pub fn seal(secret: &Secret, receipt: Receipt, parent: Option<PieceKey>) -> Record {
+    let mac = with_parts(&receipt, parent, |parts| secret.mac(parts));
+    Record { receipt, parent, mac }
+}
+
+impl Record {
+    /// Whether the record was sealed with `secret` and not altered since.
+    pub(crate) fn is_sealed(&self, secret: &Secret) -> bool {
+        with_parts(&self.receipt, self.parent, |parts| secret.verify(parts, &self.mac))
+    }
+}
+
+fn with_parts<T, F>(receipt: &Receipt, parent: Option<PieceKey>, f: F) -> T
+where
+    F: FnOnce(&[&[u8]]) -> T,
+{
+    let parent = parent.map(|p| p.0.0);
+    f(&[
+        RECORD_LABEL,
+        &receipt.key.0.0,
+        &receipt.generation.to_le_bytes(),
+        &receipt.len.to_le_bytes(),
+        &receipt.sum.to_le_bytes(),
+        parent.as_ref().map_or(&[][..], |p| &p[..]),
+    ])
+}
+
+/// Why a JSON form is not a receipt or record.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum WireError {
+    /// A key or digest is malformed.
+    #[error("key or digest {0:?} is malformed: {ParseIdError}")]
+    BadDigest(String),
+    /// A sum is malformed.
+    #[error("sum {0:?} is malformed: it is written as 16 hexadecimal digits")]
+    BadSum(String),
+}
+
+/// JSON form of a [`Receipt`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReceiptWire {
+    /// Key of the piece, 32 hexadecimal digits.
+    pub key: String,
+    /// Generation of the piece.
+    pub generation: u64,
+    /// Length in bytes.
+    pub len: u64,
+    /// xxh3-64 of the bytes, 16 hexadecimal digits.
+    pub sum: String,
+}
+
+/// JSON form of a [`Record`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecordWire {
+    /// The receipt's fields.
+    #[serde(flatten)]
+    pub receipt: ReceiptWire,
+    /// Key of the piece before, 32 hexadecimal digits.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub parent: Option<String>,
+    /// Keyed digest, 32 hexadecimal digits.
+    pub mac: String,
+}
+
+impl From<Receipt> for ReceiptWire {
+    fn from(r: Receipt) -> Self {
+        Self {
+            key: r.key.to_string(),
+            generation: r.generation,
+            len: r.len,
+            sum: format!("{:016x}", r.sum),
+        }
+    }
+}
+
+impl TryFrom<ReceiptWire> for Receipt {
+    type Error = WireError;
+
+    fn try_from(wire: ReceiptWire) -> Result<Self, WireError> {
+        let key = PieceKey(digest(wire.key)?);
+        let sum = parse_sum(&wire.sum).ok_or(WireError::BadSum(wire.sum))?;
+        Ok(Self { key, generation: wire.generation, len: wire.len, sum })
+    }
+}
+
+impl From<Record> for RecordWire {
+    fn from(r: Record) -> Self {
+        Self {
+            receipt: r.receipt.into(),
+            parent: r.parent.map(|p| p.to_string()),
+            mac: r.mac.to_string(),
+        }
+    }
+}
+
+impl TryFrom<RecordWire> for Record {
+    type Error = WireError;
+
+    fn try_from(wire: RecordWire) -> Result<Self, WireError> {
+        let parent = wire.parent.map(digest).transpose()?.map(PieceKey);
+        Ok(Self { receipt: wire.receipt.try_into()?, parent, mac: digest(wire.mac)? })
+    }
+}
+
+fn digest(text: String) -> Result<Digest, WireError> {
+    text.parse().map_err(|_| WireError::BadDigest(text))
+}
+
+fn parse_sum(text: &str) -> Option<u64> {
+    let is_hex = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
+    is_hex.then(|| u64::from_str_radix(text, 16).ok()).flatten()
+}
