Add replica choice, link budget and memory of contexts

A replica's reported load lags, so the instance's own requests are queued virtually and the error seen at each first token shifts the estimate. A replica is judged dead only after a probe over a new connection failed too: failures on connections that went silent together count once. The policy weighs expected time to first token and recomputed share over the hot replica and two drawn ones; six simple policies implement the same trait. The request class is shared with admission and stands in ident.

--- /dev/null
+++ b/crates/ident/src/class.rs
@@ -0,0 +1,13 @@
+//! Urgency of a request.
+
+use serde::{Deserialize, Serialize};
+
+/// How urgent a request is. Interactive requests go before batch requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Class {
+    /// Somebody waits for the first token.
+    Interactive,
+    /// The answer may wait a little.
+    Batch,
+}
--- a/crates/ident/src/lib.rs
+++ b/crates/ident/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Nothing here does I/O, reads a clock or draws a random number.
 
+mod class;
 mod digest;
 mod id;
 mod name;
@@ -9,6 +10,7 @@
 mod time;
 
 pub use crate::{
+    class::Class,
     digest::{Digest, Secret},
     id::{Boot, Fence, ParseIdError, RequestId, Rev},
     name::{Name, NameError},
--- /dev/null
+++ b/crates/route/tests/policy_choice.rs
@@ -0,0 +1,148 @@
+//! Golden decisions of the policies.
+
+use ident::{Class, Name, Time};
+use route::{
+    Affinity, AlwaysImport, AlwaysRecompute, Ask, Cost, Entry, Hot, Kept, KeptNoBudget,
+    LeastLoaded, Links, Load, Plan, Policy, Pool, Random, Reason, Value,
+};
+
+fn name(text: &str) -> Name {
+    Name::new(text).unwrap()
+}
+
+/// Four replicas of 10 000 tokens/s; `w-3` is in another zone; waiting 0, 1, 2, 3 requests.
+fn pool() -> Pool {
+    let mut pool = Pool::default();
+    let entry = |i: u16| Entry {
+        name: name(&format!("w-{i}")),
+        target: name("writer"),
+        zone: name(if i == 3 { "winnipeg" } else { "regina" }),
+        addr: ([127, 0, 0, 1], 7000 + i).into(),
+        leaving: false,
+    };
+    pool.sync_list((0..4).map(entry).collect(), Time(0));
+    for i in 0..4_u32 {
+        let w = name(&format!("w-{i}"));
+        pool.serves(&w, Some(name("v1")));
+        let load = Load { running: 1, waiting: i, prefill_rate: 10_000, at: Time(0) };
+        pool.report(&w, load, Time(0));
+    }
+    pool
+}
+
+fn links(rate: u64) -> Links {
+    let mut links = Links::default();
+    links.sync(&[(name("store-a"), rate)], Time(0));
+    links
+}
+
+struct Case {
+    hot: Option<(&'static str, u8)>,
+    kept: u32,
+    value: Value,
+    deadline: Time,
+}
+
+const LATENCY: Value = Value { latency: 10, recompute: 1 };
+const RECOMPUTE: Value = Value { latency: 1, recompute: 10 };
+
+fn choose(policy: &mut dyn Policy, links: &Links, case: &Case, draw: u64) -> String {
+    let (targets, weights, zone) = ([name("writer")], name("v1"), name("regina"));
+    let ask = Ask {
+        targets: &targets,
+        weights: &weights,
+        tokens: 10_000,
+        pieces: 40,
+        kept: (case.kept > 0).then(|| Kept {
+            store: name("store-a"),
+            pieces: case.kept,
+            bytes: u64::from(case.kept) * 10_000_000,
+        }),
+        hot: case.hot.map(|(w, trust)| Hot { replica: name(w), pieces: 36, trust }),
+        class: Class::Interactive,
+        value: case.value,
+        zone: &zone,
+        deadline: case.deadline,
+        exclude: &[],
+    };
+    match policy.choose(&pool(), links, &ask, draw, Time(0)) {
+        Ok(c) => {
+            let plan = match c.plan {
+                Plan::Hot { pieces } => format!("hot {pieces}"),
+                Plan::Import { pieces, .. } => format!("import {pieces}"),
+                Plan::Recompute => "recompute".into(),
+            };
+            format!("{} {plan} {} tokens at {}", c.replica, c.tokens, c.first_token)
+        }
+        Err(miss) => format!("{:?} {}", miss.reason, miss.retry_at),
+    }
+}
+
+#[test]
+fn golden_decisions() {
+    let fast = links(1_000_000_000);
+    let slow = links(50_000_000);
+    let case = |hot, kept, value| Case { hot, kept, value, deadline: Time::NEVER };
+    let cases = [
+        ("cold", &fast, case(None, 0, LATENCY)),
+        ("kept", &fast, case(None, 36, LATENCY)),
+        ("kept, slow link, latency", &slow, case(None, 36, LATENCY)),
+        ("kept, slow link, recompute", &slow, case(None, 36, RECOMPUTE)),
+        ("hot", &fast, case(Some(("w-1", 95)), 36, LATENCY)),
+        ("hot, no trust", &fast, case(Some(("w-1", 5)), 36, LATENCY)),
+        ("hot, long queue, latency", &fast, case(Some(("w-3", 95)), 36, LATENCY)),
+        ("late", &fast, Case { deadline: Time(100), ..case(None, 0, LATENCY) }),
+    ];
+    let got: Vec<_> = cases
+        .iter()
+        .map(|(what, links, case)| format!("{what}: {}", choose(&mut Cost, links, case, 1 << 32)))
+        .collect();
+    assert_eq!(got.join("\n"), include_str!("golden/cost.txt").trim_end());
+}
+
+#[test]
+fn golden_baselines() {
+    let fast = links(1_000_000_000);
+    let case = Case { hot: Some(("w-2", 95)), kept: 36, value: LATENCY, deadline: Time::NEVER };
+    let mut policies: [Box<dyn Policy>; 6] = [
+        Box::new(Random),
+        Box::new(LeastLoaded),
+        Box::new(Affinity),
+        Box::new(KeptNoBudget),
+        Box::new(AlwaysImport),
+        Box::new(AlwaysRecompute),
+    ];
+    let got: Vec<_> = policies
+        .iter_mut()
+        .map(|p| format!("{}: {}", p.name(), choose(p.as_mut(), &fast, &case, 3)))
+        .collect();
+    assert_eq!(got.join("\n"), include_str!("golden/baselines.txt").trim_end());
+}
+
+#[test]
+fn tried_replicas_are_not_chosen_again() {
+    let (targets, weights, zone) = ([name("writer")], name("v1"), name("regina"));
+    let all: Vec<_> = (0..4).map(|i| name(&format!("w-{i}"))).collect();
+    for tried in 0..=4 {
+        let ask = Ask {
+            targets: &targets,
+            weights: &weights,
+            tokens: 100,
+            pieces: 0,
+            kept: None,
+            hot: Some(Hot { replica: name("w-0"), pieces: 1, trust: 100 }),
+            class: Class::Batch,
+            value: LATENCY,
+            zone: &zone,
+            deadline: Time::NEVER,
+            exclude: &all[..tried],
+        };
+        for draw in 0..64_u64 {
+            let draw = draw.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+            match Cost.choose(&pool(), &Links::default(), &ask, draw, Time(0)) {
+                Ok(c) => assert!(!all[..tried].contains(&c.replica)),
+                Err(miss) => assert_eq!((tried, miss.reason), (4, Reason::Tried)),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/tests/pool_state.rs
@@ -0,0 +1,185 @@
+//! Replicas come, leave, fail and recover.
+
+use std::time::Duration;
+
+use ident::{Class, Name, Time};
+use route::{
+    Ask, Cost, End, Entry, LeastLoaded, Links, Load, NoRoute, Policy, Pool, Reason, Value,
+};
+
+fn name(text: &str) -> Name {
+    Name::new(text).unwrap()
+}
+
+fn entry(i: u16, leaving: bool) -> Entry {
+    Entry {
+        name: name(&format!("w-{i}")),
+        target: name("writer"),
+        zone: name("regina"),
+        addr: ([127, 0, 0, 1], 7000 + i).into(),
+        leaving,
+    }
+}
+
+fn pool(count: u16) -> Pool {
+    let mut pool = Pool::default();
+    pool.sync_list((0..count).map(|i| entry(i, false)).collect(), Time(0));
+    for i in 0..count {
+        pool.serves(&name(&format!("w-{i}")), Some(name("v1")));
+    }
+    pool
+}
+
+fn ask<'a>(targets: &'a [Name], weights: &'a Name, class: Class) -> Ask<'a> {
+    Ask {
+        targets,
+        weights,
+        tokens: 1000,
+        pieces: 4,
+        kept: None,
+        hot: None,
+        class,
+        value: Value { latency: 1, recompute: 0 },
+        zone: &targets[0],
+        deadline: Time::NEVER,
+        exclude: &[],
+    }
+}
+
+fn chosen(pool: &Pool, class: Class, draw: u64, now: Time) -> Result<(Name, bool), NoRoute> {
+    let (targets, weights) = ([name("writer")], name("v1"));
+    let ask = ask(&targets, &weights, class);
+    let choice = Cost.choose(pool, &Links::default(), &ask, draw, now)?;
+    Ok((choice.replica, choice.probe))
+}
+
+#[test]
+fn leaving_replicas_get_no_work() {
+    let mut pool = pool(3);
+    let ticket = pool.started(&name("w-0"), 1000, Time(1)).unwrap();
+    pool.left(&name("w-0"), Time(2));
+    pool.withdraw(&[name("w-1")]);
+    pool.sync_list(vec![entry(0, false), entry(1, false), entry(2, true)], Time(3));
+    for draw in 0..50_u64 {
+        let miss = chosen(&pool, Class::Batch, draw << 33 | draw, Time(4)).unwrap_err();
+        assert_eq!(miss.reason, Reason::NoReplica);
+        assert!(miss.retry_at > Time(4));
+    }
+    assert_eq!(pool.started(&name("w-0"), 1000, Time(5)), None);
+    pool.sync_list(vec![entry(1, false)], Time(6));
+    assert_eq!(pool.replicas().len(), 2, "w-0 still runs a request");
+    pool.ended(ticket, End::Done, Time(7));
+    assert_eq!(pool.replicas().len(), 1);
+    pool.withdraw(&[]);
+    assert_eq!(chosen(&pool, Class::Batch, 9, Time(8)).unwrap().0, name("w-1"));
+}
+
+#[test]
+fn an_empty_list_is_ignored() {
+    let mut pool = pool(2);
+    pool.sync_list(Vec::new(), Time(1));
+    assert_eq!(pool.replicas().len(), 2);
+}
+
+#[test]
+fn other_versions_are_not_chosen() {
+    let mut pool = pool(2);
+    pool.serves(&name("w-0"), Some(name("v2")));
+    for draw in 0..50 {
+        assert_eq!(chosen(&pool, Class::Interactive, draw, Time(1)).unwrap().0, name("w-1"));
+    }
+    pool.serves(&name("w-1"), None);
+    let miss = chosen(&pool, Class::Interactive, 1, Time(1)).unwrap_err();
+    assert_eq!(miss.reason, Reason::WrongWeights);
+}
+
+#[test]
+fn one_failure_makes_suspect_and_a_failed_probe_dead() {
+    let mut pool = pool(1);
+    let w = name("w-0");
+    let first = pool.started(&w, 10, Time(1)).unwrap();
+    let second = pool.started(&w, 10, Time(1)).unwrap();
+    pool.ended(first, End::Failed, Time(2));
+    pool.ended(second, End::Failed, Time(2));
+    assert_eq!(chosen(&pool, Class::Interactive, 1, Time(3)), Ok((w.clone(), true)));
+    let probe = pool.started(&w, 10, Time(3)).unwrap();
+    assert!(probe.probe);
+    assert_eq!(
+        chosen(&pool, Class::Interactive, 1, Time(3)).unwrap_err().reason,
+        Reason::Suspect,
+        "one probe at a time"
+    );
+    pool.ended(probe, End::Failed, Time(4));
+    assert!(chosen(&pool, Class::Interactive, 1, Time(900)).is_err());
+    let probe = pool.started(&w, 10, Time(1100)).unwrap();
+    pool.first_token(&probe, Time(1200));
+    assert_eq!(chosen(&pool, Class::Interactive, 1, Time(1200)), Ok((w, false)));
+    pool.ended(probe, End::Done, Time(1300));
+}
+
+#[test]
+fn full_replicas_rest_a_while() {
+    let mut pool = pool(1);
+    let ticket = pool.started(&name("w-0"), 10, Time(1)).unwrap();
+    pool.ended(ticket, End::Refused, Time(2));
+    assert_eq!(chosen(&pool, Class::Batch, 1, Time(3)).unwrap_err().reason, Reason::Full);
+    assert!(chosen(&pool, Class::Batch, 1, Time(300)).is_ok());
+}
+
+#[test]
+fn own_requests_fill_the_lag() {
+    let mut pool = pool(2);
+    let load = Load { running: 0, waiting: 0, prefill_rate: 1000, at: Time(0) };
+    pool.report(&name("w-0"), load, Time(0));
+    pool.report(&name("w-1"), Load { waiting: 1, ..load }, Time(0));
+    let mut tickets = Vec::new();
+    for _ in 0..4 {
+        tickets.push(pool.started(&name("w-0"), 1000, Time(10)).unwrap());
+    }
+    let queue = |pool: &Pool, i: usize, now| pool.replicas()[i].queue(1000, now);
+    assert_eq!(queue(&pool, 0, Time(10)), Duration::from_secs(4));
+    assert_eq!(queue(&pool, 1, Time(10)), Duration::from_secs(1));
+    assert_eq!(queue(&pool, 0, Time(1010)), Duration::from_secs(3));
+    pool.first_token(&tickets[0], Time(2010));
+    assert_eq!(queue(&pool, 0, Time(2010)), Duration::from_secs(3), "it runs a second late");
+    let (targets, weights) = ([name("writer")], name("v1"));
+    let ask = ask(&targets, &weights, Class::Batch);
+    let choice = LeastLoaded.choose(&pool, &Links::default(), &ask, 3, Time(2010)).unwrap();
+    assert_eq!(choice.replica, name("w-1"));
+}
+
+#[test]
+fn random_histories_keep_the_pool_sound() {
+    bolero::check!().with_iterations(400).with_type::<Vec<(u8, u8)>>().for_each(|steps| {
+        let mut pool = pool(3);
+        let mut open = Vec::new();
+        let mut now = Time(0);
+        for &(op, arg) in steps {
+            now = now.after(Duration::from_millis(u64::from(arg) * 7));
+            let w = name(&format!("w-{}", arg % 4));
+            match op % 8 {
+                0 | 1 => open.extend(pool.started(&w, u32::from(arg) * 50, now)),
+                2 if !open.is_empty() => {
+                    pool.first_token(&open[usize::from(arg) % open.len()], now)
+                }
+                3 if !open.is_empty() => {
+                    let end = [End::Done, End::Failed, End::Refused, End::Declined];
+                    let ticket = open.swap_remove(usize::from(arg) % open.len());
+                    pool.ended(ticket, end[usize::from(op / 8 % 4)], now);
+                }
+                4 => {
+                    pool.sync_list((0..u16::from(arg % 5)).map(|i| entry(i, false)).collect(), now)
+                }
+                5 => pool.left(&w, now),
+                6 => pool.withdraw(&[w]),
+                _ => pool.serves(&w, Some(name("v1"))),
+            }
+            if let Ok((got, _)) = chosen(&pool, Class::Batch, u64::from(arg) << 17, now) {
+                let replica = pool.find(&got).unwrap();
+                assert!(!replica.is_leaving());
+                assert_eq!(replica.weights, Some(name("v1")));
+            }
+            assert!(pool.replicas().is_sorted_by(|a, b| a.name < b.name));
+        }
+    });
+}
