Add table and object store clients with in-memory versions

The in-memory table keeps the same contract as the service and adds fault knobs: outage, refusal, lost answers, spurious conflicts. The DynamoDB client turns the SDK's retries off and calls a write definite only when the service cancelled or throttled it, or the connection was refused. Not covered yet: a test of that classification against a socket.

--- a/crates/blob/src/lib.rs
+++ b/crates/blob/src/lib.rs
@@ -1,9 +1,14 @@
 //! The platform's object store behind a narrow trait: whole objects, read back by content hash.
 
+mod memory;
+mod s3;
+
 use async_trait::async_trait;
 use bytes::Bytes;
 use ident::Digest;
 
+pub use crate::{memory::MemoryBlob, s3::S3};
+
 /// Why an object could not be stored or read.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum BlobError {
@@ -28,3 +33,8 @@
     /// Reads the object back and checks its digest.
     async fn get(&self, prefix: &str, digest: Digest) -> Result<Bytes, BlobError>;
 }
+
+/// Where the object of this digest is stored.
+fn path(prefix: &str, digest: Digest) -> String {
+    format!("{prefix}/{digest}")
+}
--- /dev/null
+++ b/crates/table/src/dynamo.rs
@@ -0,0 +1,239 @@
+//! The table service over DynamoDB's JSON protocol.
+
+use std::{error::Error, io, sync::Arc, time::Duration};
+
+use async_trait::async_trait;
+use aws_sdk_dynamodb::{
+    Client,
+    config::{
+        BehaviorVersion, Config, Credentials, Region, retry::RetryConfig, timeout::TimeoutConfig,
+    },
+    error::{ProvideErrorMetadata, SdkError},
+    operation::transact_write_items::TransactWriteItemsError,
+    types::{AttributeValue, CancellationReason, Delete, Put, TransactWriteItem},
+};
+use aws_smithy_http_client::Builder;
+
+use crate::{Expect, Row, Table, TableError, Write, item};
+
+/// Region named in signatures; the platform's service ignores it.
+const REGION: &str = "local";
+/// Longest body of a row, in bytes.
+const MAX_BODY: usize = 256 * 1024;
+/// Most writes in one transaction.
+const MAX_WRITES: usize = 100;
+
+/// Access keys that requests are signed with.
+#[derive(Clone)]
+pub struct Access {
+    /// Identifier of the key.
+    pub id: Arc<str>,
+    /// The secret part.
+    pub secret: Arc<str>,
+}
+
+impl Default for Access {
+    fn default() -> Self {
+        Self { id: "lentilpitch".into(), secret: "none".into() }
+    }
+}
+
+impl Access {
+    fn credentials(&self) -> Credentials {
+        Credentials::new(&*self.id, &*self.secret, None, None, "settings")
+    }
+}
+
+/// A client of the table service. The SDK's own retries are off: whether a call may be repeated is
+/// the caller's decision. Each commit carries a fresh client token, so the service never takes two
+/// commits for one.
+#[derive(Debug, Clone)]
+pub struct Dynamo {
+    client: Client,
+    table: Arc<str>,
+}
+
+impl Dynamo {
+    /// A client of `table` at `url`, plain HTTP, with placeholder access keys. `deadline` bounds
+    /// each call from start to answer.
+    pub fn new(url: &str, table: &str, deadline: Duration) -> Result<Self, TableError> {
+        Self::with_access(url, table, deadline, &Access::default())
+    }
+
+    /// As [`Dynamo::new`], signing with `access`.
+    pub fn with_access(
+        url: &str,
+        table: &str,
+        deadline: Duration,
+        access: &Access,
+    ) -> Result<Self, TableError> {
+        if !url.starts_with("http://") {
+            let text = format!("the table service's address must start with http://, got {url:?}");
+            return Err(TableError::Refused(text.into()));
+        }
+        let timeouts = TimeoutConfig::builder()
+            .operation_timeout(deadline)
+            .operation_attempt_timeout(deadline)
+            .connect_timeout(deadline)
+            .build();
+        let config = Config::builder()
+            .behavior_version(BehaviorVersion::latest())
+            .endpoint_url(url)
+            .region(Region::from_static(REGION))
+            .credentials_provider(access.credentials())
+            .retry_config(RetryConfig::disabled())
+            .timeout_config(timeouts)
+            .http_client(Builder::new().build_http())
+            .build();
+        Ok(Self { client: Client::from_conf(config), table: table.into() })
+    }
+
+    fn write(&self, write: &Write) -> Result<TransactWriteItem, TableError> {
+        match &write.body {
+            Some(body) => self.put(write, body),
+            None => self.delete(write),
+        }
+    }
+
+    fn put(&self, write: &Write, body: &Arc<str>) -> Result<TransactWriteItem, TableError> {
+        if body.len() > MAX_BODY {
+            let text = format!("a row holds at most {MAX_BODY} bytes, this one has {}", body.len());
+            return Err(TableError::Refused(text.into()));
+        }
+        let (version, old) = match write.expect {
+            Expect::Absent => (1, None),
+            Expect::Version(v) => (v + 1, Some(v)),
+        };
+        let put = Put::builder()
+            .table_name(&*self.table)
+            .set_item(Some(item::full(write, version, body)))
+            .condition_expression(item::condition(old))
+            .set_expression_attribute_values(item::values(old))
+            .build()
+            .map_err(unsent)?;
+        Ok(TransactWriteItem::builder().put(put).build())
+    }
+
+    fn delete(&self, write: &Write) -> Result<TransactWriteItem, TableError> {
+        let old = match write.expect {
+            Expect::Absent => None,
+            Expect::Version(v) => Some(v),
+        };
+        let delete = Delete::builder()
+            .table_name(&*self.table)
+            .set_key(Some(item::key(&write.part, &write.sort)))
+            .condition_expression(item::condition(old))
+            .set_expression_attribute_values(item::values(old))
+            .build()
+            .map_err(unsent)?;
+        Ok(TransactWriteItem::builder().delete(delete).build())
+    }
+}
+
+#[async_trait]
+impl Table for Dynamo {
+    async fn get(&self, part: &str, sort: &str) -> Result<Option<Row>, TableError> {
+        let call = self.client.get_item().table_name(&*self.table).consistent_read(true);
+        let answer = call.set_key(Some(item::key(part, sort))).send().await.map_err(failed)?;
+        answer.item.map(|i| item::row(&i)).transpose()
+    }
+
+    async fn range(&self, part: &str, after: &str, limit: usize) -> Result<Vec<Row>, TableError> {
+        let limit = i32::try_from(limit).unwrap_or(i32::MAX).max(1);
+        let call = self.client.query().table_name(&*self.table).consistent_read(true);
+        let call = call
+            .key_condition_expression("pk = :p AND sk > :s")
+            .expression_attribute_values(":p", AttributeValue::S(part.to_owned()))
+            .expression_attribute_values(":s", AttributeValue::S(after.to_owned()));
+        let answer = call.limit(limit).send().await.map_err(failed)?;
+        answer.items.unwrap_or_default().iter().map(item::row).collect()
+    }
+
+    async fn commit(&self, writes: Vec<Write>) -> Result<(), TableError> {
+        if writes.is_empty() {
+            return Ok(());
+        }
+        if writes.len() > MAX_WRITES {
+            let text = format!("a transaction holds at most {MAX_WRITES} writes");
+            return Err(TableError::Refused(text.into()));
+        }
+        let items = writes.iter().map(|w| self.write(w)).collect::<Result<Vec<_>, _>>()?;
+        let call = self.client.transact_write_items().set_transact_items(Some(items));
+        match call.send().await {
+            Ok(_) => Ok(()),
+            Err(e) => Err(cancelled(&e).unwrap_or_else(|| failed(e))),
+        }
+    }
+}
+
+/// What a cancelled transaction means; `None` when the error is something else.
+fn cancelled<R>(error: &SdkError<TransactWriteItemsError, R>) -> Option<TableError> {
+    let TransactWriteItemsError::TransactionCanceledException(e) = error.as_service_error()? else {
+        return None;
+    };
+    let throttled = |r: &CancellationReason| {
+        matches!(r.code(), Some("ThrottlingError" | "ProvisionedThroughputExceeded"))
+    };
+    match e.cancellation_reasons().iter().find(|r| throttled(r)) {
+        Some(_) => Some(TableError::Refused("the transaction was throttled; retry later".into())),
+        None => Some(TableError::Conflict),
+    }
+}
+
+/// Classifies a failed call. Only throttling, a request that could not be built and a refused
+/// connection prove that nothing was written.
+fn failed<E, R>(error: SdkError<E, R>) -> TableError
+where
+    E: ProvideErrorMetadata + Error + 'static,
+    R: std::fmt::Debug,
+{
+    match &error {
+        SdkError::ConstructionFailure(_) => TableError::Refused(chain(&error)),
+        SdkError::DispatchFailure(d) => match d.as_connector_error() {
+            Some(e) if connect_refused(e) => TableError::Refused(chain(&error)),
+            _ => TableError::Unknown(chain(&error)),
+        },
+        SdkError::ServiceError(s) if throttled(s.err().code()) => {
+            TableError::Refused(chain(&error))
+        }
+        SdkError::ResponseError(_) => TableError::Malformed(chain(&error)),
+        _ => TableError::Unknown(chain(&error)),
+    }
+}
+
+fn throttled(code: Option<&str>) -> bool {
+    let codes =
+        ["ProvisionedThroughputExceededException", "ThrottlingException", "RequestLimitExceeded"];
+    code.is_some_and(|c| codes.contains(&c))
+}
+
+/// Whether the peer refused the connection, so that no byte of the request was sent.
+fn connect_refused(error: &(dyn Error + 'static)) -> bool {
+    let mut next = Some(error);
+    while let Some(e) = next {
+        let io = e.downcast_ref::<io::Error>();
+        if io.is_some_and(|e| e.kind() == io::ErrorKind::ConnectionRefused) {
+            return true;
+        }
+        next = e.source();
+    }
+    false
+}
+
+/// The error with all its causes, in one line.
+fn chain(error: &dyn Error) -> Arc<str> {
+    let mut text = error.to_string();
+    let mut next = error.source();
+    while let Some(e) = next {
+        text = format!("{text}: {e}");
+        next = e.source();
+    }
+    text.into()
+}
+
+fn unsent<E>(error: E) -> TableError
+where
+    E: Error,
+{
+    TableError::Refused(chain(&error))
+}
--- a/crates/table/src/lib.rs
+++ b/crates/table/src/lib.rs
@@ -3,10 +3,19 @@
 //! Rows are addressed by partition and sort key; every row carries a version that grows by one
 //! with each write. The only mutation is a transaction of conditional writes.
 
+mod dynamo;
+mod item;
+mod memory;
+
 use std::sync::Arc;
 
 use async_trait::async_trait;
 
+pub use crate::{
+    dynamo::{Access, Dynamo},
+    memory::Memory,
+};
+
 /// A row as stored.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Row {
@@ -45,7 +54,8 @@
 /// Why a table operation gave no answer or refused.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum TableError {
-    /// A condition did not hold: nothing was written. Definite.
+    /// A condition did not hold, or another transaction was under way on one of the rows: nothing
+    /// was written. Definite. Read the rows again before deciding.
     #[error("a condition of the transaction did not hold")]
     Conflict,
     /// Refused before taking effect (throttled or service unavailable by its own word). Definite.
--- /dev/null
+++ b/crates/table/src/memory.rs
@@ -0,0 +1,188 @@
+//! An in-memory table with fault knobs, for tests.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use parking_lot::Mutex;
+
+use crate::{Expect, Row, Table, TableError, Write};
+
+/// Rows of one partition.
+#[derive(Debug, Default)]
+struct Part {
+    name: Arc<str>,
+    /// Sorted by sort key.
+    rows: Vec<Row>,
+}
+
+/// Knobs and counters.
+#[derive(Debug, Default)]
+struct Faults {
+    down: bool,
+    refusing: bool,
+    conflicts: u32,
+    lost: u32,
+    reads: u64,
+    writes: u64,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    /// Sorted by name.
+    parts: Vec<Part>,
+    faults: Faults,
+}
+
+/// A table held in memory. Every knob starts switched off.
+#[derive(Debug, Default)]
+pub struct Memory {
+    inner: Mutex<Inner>,
+}
+
+impl Memory {
+    /// An empty table.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// While `on`, every call ends in [`TableError::Unknown`] and has no effect.
+    pub fn down(&self, on: bool) {
+        self.inner.lock().faults.down = on;
+    }
+
+    /// While `on`, every commit ends in [`TableError::Refused`]; reads work.
+    pub fn refuse(&self, on: bool) {
+        self.inner.lock().faults.refusing = on;
+    }
+
+    /// The next `n` commits whose conditions hold take effect and end in [`TableError::Unknown`].
+    pub fn lose_answers(&self, n: u32) {
+        self.inner.lock().faults.lost = n;
+    }
+
+    /// The next `n` commits end in [`TableError::Conflict`] whatever their conditions say.
+    pub fn conflicts(&self, n: u32) {
+        self.inner.lock().faults.conflicts = n;
+    }
+
+    /// Calls of `get` and `range` that were answered.
+    pub fn reads(&self) -> u64 {
+        self.inner.lock().faults.reads
+    }
+
+    /// Commits that took effect.
+    pub fn writes(&self) -> u64 {
+        self.inner.lock().faults.writes
+    }
+
+    /// All rows of a partition in order, whatever the knobs say.
+    pub fn rows(&self, part: &str) -> Vec<Row> {
+        self.inner.lock().part(part).map(|p| p.rows.clone()).unwrap_or_default()
+    }
+}
+
+impl Faults {
+    fn read(&mut self) -> Result<(), TableError> {
+        if self.down {
+            return Err(TableError::Unknown("the table is down".into()));
+        }
+        self.reads += 1;
+        Ok(())
+    }
+
+    fn write(&mut self) -> Result<(), TableError> {
+        if self.down {
+            return Err(TableError::Unknown("the table is down".into()));
+        }
+        if self.refusing {
+            return Err(TableError::Refused("the table refuses writes".into()));
+        }
+        if self.conflicts > 0 {
+            self.conflicts -= 1;
+            return Err(TableError::Conflict);
+        }
+        Ok(())
+    }
+}
+
+impl Inner {
+    fn part(&self, name: &str) -> Option<&Part> {
+        let at = self.parts.binary_search_by(|p| (*p.name).cmp(name)).ok()?;
+        Some(&self.parts[at])
+    }
+
+    fn part_mut(&mut self, name: &Arc<str>) -> &mut Part {
+        let at = match self.parts.binary_search_by(|p| p.name.cmp(name)) {
+            Ok(at) => at,
+            Err(at) => {
+                self.parts.insert(at, Part { name: name.clone(), rows: Vec::new() });
+                at
+            }
+        };
+        &mut self.parts[at]
+    }
+
+    fn row(&self, part: &str, sort: &str) -> Option<&Row> {
+        let rows = &self.part(part)?.rows;
+        let at = rows.binary_search_by(|r| (*r.sort).cmp(sort)).ok()?;
+        Some(&rows[at])
+    }
+
+    fn holds(&self, write: &Write) -> bool {
+        let version = self.row(&write.part, &write.sort).map(|r| r.version);
+        match write.expect {
+            Expect::Absent => version.is_none(),
+            Expect::Version(v) => version == Some(v),
+        }
+    }
+
+    fn apply(&mut self, write: Write) {
+        let rows = &mut self.part_mut(&write.part).rows;
+        let found = rows.binary_search_by(|r| r.sort.cmp(&write.sort));
+        match (found, write.body) {
+            (Ok(at), Some(body)) => {
+                rows[at].version += 1;
+                rows[at].body = body;
+            }
+            (Ok(at), None) => {
+                rows.remove(at);
+            }
+            (Err(at), Some(body)) => {
+                rows.insert(at, Row { part: write.part, sort: write.sort, version: 1, body });
+            }
+            (Err(_), None) => {}
+        }
+    }
+}
+
+#[async_trait]
+impl Table for Memory {
+    async fn get(&self, part: &str, sort: &str) -> Result<Option<Row>, TableError> {
+        let mut inner = self.inner.lock();
+        inner.faults.read()?;
+        Ok(inner.row(part, sort).cloned())
+    }
+
+    async fn range(&self, part: &str, after: &str, limit: usize) -> Result<Vec<Row>, TableError> {
+        let mut inner = self.inner.lock();
+        inner.faults.read()?;
+        let Some(part) = inner.part(part) else { return Ok(Vec::new()) };
+        let from = part.rows.partition_point(|r| *r.sort <= *after);
+        Ok(part.rows[from..].iter().take(limit).cloned().collect())
+    }
+
+    async fn commit(&self, writes: Vec<Write>) -> Result<(), TableError> {
+        let mut inner = self.inner.lock();
+        inner.faults.write()?;
+        if !writes.iter().all(|w| inner.holds(w)) {
+            return Err(TableError::Conflict);
+        }
+        writes.into_iter().for_each(|w| inner.apply(w));
+        inner.faults.writes += 1;
+        if inner.faults.lost > 0 {
+            inner.faults.lost -= 1;
+            return Err(TableError::Unknown("the answer was lost".into()));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/table/tests/memory_faults.rs
@@ -0,0 +1,53 @@
+//! The in-memory table: conditions, ranges and fault knobs.
+
+use table::{Expect, Memory, Table, TableError, Write};
+
+fn put(sort: &str, expect: Expect, body: &str) -> Write {
+    Write { part: "p".into(), sort: sort.into(), expect, body: Some(body.into()) }
+}
+
+#[tokio::test]
+async fn all_or_nothing() {
+    let t = Memory::new();
+    t.commit(vec![put("a", Expect::Absent, "1")]).await.unwrap();
+    let both = vec![put("b", Expect::Absent, "1"), put("a", Expect::Absent, "2")];
+    assert_eq!(t.commit(both).await, Err(TableError::Conflict));
+    assert_eq!(t.get("p", "b").await.unwrap(), None);
+    t.commit(vec![put("a", Expect::Version(1), "2")]).await.unwrap();
+    let row = t.get("p", "a").await.unwrap().unwrap();
+    assert_eq!((row.version, &*row.body), (2, "2"));
+    let gone = Write { body: None, ..put("a", Expect::Version(1), "") };
+    assert_eq!(t.commit(vec![gone.clone()]).await, Err(TableError::Conflict));
+    t.commit(vec![Write { expect: Expect::Version(2), ..gone }]).await.unwrap();
+    assert_eq!(t.get("p", "a").await.unwrap(), None);
+}
+
+#[tokio::test]
+async fn ranges_are_ordered() {
+    let t = Memory::new();
+    for sort in ["c", "a", "b", "d"] {
+        t.commit(vec![put(sort, Expect::Absent, sort)]).await.unwrap();
+    }
+    let rows = t.range("p", "a", 2).await.unwrap();
+    assert_eq!(rows.iter().map(|r| &*r.sort).collect::<Vec<_>>(), ["b", "c"]);
+}
+
+#[tokio::test]
+async fn faults_show() {
+    let t = Memory::new();
+    t.lose_answers(1);
+    let lost = t.commit(vec![put("a", Expect::Absent, "1")]).await.unwrap_err();
+    assert!(!lost.definite() && t.get("p", "a").await.unwrap().is_some());
+    t.conflicts(1);
+    let refused = t.commit(vec![put("a", Expect::Version(1), "2")]).await;
+    assert_eq!(refused, Err(TableError::Conflict));
+    t.refuse(true);
+    assert!(t.commit(vec![put("a", Expect::Version(1), "2")]).await.unwrap_err().definite());
+    t.refuse(false);
+    t.down(true);
+    assert!(!t.commit(vec![put("a", Expect::Version(1), "2")]).await.unwrap_err().definite());
+    assert!(t.get("p", "a").await.is_err());
+    t.down(false);
+    assert_eq!(t.get("p", "a").await.unwrap().unwrap().version, 1);
+    assert_eq!((t.reads(), t.writes()), (2, 1));
+}
