Read and check an instance's settings

Settings are YAML turned into a JSON value and read field by field, so every fault is listed at once with its path. Deserializing straight into structs was ruled out: it stops at the first fault. The reader is a crate of its own, since the administration API checks documents the same way. Only the log level and the limits may change while an instance runs.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Assembles an instance.
+
+pub mod settings;
--- /dev/null
+++ b/crates/node/src/settings/forms.rs
@@ -0,0 +1,70 @@
+//! How single settings are written.
+
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
+
+use fields::Form;
+use hyper::Uri;
+
+use super::{Format, Level};
+
+/// An address by number.
+pub const ADDR: Form<SocketAddr> =
+    Form { wanted: "ip:port with an IP number", read: |v| v.as_str()?.parse().ok() };
+
+/// An endpoint.
+pub const URL: Form<Uri> = Form {
+    wanted: "an http:// or https:// URL",
+    read: |v| {
+        let url: Uri = v.as_str()?.parse().ok()?;
+        let known = matches!(url.scheme_str(), Some("http" | "https"));
+        (known && url.host().is_some_and(|h| !h.is_empty())).then_some(url)
+    },
+};
+
+/// The path of a file.
+pub const PATH: Form<PathBuf> = Form {
+    wanted: "the path of a file",
+    read: |v| v.as_str().filter(|s| !s.is_empty()).map(PathBuf::from),
+};
+
+/// A count that is not 0.
+pub const COUNT: Form<usize> = Form {
+    wanted: "a whole number from 1",
+    read: |v| usize::try_from(v.as_u64()?).ok().filter(|&n| n > 0),
+};
+
+/// A span of time that is not 0.
+pub const SPAN: Form<Duration> = Form {
+    wanted: "a time such as 10s or 250ms",
+    read: |v| {
+        let text = v.as_str()?;
+        let digits = text.trim_end_matches(|c: char| c.is_ascii_lowercase());
+        let n: u64 = digits.parse().ok().filter(|&n| n > 0)?;
+        match &text[digits.len()..] {
+            "ms" => Some(Duration::from_millis(n)),
+            "s" => Some(Duration::from_secs(n)),
+            "m" => n.checked_mul(60).map(Duration::from_secs),
+            _ => None,
+        }
+    },
+};
+
+/// How log lines are written.
+pub const FORMAT: Form<Format> = Form {
+    wanted: "text or json",
+    read: |v| match v.as_str()? {
+        "text" => Some(Format::Text),
+        "json" => Some(Format::Json),
+        _ => None,
+    },
+};
+
+/// A log level.
+pub const LEVEL: Form<Level> = Form {
+    wanted: "error, warn, info, debug or trace",
+    read: |v| {
+        let all = [Level::Error, Level::Warn, Level::Info, Level::Debug, Level::Trace];
+        let text = v.as_str()?;
+        all.into_iter().find(|l| l.as_str() == text)
+    },
+};
--- /dev/null
+++ b/crates/node/src/settings/reload.rs
@@ -0,0 +1,45 @@
+//! Changing settings while the instance runs.
+
+use super::{Level, Limits, Settings};
+
+/// Settings that take effect at once; `None` where nothing changed.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Reload {
+    /// The new log level.
+    pub level: Option<Level>,
+    /// The new limits.
+    pub limits: Option<Limits>,
+}
+
+/// The file changes settings that need a restart. Nothing of it was taken.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("nothing was changed; restart the instance to change {}", refused.join(", "))]
+pub struct ReloadError {
+    /// Paths of these settings, in the order of the file.
+    pub refused: Vec<&'static str>,
+}
+
+impl Settings {
+    /// What changes between these settings and `new`, or what may not change.
+    pub fn reload(&self, new: &Self) -> Result<Reload, ReloadError> {
+        let fixed = [
+            ("name", self.name == new.name),
+            ("zone", self.zone == new.zone),
+            ("listen", self.listen == new.listen),
+            ("advertise", self.advertise == new.advertise),
+            ("platform", self.platform == new.platform),
+            ("keys", self.keys == new.keys),
+            ("tls", self.tls == new.tls),
+            ("drain", self.drain == new.drain),
+            ("log.format", self.log.format == new.log.format),
+        ];
+        let refused: Vec<_> = fixed.iter().filter(|(_, same)| !same).map(|(p, _)| *p).collect();
+        if !refused.is_empty() {
+            return Err(ReloadError { refused });
+        }
+        Ok(Reload {
+            level: (self.log.level != new.log.level).then_some(new.log.level),
+            limits: (self.limits != new.limits).then_some(new.limits),
+        })
+    }
+}
