--- /dev/null
+++ b/crates/admit/tests/fair_queue.rs
@@ -0,0 +1,109 @@
+//! Turns in the queue: teams, deadlines and classes.
+
+use std::time::Duration;
+
+use admit::{Gate, Offer, Outcome, Share, Verdict};
+use ident::{Class, Name, RequestId, Time};
+
+fn offer(id: u128, team: &str, class: Class, deadline: u64) -> Offer {
+    Offer {
+        id: RequestId(id),
+        team: Name::new(team).unwrap(),
+        limits: Share { rate: 1e6, inflight: 1000 },
+        class,
+        deadline: Time(deadline),
+        cost: 8_192,
+        service: Duration::from_millis(1),
+    }
+}
+
+/// Runs the queue out, one place at a time; the order of starts.
+fn order(gate: &mut Gate, mut current: u128) -> Vec<u128> {
+    let mut out = Vec::new();
+    loop {
+        gate.done(RequestId(current), Time(10));
+        let released = gate.tick(0, Time(10));
+        let Some(next) = released.first() else { return out };
+        assert_eq!((released.len(), next.outcome), (1, Outcome::Run));
+        current = next.id.0;
+        out.push(current);
+    }
+}
+
+const FAR: u64 = 1_000_000_000;
+
+fn busy(capacity: u32) -> Gate {
+    let mut gate = Gate::new(capacity);
+    let first = offer(0, "zz", Class::Interactive, FAR);
+    assert_eq!(gate.offer(first, 0, Time(0)), Verdict::Run);
+    gate
+}
+
+#[test]
+fn earliest_deadline_goes_first_within_a_team() {
+    let mut gate = busy(1);
+    for (id, deadline) in [(1, FAR + 30), (2, FAR + 10), (3, FAR + 20)] {
+        gate.offer(offer(id, "a", Class::Interactive, deadline), 0, Time(0));
+    }
+    assert_eq!(order(&mut gate, 0), [2, 3, 1]);
+}
+
+#[test]
+fn a_flood_of_one_team_delays_another_by_one_turn() {
+    let mut gate = busy(1);
+    for id in 1..=3 {
+        gate.offer(offer(id, "a", Class::Interactive, FAR), 0, Time(0));
+    }
+    gate.offer(offer(100, "b", Class::Interactive, FAR), 0, Time(0));
+    assert_eq!(order(&mut gate, 0)[..2], [1, 100]);
+}
+
+#[test]
+fn every_team_is_served_within_its_turn() {
+    bolero::check!().with_iterations(300).with_type::<Vec<(u8, bool)>>().for_each(|queued| {
+        let mut gate = Gate::new(64);
+        for id in 0..64 {
+            let first = offer(1000 + id, "zz", Class::Interactive, FAR);
+            assert_eq!(gate.offer(first, 0, Time(0)), Verdict::Run);
+        }
+        let mut waiting = Vec::new();
+        for (id, (team, interactive)) in (0_u128..200).zip(queued) {
+            let team = format!("t{}", team % 5);
+            let class = if *interactive { Class::Interactive } else { Class::Batch };
+            let verdict = gate.offer(offer(id, &team, class, FAR), 0, Time(0));
+            assert_eq!(verdict, Verdict::Wait);
+            waiting.push((id, team, class));
+        }
+        let mut current = 1000;
+        let mut passed: Vec<(String, Class, u32)> = Vec::new();
+        while !waiting.is_empty() {
+            gate.done(RequestId(current), Time(10));
+            let released = gate.tick(0, Time(10));
+            current = released[0].id.0;
+            let at = waiting.iter().position(|w| w.0 == current).unwrap();
+            let (_, team, class) = waiting.remove(at);
+            passed.retain(|p| (&p.0, p.1) != (&team, class));
+            for (_, other, kind) in &waiting {
+                if !passed.iter().any(|p| (&p.0, p.1) == (other, *kind)) {
+                    passed.push((other.clone(), *kind, 0));
+                }
+            }
+            for p in &mut passed {
+                p.2 += 1;
+                // Five teams in turn; a batch request starts after four interactive ones.
+                let bound = if p.1 == Class::Batch { 5 * 5 + 5 } else { 2 * 5 + 3 };
+                assert!(p.2 <= bound, "{p:?}");
+            }
+        }
+    });
+}
+
+#[test]
+fn batch_keeps_out_of_the_reserve() {
+    let mut gate = Gate::new(16);
+    for id in 0..20 {
+        gate.offer(offer(id, "a", Class::Batch, FAR), 0, Time(0));
+    }
+    assert_eq!((gate.running(), gate.queued()), (14, 6));
+    assert_eq!(gate.offer(offer(50, "a", Class::Interactive, FAR), 0, Time(0)), Verdict::Run);
+}
