--- /dev/null
+++ b/crates/conf/src/check.rs
@@ -0,0 +1,301 @@
+//! What a change must satisfy before it is accepted.
+
+use ident::{Digest, Name};
+
+use crate::{
+    Doc, DocKey, Kind, Limits, Params, Patch, Target, TargetKind, Team, Template, View, Weights,
+};
+
+/// One reason why a change is refused.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Fault {
+    /// The document carries another name or kind than the change.
+    #[error("the document is {got}, the change names {want}")]
+    WrongKey {
+        /// Key of the change.
+        want: DocKey,
+        /// Key of the document.
+        got: DocKey,
+    },
+    /// The change id was used for another change.
+    #[error("the change id was used for another change, accepted as {0}; use a new id")]
+    IdReused(ident::Rev),
+    /// The change removes a document that does not exist.
+    #[error("{0} does not exist")]
+    Absent(DocKey),
+    /// A document that is referred to does not exist.
+    #[error("{from} refers to {to}, which does not exist; create it first")]
+    Dangling {
+        /// The referring document.
+        from: DocKey,
+        /// The missing one.
+        to: DocKey,
+    },
+    /// A document is to be removed while another refers to it.
+    #[error("{by} refers to it; change that first")]
+    Referenced {
+        /// The referring document.
+        by: DocKey,
+    },
+    /// A team would reach a target of another organisation.
+    #[error("team {team} of {org} would reach target {target} of {owner}")]
+    Foreign {
+        /// The team.
+        team: Name,
+        /// The team's organisation.
+        org: Name,
+        /// The target.
+        target: Name,
+        /// The target's organisation.
+        owner: Name,
+    },
+    /// An API key belongs to another team.
+    #[error("the key with digest {key} belongs to team {owner}")]
+    KeyTaken {
+        /// Digest of the key.
+        key: Digest,
+        /// The team that has it.
+        owner: Name,
+    },
+    /// A number that must be positive is zero.
+    #[error("{0} must be at least 1")]
+    Zero(Field),
+    /// Both weights are zero, so their proportion is undefined.
+    #[error("at least one weight must be above 0")]
+    NoWeight,
+}
+
+/// A numeric field of team parameters.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Field {
+    /// [`Params::spread`].
+    Spread,
+    /// [`Limits::rate`].
+    Rate,
+    /// [`Limits::inflight`].
+    Inflight,
+    /// [`Limits::prompt`].
+    Prompt,
+    /// [`Limits::tokens`].
+    Tokens,
+}
+
+impl std::fmt::Display for Field {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Self::Spread => "spread",
+            Self::Rate => "limits.rate",
+            Self::Inflight => "limits.inflight",
+            Self::Prompt => "limits.prompt",
+            Self::Tokens => "limits.tokens",
+        })
+    }
+}
+
+/// Every fault of the change that sets `key` to `doc` over `view`.
+pub fn faults(view: &View, key: &DocKey, doc: Option<&Doc>) -> Vec<Fault> {
+    let mut check = Check { view, key, out: Vec::new() };
+    match doc {
+        Some(doc) if doc.key() != *key => {
+            check.out.push(Fault::WrongKey { want: key.clone(), got: doc.key() });
+        }
+        Some(Doc::Template(d)) => check.template(d),
+        Some(Doc::Team(d)) => check.team(d),
+        Some(Doc::Target(d)) => check.target(d),
+        Some(Doc::Model(_)) => {}
+        None => check.removal(),
+    }
+    check.out
+}
+
+struct Check<'a> {
+    view: &'a View,
+    key: &'a DocKey,
+    out: Vec<Fault>,
+}
+
+impl Check<'_> {
+    fn template(&mut self, template: &Template) {
+        self.params(&template.params);
+        let view = self.view;
+        let users = view.teams().filter(|t| t.template == template.name);
+        for team in users.filter(|t| t.patch.targets.is_none()) {
+            self.same_org(team, &template.params.targets);
+        }
+    }
+
+    fn team(&mut self, team: &Team) {
+        let template = self.view.template(&team.template);
+        if template.is_none() {
+            self.dangling(Kind::Template, &team.template);
+        }
+        self.patch(&team.patch);
+        let targets = team.patch.targets.clone();
+        if let Some(targets) = targets.or(template.map(|t| t.params.targets.clone())) {
+            self.same_org(team, &targets);
+        }
+        for key in &team.keys {
+            if let Some(owner) = self.view.team_of(key).filter(|o| o.name != team.name) {
+                self.out.push(Fault::KeyTaken { key: *key, owner: owner.name.clone() });
+            }
+        }
+    }
+
+    fn target(&mut self, target: &Target) {
+        if let TargetKind::Engine { model, .. } = &target.kind {
+            self.models(std::slice::from_ref(model));
+        }
+        if self.view.target(&target.name).is_none_or(|old| old.org == target.org) {
+            return;
+        }
+        let view = self.view;
+        for team in view.teams().filter(|t| t.org != target.org) {
+            if targets_of(view, team).binary_search(&target.name).is_ok() {
+                self.out.push(foreign(team, target));
+            }
+        }
+    }
+
+    fn removal(&mut self) {
+        let known = self.view.doc(self.key).is_some();
+        if !known {
+            self.out.push(Fault::Absent(self.key.clone()));
+            return;
+        }
+        let (view, name) = (self.view, &self.key.name);
+        match self.key.kind {
+            Kind::Team => {}
+            Kind::Template => self.used(view.teams().filter(|t| t.template == *name), Kind::Team),
+            Kind::Target => {
+                self.users(|p| p.targets.contains(name), |p| lists(&p.targets, name));
+            }
+            Kind::Model => {
+                self.users(|p| p.models.contains(name), |p| lists(&p.models, name));
+                for target in view.targets().filter(|t| runs(t, name)) {
+                    self.referenced(Kind::Target, &target.name);
+                }
+            }
+        }
+    }
+
+    /// Records the templates and teams that refer to the document.
+    fn users<T, P>(&mut self, template: T, patch: P)
+    where
+        T: Fn(&Params) -> bool,
+        P: Fn(&Patch) -> bool,
+    {
+        let view = self.view;
+        for doc in view.templates().filter(|t| template(&t.params)) {
+            self.referenced(Kind::Template, &doc.name);
+        }
+        self.used(view.teams().filter(|t| patch(&t.patch)), Kind::Team);
+    }
+
+    fn used<'t, I>(&mut self, teams: I, kind: Kind)
+    where
+        I: Iterator<Item = &'t std::sync::Arc<Team>>,
+    {
+        for team in teams {
+            self.referenced(kind, &team.name);
+        }
+    }
+
+    fn params(&mut self, params: &Params) {
+        self.limits(&params.limits);
+        self.weights(params.weights);
+        self.spread(params.spread);
+        self.models(&params.models);
+        self.targets(&params.targets);
+    }
+
+    fn patch(&mut self, patch: &Patch) {
+        if let Some(limits) = &patch.limits {
+            self.limits(limits);
+        }
+        if let Some(weights) = patch.weights {
+            self.weights(weights);
+        }
+        if let Some(spread) = patch.spread {
+            self.spread(spread);
+        }
+        self.models(patch.models.as_deref().unwrap_or_default());
+        self.targets(patch.targets.as_deref().unwrap_or_default());
+    }
+
+    fn limits(&mut self, limits: &Limits) {
+        let fields = [
+            (limits.rate, Field::Rate),
+            (limits.inflight, Field::Inflight),
+            (limits.prompt, Field::Prompt),
+            (limits.tokens, Field::Tokens),
+        ];
+        let zeros = fields.into_iter().filter(|(n, _)| *n == 0);
+        self.out.extend(zeros.map(|(_, field)| Fault::Zero(field)));
+    }
+
+    fn weights(&mut self, weights: Weights) {
+        if weights.latency == 0 && weights.recompute == 0 {
+            self.out.push(Fault::NoWeight);
+        }
+    }
+
+    fn spread(&mut self, spread: u8) {
+        if spread == 0 {
+            self.out.push(Fault::Zero(Field::Spread));
+        }
+    }
+
+    fn models(&mut self, names: &[Name]) {
+        let view = self.view;
+        for name in names.iter().filter(|n| view.model(n).is_none()) {
+            self.dangling(Kind::Model, name);
+        }
+    }
+
+    fn targets(&mut self, names: &[Name]) {
+        let view = self.view;
+        for name in names.iter().filter(|n| view.target(n).is_none()) {
+            self.dangling(Kind::Target, name);
+        }
+    }
+
+    fn same_org(&mut self, team: &Team, targets: &[Name]) {
+        let view = self.view;
+        let known = targets.iter().filter_map(|n| view.target(n));
+        let foreigners = known.filter(|t| t.org != team.org);
+        self.out.extend(foreigners.map(|t| foreign(team, &t)));
+    }
+
+    fn dangling(&mut self, kind: Kind, name: &Name) {
+        let to = DocKey { kind, name: name.clone() };
+        self.out.push(Fault::Dangling { from: self.key.clone(), to });
+    }
+
+    fn referenced(&mut self, kind: Kind, name: &Name) {
+        self.out.push(Fault::Referenced { by: DocKey { kind, name: name.clone() } });
+    }
+}
+
+fn foreign(team: &Team, target: &Target) -> Fault {
+    Fault::Foreign {
+        team: team.name.clone(),
+        org: team.org.clone(),
+        target: target.name.clone(),
+        owner: target.org.clone(),
+    }
+}
+
+fn lists(names: &Option<Vec<Name>>, name: &Name) -> bool {
+    names.as_ref().is_some_and(|n| n.contains(name))
+}
+
+fn runs(target: &Target, name: &Name) -> bool {
+    matches!(&target.kind, TargetKind::Engine { model, .. } if model == name)
+}
+
+/// The targets a team may reach, its template's unless it has its own.
+fn targets_of(view: &View, team: &Team) -> Vec<Name> {
+    let own = team.patch.targets.clone();
+    own.or_else(|| view.template(&team.template).map(|t| t.params.targets.clone()))
+        .unwrap_or_default()
+}
--- a/crates/conf/src/doc.rs
+++ b/crates/conf/src/doc.rs
@@ -1,5 +1,7 @@
 //! Documents operators write and the change log's entries.
 
+use std::fmt;
+
 use ident::{Digest, Name, RequestId, Rev};
 use serde::{Deserialize, Serialize};
 
@@ -40,6 +42,24 @@
     Model(Model),
 }
 
+impl Kind {
+    /// The kind in lower case, as rows and files name it.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Template => "template",
+            Self::Team => "team",
+            Self::Target => "target",
+            Self::Model => "model",
+        }
+    }
+}
+
+impl fmt::Display for DocKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.kind.as_str(), self.name)
+    }
+}
+
 impl Doc {
     /// The document's identity.
     pub fn key(&self) -> DocKey {
@@ -51,6 +71,36 @@
         };
         DocKey { kind, name: name.clone() }
     }
+
+    /// Sorts the lists that are kept sorted and drops repeated entries.
+    pub fn normalise(&mut self) {
+        match self {
+            Self::Template(d) => {
+                tidy(&mut d.params.models);
+                tidy(&mut d.params.targets);
+            }
+            Self::Team(d) => {
+                tidy(&mut d.keys);
+                d.patch.models.iter_mut().for_each(tidy);
+                d.patch.targets.iter_mut().for_each(tidy);
+            }
+            Self::Target(d) => {
+                tidy(&mut d.withdrawn);
+                if let TargetKind::Service { idempotent } = &mut d.kind {
+                    tidy(idempotent);
+                }
+            }
+            Self::Model(_) => {}
+        }
+    }
+}
+
+fn tidy<T>(list: &mut Vec<T>)
+where
+    T: Ord,
+{
+    list.sort();
+    list.dedup();
 }
 
 /// Limits of one team over all instances together.
--- a/crates/conf/src/view.rs
+++ b/crates/conf/src/view.rs
@@ -1,9 +1,12 @@
 //! The configuration in force at one revision.
 
+mod bulk;
+
 use std::sync::Arc;
 
 use ident::{Digest, Name, Rev};
 
+pub use self::bulk::Item;
 use crate::{Change, Doc, DocKey, Kind, Model, Params, Target, Team, Template};
 
 /// Why a change was not applied.
@@ -69,12 +72,7 @@
         if change.rev <= self.rev {
             return Ok(());
         }
-        if change.rev != self.rev.next() {
-            return Err(ApplyError::Gap { have: self.rev, got: change.rev });
-        }
-        if change.doc.as_ref().is_some_and(|d| d.key() != change.key) {
-            return Err(ApplyError::KeyMismatch(change.rev));
-        }
+        check_link(self.rev, change)?;
         let (name, rev) = (&change.key.name, change.rev);
         match (&change.doc, change.key.kind) {
             (Some(Doc::Template(d)), _) => put(&mut self.templates, name, rev, d),
@@ -91,7 +89,7 @@
     }
 
     fn put_team(&mut self, rev: Rev, team: &Team) {
-        self.keys.retain(|(_, owner)| *owner != team.name);
+        self.drop_keys(&team.name);
         for key in &team.keys {
             let at = self.keys.partition_point(|(k, _)| k < key);
             self.keys.insert(at, (*key, team.name.clone()));
@@ -100,10 +98,23 @@
     }
 
     fn remove_team(&mut self, name: &Name) {
-        self.keys.retain(|(_, owner)| owner != name);
+        self.drop_keys(name);
         remove(&mut self.teams, name);
     }
 
+    /// Takes a team's keys out of the key index.
+    fn drop_keys(&mut self, name: &Name) {
+        let Some(team) = self.team(name) else { return };
+        for key in &team.keys {
+            let from = self.keys.partition_point(|(k, _)| k < key);
+            let run = self.keys[from..].iter().take_while(|(k, _)| k == key);
+            let own = run.enumerate().find(|(_, (_, owner))| owner == name).map(|(i, _)| from + i);
+            if let Some(at) = own {
+                self.keys.remove(at);
+            }
+        }
+    }
+
     /// The team that owns an API key with this digest.
     pub fn team_of(&self, key: &Digest) -> Option<Arc<Team>> {
         let at = self.keys.binary_search_by(|(k, _)| k.cmp(key)).ok()?;
@@ -135,6 +146,16 @@
         self.targets.iter().map(|e| &e.doc)
     }
 
+    /// All teams, by name.
+    pub fn teams(&self) -> impl Iterator<Item = &Arc<Team>> {
+        self.teams.iter().map(|e| &e.doc)
+    }
+
+    /// All templates, by name.
+    pub fn templates(&self) -> impl Iterator<Item = &Arc<Template>> {
+        self.templates.iter().map(|e| &e.doc)
+    }
+
     /// All models, by name.
     pub fn models(&self) -> impl Iterator<Item = &Arc<Model>> {
         self.models.iter().map(|e| &e.doc)
@@ -183,6 +204,17 @@
     }
 }
 
+/// Checks that `change` is sound and the next one after revision `have`.
+fn check_link(have: Rev, change: &Change) -> Result<(), ApplyError> {
+    if change.rev != have.next() {
+        return Err(ApplyError::Gap { have, got: change.rev });
+    }
+    if change.doc.as_ref().is_some_and(|d| d.key() != change.key) {
+        return Err(ApplyError::KeyMismatch(change.rev));
+    }
+    Ok(())
+}
+
 fn find<'a, T>(entries: &'a [Entry<T>], name: &Name) -> Option<&'a Entry<T>> {
     let at = entries.binary_search_by(|e| e.name.cmp(name)).ok()?;
     Some(&entries[at])
@@ -200,5 +232,7 @@
 }
 
 fn remove<T>(entries: &mut Vec<Entry<T>>, name: &Name) {
-    entries.retain(|e| e.name != *name);
+    if let Ok(at) = entries.binary_search_by(|e| e.name.cmp(name)) {
+        entries.remove(at);
+    }
 }
--- /dev/null
+++ b/crates/conf/tests/accept_rules.rs
@@ -0,0 +1,140 @@
+//! What is accepted, what is refused, and what a repeated change id returns.
+
+mod common;
+
+use common::{World, key, model, name, names, service, team, template};
+use conf::{AcceptError, Doc, DocKey, Fault, Field, Kind, Limits};
+use ident::{Digest, RequestId, Rev};
+
+fn base() -> Vec<Doc> {
+    vec![
+        model("writer", "v1"),
+        service("desk", "inkline"),
+        service("fonts", "umthombo"),
+        template("artists", &["desk"]),
+        Doc::Team(team("prairie", "artists", "inkline")),
+    ]
+}
+
+fn invalid(error: AcceptError) -> Vec<Fault> {
+    match error {
+        AcceptError::Invalid(faults) => faults,
+        other => panic!("expected faults, got {other}"),
+    }
+}
+
+#[tokio::test]
+async fn same_id_once() {
+    let w = World::new();
+    let s = w.store();
+    w.create(&s, 1, base()).await;
+    let again =
+        s.accept(RequestId(1), key(Kind::Model, "writer"), Some(model("writer", "v1")), None);
+    assert_eq!(again.await.unwrap().rev, Rev(1));
+    let other = w.store();
+    let reused = other.accept(RequestId(1), key(Kind::Model, "x"), Some(model("x", "v1")), None);
+    assert_eq!(invalid(reused.await.unwrap_err()), [Fault::IdReused(Rev(1))]);
+    assert_eq!(s.changes(Rev(0), 100).await.unwrap().len(), 5);
+}
+
+#[tokio::test]
+async fn loser_hears_revision() {
+    let w = World::new();
+    let (a, b) = (w.store(), w.store());
+    w.create(&a, 1, base()).await;
+    let at = key(Kind::Model, "writer");
+    a.accept(RequestId(10), at.clone(), Some(model("writer", "v2")), Some(Rev(1))).await.unwrap();
+    let lost = b.accept(RequestId(11), at.clone(), Some(model("writer", "v3")), Some(Rev(1))).await;
+    assert_eq!(lost, Err(AcceptError::Stale { current: Some(Rev(6)) }));
+    let exists = b.accept(RequestId(12), at, Some(model("writer", "v3")), None).await;
+    assert_eq!(exists, Err(AcceptError::Stale { current: Some(Rev(6)) }));
+}
+
+#[tokio::test]
+async fn every_fault_is_listed() {
+    let w = World::new();
+    let s = w.store();
+    w.create(&s, 1, base()).await;
+    let mut bad = team("gala", "nowhere", "umthombo");
+    bad.keys = vec![Digest::of(b"prairie")];
+    bad.patch.targets = Some(names(&["gone", "desk"]));
+    bad.patch.models = Some(names(&["poet"]));
+    bad.patch.spread = Some(0);
+    bad.patch.limits = Some(Limits { rate: 0, inflight: 1, prompt: 0, tokens: 1 });
+    let at = key(Kind::Team, "gala");
+    let faults =
+        invalid(s.accept(RequestId(9), at.clone(), Some(Doc::Team(bad)), None).await.unwrap_err());
+    let dangling = |kind, to: &str| Fault::Dangling { from: at.clone(), to: key(kind, to) };
+    let expected = [
+        dangling(Kind::Template, "nowhere"),
+        Fault::Zero(Field::Rate),
+        Fault::Zero(Field::Prompt),
+        Fault::Zero(Field::Spread),
+        dangling(Kind::Model, "poet"),
+        dangling(Kind::Target, "gone"),
+        Fault::Foreign {
+            team: name("gala"),
+            org: name("umthombo"),
+            target: name("desk"),
+            owner: name("inkline"),
+        },
+        Fault::KeyTaken { key: Digest::of(b"prairie"), owner: name("prairie") },
+    ];
+    assert_eq!(faults, expected);
+}
+
+#[tokio::test]
+async fn orgs_stay_apart() {
+    let w = World::new();
+    let s = w.store();
+    w.create(&s, 1, base()).await;
+    let foreign = Fault::Foreign {
+        team: name("prairie"),
+        org: name("inkline"),
+        target: name("fonts"),
+        owner: name("umthombo"),
+    };
+    let widened = template("artists", &["fonts", "desk"]);
+    let at = key(Kind::Template, "artists");
+    let faults =
+        invalid(s.accept(RequestId(9), at, Some(widened), Some(Rev(4))).await.unwrap_err());
+    assert_eq!(faults, [foreign]);
+    let moved = service("desk", "umthombo");
+    let faults = s.accept(RequestId(9), moved.key(), Some(moved), Some(Rev(2))).await.unwrap_err();
+    assert_eq!(invalid(faults).len(), 1);
+}
+
+#[tokio::test]
+async fn referenced_stays() {
+    let w = World::new();
+    let s = w.store();
+    w.create(&s, 1, base()).await;
+    let by = |kind, n| Fault::Referenced { by: key(kind, n) };
+    let cases: [(DocKey, u64, Fault); 3] = [
+        (key(Kind::Model, "writer"), 1, by(Kind::Template, "artists")),
+        (key(Kind::Target, "desk"), 2, by(Kind::Template, "artists")),
+        (key(Kind::Template, "artists"), 4, by(Kind::Team, "prairie")),
+    ];
+    for (at, rev, fault) in cases {
+        let refused = s.accept(RequestId(9), at, None, Some(Rev(rev))).await.unwrap_err();
+        assert_eq!(invalid(refused), [fault]);
+    }
+    let at = key(Kind::Team, "prairie");
+    assert_eq!(s.accept(RequestId(9), at.clone(), None, Some(Rev(5))).await.unwrap().rev, Rev(6));
+    assert_eq!(
+        invalid(s.accept(RequestId(10), at.clone(), None, None).await.unwrap_err()),
+        [Fault::Absent(at)]
+    );
+    let at = key(Kind::Template, "artists");
+    s.accept(RequestId(11), at, None, Some(Rev(4))).await.unwrap();
+}
+
+#[tokio::test]
+async fn lists_are_sorted() {
+    let w = World::new();
+    let s = w.store();
+    w.create(&s, 1, vec![model("writer", "v1"), service("b", "o"), service("a", "o")]).await;
+    let doc = template("t", &["b", "a", "b"]);
+    let change = s.accept(RequestId(9), doc.key(), Some(doc), None).await.unwrap();
+    assert_eq!(change.doc, Some(template("t", &["a", "b"])));
+}
