--- /dev/null
+++ b/crates/ledger/tests/common/mod.rs
@@ -0,0 +1,63 @@
+//! A stepped clock and ledgers over shared fakes.
+#![allow(dead_code)]
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicU64, Ordering},
+};
+
+use blob::MemoryBlob;
+use ident::{Clock, Digest, Name, Time};
+use ledger::{CallId, Ledger, Outcome};
+use table::Memory;
+
+pub struct Steps(pub AtomicU64);
+
+impl Steps {
+    pub fn step(&self, millis: u64) {
+        self.0.fetch_add(millis, Ordering::Relaxed);
+    }
+}
+
+impl Clock for Steps {
+    fn now(&self) -> Time {
+        Time(self.0.load(Ordering::Relaxed))
+    }
+}
+
+pub struct World {
+    pub table: Arc<Memory>,
+    pub blob: Arc<MemoryBlob>,
+    pub clock: Arc<Steps>,
+}
+
+impl World {
+    pub fn new() -> Self {
+        Self {
+            table: Arc::new(Memory::new()),
+            blob: Arc::new(MemoryBlob::new()),
+            clock: Arc::new(Steps(AtomicU64::new(1_000_000))),
+        }
+    }
+
+    pub fn ledger(&self, node: &str) -> Ledger {
+        let node = Name::new(node).unwrap();
+        Ledger::new(self.table.clone(), self.blob.clone(), self.clock.clone(), node)
+    }
+
+    pub fn until(&self, millis: u64) -> Time {
+        Time(self.clock.now().0 + millis)
+    }
+}
+
+pub fn call(key: &str) -> CallId {
+    CallId::new(Name::new("desk").unwrap(), key).unwrap()
+}
+
+pub fn request() -> Digest {
+    Digest::of(b"request")
+}
+
+pub fn outcome(text: &str) -> Outcome {
+    Outcome { status: 200, content: "text/plain".into(), body: text.to_owned().into() }
+}
