Add the callers' API and the clients of back ends

Cause: no path from a caller to a replica. Ruled out: passing cache blocks through the entry instance (a long prompt's blocks exceed an entry instance's link); engines move them and return receipts instead.

--- /dev/null
+++ b/crates/entry/src/body.rs
@@ -0,0 +1,139 @@
+//! Bodies of completion requests (OpenAI style) and their checked form.
+
+use std::sync::Arc;
+
+use ident::{Digest, Name};
+use serde::Deserialize;
+
+use crate::problem::Fault;
+
+/// Tokens generated when the request does not say.
+const DEFAULT_TOKENS: u32 = 64;
+
+/// Which of the two completion APIs a request came by.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Api {
+    /// `/v1/completions`.
+    Text,
+    /// `/v1/chat/completions`.
+    Chat,
+}
+
+/// A checked completion request.
+#[derive(Debug, Clone)]
+pub struct Prompt {
+    /// The API it came by.
+    pub api: Api,
+    /// The model asked for.
+    pub model: Name,
+    /// The whole prompt text.
+    pub text: Arc<str>,
+    /// Most tokens to generate.
+    pub tokens: u32,
+    /// Label of the context that returns; a digest of the prompt's beginning where not given.
+    pub context: Arc<str>,
+    /// Seed of the sampling.
+    pub seed: u64,
+    /// Whether the answer is streamed.
+    pub stream: bool,
+    /// Digest of the body.
+    pub digest: Digest,
+}
+
+#[derive(Deserialize)]
+struct TextWire {
+    model: Name,
+    prompt: String,
+    #[serde(flatten)]
+    common: CommonWire,
+}
+
+#[derive(Deserialize)]
+struct ChatWire {
+    model: Name,
+    messages: Vec<MessageWire>,
+    #[serde(flatten)]
+    common: CommonWire,
+}
+
+#[derive(Deserialize)]
+struct MessageWire {
+    role: String,
+    content: String,
+}
+
+#[derive(Deserialize)]
+struct CommonWire {
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    stream: bool,
+    prompt_cache_key: Option<String>,
+    seed: Option<u64>,
+}
+
+impl Prompt {
+    /// Parses and checks a body.
+    pub fn parse(api: Api, body: &[u8]) -> Result<Self, Fault> {
+        let digest = Digest::of(body);
+        let (model, text, common) = match api {
+            Api::Text => {
+                let wire: TextWire = parse(body)?;
+                (wire.model, wire.prompt, wire.common)
+            }
+            Api::Chat => {
+                let wire: ChatWire = parse(body)?;
+                (wire.model, transcript(&wire.messages), wire.common)
+            }
+        };
+        if text.is_empty() {
+            return Err(Fault::Malformed("the prompt is empty".into()));
+        }
+        let tokens = common.max_tokens.unwrap_or(DEFAULT_TOKENS);
+        if tokens == 0 {
+            return Err(Fault::Malformed("max_tokens must be at least 1".into()));
+        }
+        let context = context(common.prompt_cache_key, &text)?;
+        Ok(Self {
+            api,
+            model,
+            text: text.into(),
+            tokens,
+            context,
+            // The same body gives the same seed, so that a repeat gives the same answer.
+            seed: common.seed.unwrap_or_else(|| seed(&digest)),
+            stream: common.stream,
+            digest,
+        })
+    }
+}
+
+/// Longest context label, in bytes.
+pub(crate) const MAX_CONTEXT: usize = 256;
+
+fn context(key: Option<String>, text: &str) -> Result<Arc<str>, Fault> {
+    match key {
+        Some(key) if key.len() <= MAX_CONTEXT => Ok(key.into()),
+        Some(_) => Err(Fault::Malformed("prompt_cache_key has at most 256 bytes".into())),
+        None => {
+            let head = &text.as_bytes()[..text.len().min(kv::PIECE_BYTES)];
+            Ok(Digest::of(head).to_string().into())
+        }
+    }
+}
+
+fn seed(digest: &Digest) -> u64 {
+    let mut half = [0; 8];
+    half.copy_from_slice(&digest.0[..8]);
+    u64::from_le_bytes(half)
+}
+
+fn parse<'a, T>(body: &'a [u8]) -> Result<T, Fault>
+where
+    T: Deserialize<'a>,
+{
+    serde_json::from_slice(body).map_err(|e| Fault::Malformed(format!("bad JSON body: {e}").into()))
+}
+
+fn transcript(messages: &[MessageWire]) -> String {
+    messages.iter().map(|m| format!("{}: {}\n", m.role, m.content)).collect()
+}
--- /dev/null
+++ b/crates/entry/src/pools.rs
@@ -0,0 +1,251 @@
+//! Replicas behind an instance: a shard for each target, each under its own lock.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use conf::{State, View};
+use ident::{Name, Time};
+use outbound::{ListState, Listed, Role};
+use parking_lot::{Mutex, RwLock};
+use route::{Ask, Choice, End, Entry, Links, Load, NoRoute, Policy, Pool, Ticket};
+
+/// Makes the routing policy of a shard.
+pub type MakePolicy = Box<dyn Fn() -> Box<dyn Policy> + Send + Sync>;
+
+/// A replica of a model engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReplicaRef {
+    /// The target it belongs to.
+    pub target: Name,
+    /// Its name.
+    pub name: Name,
+    /// Its address.
+    pub addr: SocketAddr,
+}
+
+/// The replicas of one model deployment.
+struct Shard {
+    pool: Pool,
+    policy: Box<dyn Policy>,
+}
+
+/// All replicas this instance knows.
+///
+/// Invariant: both vectors are sorted by target.
+pub struct Pools {
+    engines: RwLock<Vec<(Name, Arc<Mutex<Shard>>)>>,
+    services: RwLock<Vec<(Name, Vec<Listed>)>>,
+    make: MakePolicy,
+}
+
+impl Pools {
+    /// Empty pools that route by the policy `make` makes.
+    pub fn new(make: MakePolicy) -> Self {
+        Self { engines: RwLock::default(), services: RwLock::default(), make }
+    }
+
+    /// Takes over the platform's list.
+    pub fn sync(&self, listed: &[Listed], now: Time) {
+        self.sync_services(listed);
+        let mut targets: Vec<&Name> = engines(listed).filter_map(|l| l.target.as_ref()).collect();
+        targets.sort();
+        targets.dedup();
+        for target in targets {
+            let of_target = engines(listed).filter(|l| l.target.as_ref() == Some(target));
+            let entries = of_target.map(|l| entry(l, target)).collect();
+            self.shard_or_new(target).lock().pool.sync_list(entries, now);
+        }
+    }
+
+    fn sync_services(&self, listed: &[Listed]) {
+        let is_service = |l: &&Listed| l.role == Role::Service && l.state == ListState::Live;
+        let mut groups: Vec<(Name, Vec<Listed>)> = Vec::new();
+        for replica in listed.iter().filter(is_service) {
+            let Some(target) = &replica.target else { continue };
+            match groups.binary_search_by(|(t, _)| t.cmp(target)) {
+                Ok(at) => groups[at].1.push(replica.clone()),
+                Err(at) => groups.insert(at, (target.clone(), vec![replica.clone()])),
+            }
+        }
+        *self.services.write() = groups;
+    }
+
+    /// Takes over which replicas and targets operators have withdrawn.
+    pub fn sync_withdrawn(&self, view: &View) {
+        for (target, shard) in self.engines.read().iter() {
+            let doc = view.target(target);
+            let mut shard = shard.lock();
+            match doc {
+                Some(doc) if doc.state == State::Active => shard.pool.withdraw(&doc.withdrawn),
+                _ => {
+                    let all: Vec<Name> =
+                        shard.pool.replicas().iter().map(|r| r.name.clone()).collect();
+                    shard.pool.withdraw(&all);
+                }
+            }
+        }
+    }
+
+    /// Live replicas of a plain service.
+    pub fn services(&self, target: &Name) -> Vec<Listed> {
+        let services = self.services.read();
+        match services.binary_search_by(|(t, _)| t.cmp(target)) {
+            Ok(at) => services[at].1.clone(),
+            Err(_) => Vec::new(),
+        }
+    }
+
+    /// At most `most` engine replicas, beginning with a random one.
+    pub fn watched(&self, most: usize, draw: u64) -> Vec<ReplicaRef> {
+        let mut all = self.replicas();
+        if !all.is_empty() {
+            let turn = usize::try_from(draw % all.len() as u64).unwrap_or(0);
+            all.rotate_left(turn);
+        }
+        all.truncate(most);
+        all
+    }
+
+    /// All engine replicas.
+    pub fn replicas(&self) -> Vec<ReplicaRef> {
+        let engines = self.engines.read();
+        engines.iter().flat_map(|(target, shard)| refs(target, &shard.lock().pool)).collect()
+    }
+
+    /// All engine replicas with what is known of them.
+    pub fn status(&self) -> Vec<route::Replica> {
+        let engines = self.engines.read();
+        engines.iter().flat_map(|(_, shard)| shard.lock().pool.replicas().to_vec()).collect()
+    }
+
+    /// Takes a replica's load report, asked for at `asked`.
+    pub fn report(&self, replica: &ReplicaRef, load: &outbound::Load, asked: Time, now: Time) {
+        let Some(shard) = self.shard(&replica.target) else { return };
+        let mut shard = shard.lock();
+        let report = Load {
+            running: load.running,
+            waiting: load.waiting,
+            prefill_rate: load.prefill as u32,
+            at: asked,
+        };
+        shard.pool.report(&replica.name, report, now);
+        shard.pool.serves(&replica.name, load.weights.clone());
+        if load.leaving {
+            shard.pool.left(&replica.name, now);
+        }
+    }
+
+    /// Notes that a replica does not serve the version it was thought to.
+    pub fn served_other(&self, target: &Name, replica: &Name, weights: Option<Name>) {
+        if let Some(shard) = self.shard(target) {
+            shard.lock().pool.serves(replica, weights);
+        }
+    }
+
+    /// Notes that a replica said it is leaving.
+    pub fn left(&self, target: &Name, replica: &Name, now: Time) {
+        if let Some(shard) = self.shard(target) {
+            shard.lock().pool.left(replica, now);
+        }
+    }
+
+    /// Whether a replica of `target` serves `weights` and takes new work.
+    pub fn serves(&self, target: &Name, weights: &Name) -> bool {
+        self.shard(target).is_some_and(|shard| {
+            let shard = shard.lock();
+            let fits = |r: &route::Replica| !r.is_leaving() && r.weights.as_ref() == Some(weights);
+            shard.pool.replicas().iter().any(fits)
+        })
+    }
+
+    /// The target a replica belongs to.
+    pub fn target_of(&self, replica: &Name) -> Option<Name> {
+        let engines = self.engines.read();
+        let (target, _) = engines.iter().find(|(_, s)| s.lock().pool.find(replica).is_some())?;
+        Some(target.clone())
+    }
+
+    /// Requests that the known replicas can run at once, `slots` for each.
+    pub fn capacity(&self, slots: u32) -> u32 {
+        let engines = self.engines.read();
+        let live = |pool: &Pool| pool.replicas().iter().filter(|r| !r.is_leaving()).count();
+        let replicas: usize = engines.iter().map(|(_, s)| live(&s.lock().pool)).sum();
+        u32::try_from(replicas).unwrap_or(u32::MAX).saturating_mul(slots)
+    }
+
+    /// Chooses a replica of `target` and counts the request there.
+    pub fn choose(
+        &self,
+        target: &Name,
+        links: &Mutex<Links>,
+        ask: &Ask<'_>,
+        draw: u64,
+        now: Time,
+    ) -> Result<(Choice, Option<Ticket>), NoRoute> {
+        let shard = self.shard_or_new(target);
+        let mut guard = shard.lock();
+        let Shard { pool, policy } = &mut *guard;
+        let choice = policy.choose(pool, &links.lock(), ask, draw, now)?;
+        let ticket = pool.started(&choice.replica, choice.tokens, now);
+        Ok((choice, ticket))
+    }
+
+    /// Notes the first token of a request.
+    pub fn first_token(&self, target: &Name, ticket: &Ticket, now: Time) {
+        if let Some(shard) = self.shard(target) {
+            shard.lock().pool.first_token(ticket, now);
+        }
+    }
+
+    /// Notes the end of a request.
+    pub fn ended(&self, target: &Name, ticket: Ticket, end: End, now: Time) {
+        if let Some(shard) = self.shard(target) {
+            shard.lock().pool.ended(ticket, end, now);
+        }
+    }
+
+    fn shard(&self, target: &Name) -> Option<Arc<Mutex<Shard>>> {
+        let engines = self.engines.read();
+        let at = engines.binary_search_by(|(t, _)| t.cmp(target)).ok()?;
+        Some(engines[at].1.clone())
+    }
+
+    fn shard_or_new(&self, target: &Name) -> Arc<Mutex<Shard>> {
+        if let Some(shard) = self.shard(target) {
+            return shard;
+        }
+        let mut engines = self.engines.write();
+        match engines.binary_search_by(|(t, _)| t.cmp(target)) {
+            Ok(at) => engines[at].1.clone(),
+            Err(at) => {
+                let shard = Shard { pool: Pool::default(), policy: (self.make)() };
+                let shard = Arc::new(Mutex::new(shard));
+                engines.insert(at, (target.clone(), shard.clone()));
+                shard
+            }
+        }
+    }
+}
+
+fn engines(listed: &[Listed]) -> impl Iterator<Item = &Listed> {
+    listed.iter().filter(|l| l.role == Role::Engine)
+}
+
+fn entry(listed: &Listed, target: &Name) -> Entry {
+    Entry {
+        name: listed.name.clone(),
+        target: target.clone(),
+        zone: listed.zone.clone(),
+        addr: listed.addr,
+        leaving: listed.state == ListState::Leaving,
+    }
+}
+
+fn refs(target: &Name, pool: &Pool) -> Vec<ReplicaRef> {
+    let replicas = pool.replicas().iter().filter(|r| !r.is_leaving());
+    let replica = |r: &route::Replica| ReplicaRef {
+        target: target.clone(),
+        name: r.name.clone(),
+        addr: r.addr,
+    };
+    replicas.map(replica).collect()
+}
--- /dev/null
+++ b/crates/entry/src/problem.rs
@@ -0,0 +1,218 @@
+//! Errors towards callers: RFC 9457 problem documents.
+
+use std::{sync::Arc, time::Duration};
+
+use axum::{
+    Json,
+    http::{HeaderValue, StatusCode, header},
+    response::{IntoResponse, Response},
+};
+use ident::Name;
+use serde::Serialize;
+
+use crate::router::Label;
+
+/// Whether the request that failed was run by a back end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Ran {
+    /// Certainly not.
+    No,
+    /// It may have been.
+    Unknown,
+    /// Certainly; its answer could not be kept or delivered.
+    Yes,
+}
+
+/// Why a request was refused or failed.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Fault {
+    /// No or an unknown API key.
+    #[error("present a valid API key as `authorization: Bearer KEY`")]
+    Unauthorised,
+    /// The body or a header is not what the API takes.
+    #[error("{0}")]
+    Malformed(Arc<str>),
+    /// The body is larger than the instance takes.
+    #[error("the body is too large; this instance takes at most {0} bytes")]
+    TooLarge(usize),
+    /// The prompt is longer than the team's limit, in bytes.
+    #[error("the prompt has {got} bytes; the team's limit is {limit}")]
+    PromptTooLong {
+        /// Bytes of the prompt.
+        got: usize,
+        /// The team's limit.
+        limit: u32,
+    },
+    /// The model does not exist, or the team may not use it.
+    #[error("the team may not use model {0}; ask the operator for the team's models")]
+    UnknownModel(Name),
+    /// The target does not exist, belongs to another organisation, or the team may not reach it.
+    #[error("the team may not reach target {0}; ask the operator for the team's targets")]
+    UnknownTarget(Name),
+    /// The team's template is gone.
+    #[error("team {0} has no template in force; ask the operator to restore it")]
+    NoTemplate(Name),
+    /// The team is above one of its limits.
+    #[error("the team is above its limit; come back at the time given")]
+    Limited,
+    /// The deadline cannot be met.
+    #[error("the deadline cannot be met; come back at the time given")]
+    Deadline,
+    /// No replica can take the request.
+    #[error("no replica can take the request now; come back at the time given")]
+    NoReplica,
+    /// The instance cannot tell whether its configuration is in force.
+    #[error("this instance cannot confirm its configuration; use another address")]
+    Stale,
+    /// The instance has started and not yet learned its configuration.
+    #[error("this instance is not ready; use another address")]
+    NotReady,
+    /// The stream handle is not one of the team's, or does not belong to this request.
+    #[error("the Last-Event-ID does not belong to this request; send the request without it")]
+    BadHandle,
+    /// The call needs an idempotency key.
+    #[error("send an `Idempotency-Key` of 1 to 128 visible ASCII characters with this call")]
+    NoKey,
+    /// The idempotency key was used with another request.
+    #[error("this Idempotency-Key was used with another request; choose a new key")]
+    KeyReused,
+    /// A call with this key is running.
+    #[error("a call with this Idempotency-Key is running; look its outcome up later")]
+    Running,
+    /// A call with this key may have run.
+    #[error(
+        "a call with this key may have run and its outcome is not known; check with the service before using a new key"
+    )]
+    MayHaveRun,
+    /// No call with this key is known.
+    #[error("no call with this key is known")]
+    NoOutcome,
+    /// The claim could not be written.
+    #[error("the call could not be claimed and was not sent; come back at the time given")]
+    NotClaimed,
+    /// What became of earlier calls with this key could not be read.
+    #[error(
+        "this call was not sent, and earlier calls with its key cannot be looked up now; repeat it with the same key"
+    )]
+    ClaimUnread,
+    /// The call ran, and its outcome could not be read.
+    #[error("the call ran; its outcome cannot be read now, ask again with the same key")]
+    OutcomeUnread,
+    /// The target refused the call before running it.
+    #[error("the target did not run the call; come back at the time given")]
+    Refused,
+    /// The back end failed while it ran the request.
+    #[error("the target failed; repeat the request")]
+    Upstream,
+}
+
+impl Fault {
+    /// Status and type of the problem document.
+    fn kind(&self) -> (StatusCode, &'static str) {
+        match self {
+            Self::Unauthorised => (StatusCode::UNAUTHORIZED, "unauthorised"),
+            Self::Malformed(_) => (StatusCode::BAD_REQUEST, "malformed"),
+            Self::TooLarge(_) => (StatusCode::PAYLOAD_TOO_LARGE, "too-large"),
+            Self::PromptTooLong { .. } => (StatusCode::PAYLOAD_TOO_LARGE, "prompt-too-long"),
+            Self::UnknownModel(_) => (StatusCode::NOT_FOUND, "unknown-model"),
+            Self::UnknownTarget(_) => (StatusCode::NOT_FOUND, "unknown-target"),
+            Self::NoTemplate(_) => (StatusCode::FORBIDDEN, "no-template"),
+            Self::Limited => (StatusCode::TOO_MANY_REQUESTS, "limited"),
+            Self::Deadline => (StatusCode::SERVICE_UNAVAILABLE, "deadline"),
+            Self::NoReplica => (StatusCode::SERVICE_UNAVAILABLE, "no-replica"),
+            Self::Stale => (StatusCode::SERVICE_UNAVAILABLE, "stale"),
+            Self::NotReady => (StatusCode::SERVICE_UNAVAILABLE, "not-ready"),
+            Self::BadHandle => (StatusCode::CONFLICT, "bad-handle"),
+            Self::NoKey => (StatusCode::BAD_REQUEST, "no-key"),
+            Self::KeyReused => (StatusCode::UNPROCESSABLE_ENTITY, "key-reused"),
+            Self::Running => (StatusCode::CONFLICT, "running"),
+            Self::MayHaveRun => (StatusCode::BAD_GATEWAY, "may-have-run"),
+            Self::NoOutcome => (StatusCode::NOT_FOUND, "no-outcome"),
+            Self::NotClaimed => (StatusCode::SERVICE_UNAVAILABLE, "not-claimed"),
+            Self::ClaimUnread => (StatusCode::SERVICE_UNAVAILABLE, "claim-unread"),
+            Self::OutcomeUnread => (StatusCode::SERVICE_UNAVAILABLE, "outcome-unread"),
+            Self::Refused => (StatusCode::SERVICE_UNAVAILABLE, "refused"),
+            Self::Upstream => (StatusCode::BAD_GATEWAY, "upstream"),
+        }
+    }
+
+    /// The last part of the problem's type, used as a metric label too.
+    pub fn label(&self) -> &'static str {
+        self.kind().1
+    }
+
+    fn ran(&self) -> Ran {
+        match self {
+            Self::Running | Self::MayHaveRun | Self::ClaimUnread | Self::Upstream => Ran::Unknown,
+            Self::OutcomeUnread => Ran::Yes,
+            _ => Ran::No,
+        }
+    }
+}
+
+/// A [`Fault`] as answered: with whether the request ran and when to come back.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Problem {
+    /// What went wrong.
+    pub fault: Fault,
+    /// Whether the request ran.
+    pub ran: Ran,
+    /// When to come back, counted from the answer; `None` when a repeat is useless.
+    pub retry: Option<Duration>,
+}
+
+impl Problem {
+    /// The problem for `fault` with advice to come back after `retry`.
+    pub fn after(fault: Fault, retry: Duration) -> Self {
+        Self { retry: Some(retry), ..Self::from(fault) }
+    }
+
+    /// The document as sent.
+    pub fn document(&self) -> ProblemWire {
+        let (status, kind) = self.fault.kind();
+        ProblemWire {
+            kind: format!("urn:lentilpitch:problem:{kind}"),
+            title: kind,
+            status: status.as_u16(),
+            detail: self.fault.to_string(),
+            ran: self.ran,
+            retry_after_ms: self.retry.map(|r| u64::try_from(r.as_millis()).unwrap_or(u64::MAX)),
+        }
+    }
+}
+
+impl From<Fault> for Problem {
+    fn from(fault: Fault) -> Self {
+        Self { ran: fault.ran(), fault, retry: None }
+    }
+}
+
+/// A problem document (RFC 9457) with two members of our own.
+#[derive(Debug, Serialize)]
+pub struct ProblemWire {
+    #[serde(rename = "type")]
+    kind: String,
+    title: &'static str,
+    status: u16,
+    detail: String,
+    ran: Ran,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+}
+
+impl IntoResponse for Problem {
+    fn into_response(self) -> Response {
+        let (status, label) = self.fault.kind();
+        let mut response = (status, Json(self.document())).into_response();
+        response.extensions_mut().insert(Label(label));
+        let headers = response.headers_mut();
+        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
+        if let Some(retry) = self.retry {
+            // The header counts whole seconds; a caller that is early is only refused again.
+            let seconds = retry.as_millis().div_ceil(1000);
+            headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds.min(3600) as u32));
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/entry/src/respond.rs
@@ -0,0 +1,208 @@
+//! Turns a relay's items into the caller's answer: an event stream, or one JSON document.
+
+use std::{convert::Infallible, sync::Arc, time::Duration};
+
+use axum::{
+    Json,
+    response::{
+        IntoResponse, Response, Sse,
+        sse::{Event, KeepAlive},
+    },
+};
+use futures_util::{Stream, stream};
+use ident::RequestId;
+use outbound::{Finish, Usage};
+use serde::Serialize;
+use tokio::sync::mpsc;
+
+use crate::{
+    body::Api,
+    job::Job,
+    problem::{Fault, Problem},
+    relay::{Delivered, Item},
+};
+
+/// Longest silence on a stream to a caller.
+const KEEP_ALIVE: Duration = Duration::from_secs(1);
+
+/// The shape of an answer.
+#[derive(Debug, Clone)]
+struct Shape {
+    api: Api,
+    request: RequestId,
+    model: ident::Name,
+}
+
+/// Answers with an event stream, once its first item is known: a request that failed before its
+/// first token gets its problem as the answer.
+pub async fn stream(job: &Job, mut items: mpsc::Receiver<Item>) -> Result<Response, Problem> {
+    let first = match items.recv().await {
+        Some(Item::Failed(problem)) => return Err(problem),
+        Some(item) => item,
+        None => return Err(Fault::Upstream.into()),
+    };
+    let shape = Shape::of(job);
+    let keep_alive = KeepAlive::new().interval(KEEP_ALIVE);
+    Ok(Sse::new(events(shape, first, items)).keep_alive(keep_alive).into_response())
+}
+
+/// Answers with one document, once the whole answer is known.
+pub async fn whole(job: &Job, mut items: mpsc::Receiver<Item>) -> Result<Response, Problem> {
+    let shape = Shape::of(job);
+    let mut text = String::new();
+    while let Some(item) = items.recv().await {
+        match item {
+            Item::Restart => text.clear(),
+            Item::Failed(problem) => return Err(problem),
+            Item::Token(token) => {
+                text.push_str(&token.text);
+                if token.finish.is_some() {
+                    return Ok(Json(shape.document(&token, &text)).into_response());
+                }
+            }
+        }
+    }
+    Err(Fault::Upstream.into())
+}
+
+fn events(
+    shape: Shape,
+    first: Item,
+    items: mpsc::Receiver<Item>,
+) -> impl Stream<Item = Result<Event, Infallible>> {
+    enum Next {
+        Item(Item, mpsc::Receiver<Item>),
+        Wait(mpsc::Receiver<Item>),
+        Done,
+        End,
+    }
+    stream::unfold(Next::Item(first, items), move |next| {
+        let shape = shape.clone();
+        async move {
+            let (item, items) = match next {
+                Next::Item(item, items) => (item, items),
+                Next::Wait(mut items) => (items.recv().await?, items),
+                Next::Done => return Some((Ok(Event::default().data("[DONE]")), Next::End)),
+                Next::End => return None,
+            };
+            let next = match &item {
+                Item::Token(t) if t.finish.is_some() => Next::Done,
+                Item::Failed(_) => Next::End,
+                _ => Next::Wait(items),
+            };
+            Some((Ok(shape.event(&item)), next))
+        }
+    })
+}
+
+impl Shape {
+    fn of(job: &Job) -> Self {
+        let model = job.prompt.model.clone();
+        Self { api: job.prompt.api, request: job.asked.id, model }
+    }
+
+    fn event(&self, item: &Item) -> Event {
+        match item {
+            Item::Token(token) => {
+                let data = self.document(token, &token.text);
+                json(Event::default().id(format!("{}.{}", token.sealed, token.mark)), &data)
+            }
+            Item::Restart => Event::default().event("restart").data("{}"),
+            Item::Failed(problem) => json(Event::default().event("problem"), &problem.document()),
+        }
+    }
+
+    fn document(&self, token: &Delivered, text: &str) -> AnswerWire {
+        let object = match self.api {
+            Api::Text => "text_completion",
+            Api::Chat => "chat.completion.chunk",
+        };
+        AnswerWire {
+            id: self.request,
+            object,
+            model: self.model.clone(),
+            choices: [ChoiceWire::new(self.api, token.finish, text)],
+            system_fingerprint: token.weights.clone(),
+            usage: token.usage.map(UsageWire::from),
+            lentil: MarkWire { request: self.request, offset: token.mark.tokens - 1 },
+        }
+    }
+}
+
+fn json<T>(event: Event, data: &T) -> Event
+where
+    T: Serialize,
+{
+    event.json_data(data).expect("an answer has only string keys")
+}
+
+#[derive(Serialize)]
+struct AnswerWire {
+    id: RequestId,
+    object: &'static str,
+    model: ident::Name,
+    choices: [ChoiceWire; 1],
+    system_fingerprint: ident::Name,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    usage: Option<UsageWire>,
+    lentil: MarkWire,
+}
+
+/// Where a token stands in the answer.
+#[derive(Serialize)]
+struct MarkWire {
+    request: RequestId,
+    offset: u64,
+}
+
+#[derive(Serialize)]
+struct ChoiceWire {
+    index: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    text: Option<Arc<str>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    delta: Option<DeltaWire>,
+    finish_reason: Option<&'static str>,
+}
+
+#[derive(Serialize)]
+struct DeltaWire {
+    content: Arc<str>,
+}
+
+impl ChoiceWire {
+    fn new(api: Api, finish: Option<Finish>, text: &str) -> Self {
+        let content: Arc<str> = text.into();
+        let (text, delta) = match api {
+            Api::Text => (Some(content), None),
+            Api::Chat => (None, Some(DeltaWire { content })),
+        };
+        let finish_reason = finish.map(|f| match f {
+            Finish::Stop => "stop",
+            Finish::Length => "length",
+        });
+        Self { index: 0, text, delta, finish_reason }
+    }
+}
+
+#[derive(Serialize)]
+struct UsageWire {
+    prompt_tokens: u32,
+    completion_tokens: u32,
+    prompt_tokens_details: DetailsWire,
+}
+
+#[derive(Serialize)]
+struct DetailsWire {
+    cached_tokens: u32,
+}
+
+impl From<Usage> for UsageWire {
+    fn from(usage: Usage) -> Self {
+        Self {
+            prompt_tokens: usage.prompt,
+            completion_tokens: usage.completion,
+            prompt_tokens_details: DetailsWire { cached_tokens: usage.cached },
+        }
+    }
+}
--- a/crates/ident/src/class.rs
+++ b/crates/ident/src/class.rs
@@ -11,3 +11,13 @@
     /// The answer may wait a little.
     Batch,
 }
+
+impl Class {
+    /// The class as metrics and headers write it.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Interactive => "interactive",
+            Self::Batch => "batch",
+        }
+    }
+}
--- a/crates/member/src/answer.rs
+++ b/crates/member/src/answer.rs
@@ -28,6 +28,17 @@
     pub expires: Time,
 }
 
+/// Where an instance stands among those that serve a team.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Place {
+    /// Its position, from 0. Invariant: below `members`.
+    pub rank: usize,
+    /// How many instances are homes of the team; they have the first positions. At least 1.
+    pub homes: usize,
+    /// How many instances there are.
+    pub members: usize,
+}
+
 /// An instance that takes work.
 #[derive(Debug, Clone)]
 struct Node {
@@ -91,6 +102,20 @@
         homes(&self.nodes(now), team, spread).iter().any(|n| n.name == self.me.name)
     }
 
+    /// Where this instance stands among those that serve a team: its homes first, then the others.
+    /// An instance that takes no work counts as the last of the others.
+    pub fn place(&self, team: &Name, spread: u8, now: Time) -> Place {
+        let nodes = self.nodes(now);
+        let homes = homes(&nodes, team, spread);
+        let is_me = |n: &Node| n.name == self.me.name;
+        let mut others = nodes.iter().filter(|n| homes.iter().all(|h| h.name != n.name));
+        let rank = match homes.iter().position(|n| is_me(n)) {
+            Some(rank) => rank,
+            None => homes.len() + others.position(is_me).unwrap_or(nodes.len() - homes.len()),
+        };
+        Place { rank, homes: homes.len().max(1), members: nodes.len().max(rank + 1) }
+    }
+
     /// How many instances are homes of the team; at least 1.
     pub fn home_count(&self, team: &Name, spread: u8, now: Time) -> usize {
         homes(&self.nodes(now), team, spread).len().max(1)
--- a/crates/member/src/fresh.rs
+++ b/crates/member/src/fresh.rs
@@ -53,6 +53,11 @@
         self.confirmation.rev = self.confirmation.rev.max(rev);
     }
 
+    /// When the revision in force here was last known to be the newest; `None` for never.
+    pub fn confirmed(&self) -> Option<Time> {
+        self.confirmation.at
+    }
+
     /// Takes the result of a read of the configuration log that was sent at `asked`: whether it
     /// succeeded, and the newest revision it showed. Apply the changes and call
     /// [`Members::set_rev`] first.
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -16,7 +16,7 @@
 mod ring;
 
 pub use crate::{
-    answer::{Address, Answer},
+    answer::{Address, Answer, Place},
     config::{
         ADDRESS_TERM, CONFIRM_TERM, Config, DEGREE, HEARD_TERM, MAX_ADDRESSES, MAX_NEWS, MESH_MAX,
         PING_GAP, PROBE_INTERVAL, SPREAD_TERM,
--- /dev/null
+++ b/crates/outbound/src/engine.rs
@@ -0,0 +1,410 @@
+//! Calls to model engines.
+
+use std::net::SocketAddr;
+
+use async_trait::async_trait;
+use hyper::{Method, StatusCode};
+use ident::{Digest, Fence, Name, RequestId};
+use kv::{PieceKey, Receipt, ReceiptWire};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    CallError, Client, Connection, JsonCall, Refusal, TokenSource, client::read,
+    tokens::EventTokens,
+};
+
+/// A completion to start on a replica.
+#[derive(Debug, Clone, Serialize)]
+pub struct Completion {
+    /// The model.
+    pub model: Name,
+    /// The weight version wanted.
+    pub weights: Name,
+    /// The prompt.
+    pub prompt: std::sync::Arc<str>,
+    /// Most tokens to generate.
+    pub max_tokens: u32,
+    /// Seed of the sampling; the same seed, prompt and weights give the same answer.
+    pub seed: u64,
+    /// Separates the engine's prefix cache by team.
+    pub cache_salt: Digest,
+    /// Lower runs first.
+    pub priority: u8,
+    /// Unique; the engine keeps the tokens under it for a while.
+    pub request_id: RequestId,
+    /// Imported cache to start from.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub kv_handle: Option<std::sync::Arc<str>>,
+    /// Always true.
+    pub stream: bool,
+}
+
+/// Cache blocks to import from a store instance.
+#[derive(Debug, Clone)]
+pub struct Import {
+    /// The request they are for.
+    pub request: RequestId,
+    /// The weight version they belong to.
+    pub weights: Name,
+    /// The team's cache salt.
+    pub salt: Digest,
+    /// The store instance.
+    pub source: SocketAddr,
+    /// Keys and generations, in chain order.
+    pub pieces: Vec<(PieceKey, u64)>,
+}
+
+/// A staged import: nothing is used before a completion names the handle.
+#[derive(Debug, Clone)]
+pub struct Imported {
+    /// Names the staged blocks.
+    pub handle: std::sync::Arc<str>,
+    /// What the engine really received.
+    pub receipts: Vec<Receipt>,
+}
+
+/// Cache blocks of a request's prompt to write to a store instance.
+#[derive(Debug, Clone)]
+pub struct Export {
+    /// The request whose prompt's blocks are written.
+    pub request: RequestId,
+    /// The store instance.
+    pub dest: SocketAddr,
+    /// Piece index, key and generation of each.
+    pub pieces: Vec<(u32, PieceKey, u64)>,
+}
+
+/// A replica's load report.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Load {
+    /// Requests being generated.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+    /// Prefill speed in tokens per second.
+    pub prefill: f64,
+    /// Weight version served.
+    pub weights: Option<Name>,
+    /// Whether the replica says it is leaving.
+    pub leaving: bool,
+}
+
+/// The absolute state a replica is ordered into.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Wanted {
+    /// Weight version to serve.
+    pub weights: Name,
+    /// `mixed`, `prefill` or `decode`.
+    pub role: Name,
+}
+
+/// A replica's state as read back.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Orders {
+    /// The highest fencing number it has seen.
+    pub fence: Fence,
+    /// What it was last ordered to be.
+    pub wanted: Option<Wanted>,
+    /// What it is.
+    pub actual: Wanted,
+}
+
+/// A model engine's replicas.
+#[async_trait]
+pub trait Engine: Send + Sync {
+    /// Starts a completion and returns its tokens.
+    async fn complete(
+        &self,
+        addr: SocketAddr,
+        completion: &Completion,
+        connection: Connection,
+    ) -> Result<Box<dyn TokenSource>, CallError>;
+
+    /// Resumes a stream at a token offset, on a new connection.
+    async fn resume(
+        &self,
+        addr: SocketAddr,
+        request: RequestId,
+        from: u64,
+    ) -> Result<Box<dyn TokenSource>, CallError>;
+
+    /// Cancels a request; with `idle`, only if no stream of it is open.
+    async fn cancel(
+        &self,
+        addr: SocketAddr,
+        request: RequestId,
+        idle: bool,
+    ) -> Result<(), CallError>;
+
+    /// Stages cache blocks from a store instance.
+    async fn import(&self, addr: SocketAddr, import: &Import) -> Result<Imported, CallError>;
+
+    /// Drops a staged import.
+    async fn discard(&self, addr: SocketAddr, handle: &str) -> Result<(), CallError>;
+
+    /// Writes cache blocks to a store instance and returns what was written.
+    async fn export(&self, addr: SocketAddr, export: &Export) -> Result<Vec<Receipt>, CallError>;
+
+    /// Reads the replica's load report, which lags.
+    async fn load(&self, addr: SocketAddr) -> Result<Load, CallError>;
+
+    /// Orders a replica into a state.
+    async fn order(&self, addr: SocketAddr, fence: Fence, wanted: &Wanted)
+    -> Result<(), CallError>;
+
+    /// Reads a replica's state back.
+    async fn orders(&self, addr: SocketAddr) -> Result<Orders, CallError>;
+}
+
+/// [`Engine`] over HTTP.
+pub struct EngineClient(Client);
+
+impl EngineClient {
+    /// Calls engines through `client`.
+    pub fn new(client: Client) -> Self {
+        Self(client)
+    }
+
+    async fn stream(
+        &self,
+        call: JsonCall<'_, Completion>,
+    ) -> Result<Box<dyn TokenSource>, CallError> {
+        let progress = self.0.deadlines().progress;
+        let response = self.0.send(call.request()?, call.connection, progress).await?;
+        let status = response.status();
+        if status.is_success() {
+            return Ok(Box::new(EventTokens::new(response, progress)));
+        }
+        Err(refusal(status, &read(response).await?))
+    }
+}
+
+#[async_trait]
+impl Engine for EngineClient {
+    async fn complete(
+        &self,
+        addr: SocketAddr,
+        completion: &Completion,
+        connection: Connection,
+    ) -> Result<Box<dyn TokenSource>, CallError> {
+        let method = Method::POST;
+        let body = Some(completion);
+        self.stream(JsonCall { method, addr, path: "/v1/completions", body, connection }).await
+    }
+
+    async fn resume(
+        &self,
+        addr: SocketAddr,
+        request: RequestId,
+        from: u64,
+    ) -> Result<Box<dyn TokenSource>, CallError> {
+        let path = &format!("/v1/completions/{request}?from={from}");
+        let (method, connection) = (Method::GET, Connection::New);
+        self.stream(JsonCall { method, addr, path, body: None, connection }).await
+    }
+
+    async fn cancel(
+        &self,
+        addr: SocketAddr,
+        request: RequestId,
+        idle: bool,
+    ) -> Result<(), CallError> {
+        let path = &format!("/v1/completions/{request}?idle={idle}");
+        let call = empty(Method::DELETE, addr, path);
+        self.0.bytes(call, self.0.deadlines().call, refusal).await.map(drop)
+    }
+
+    async fn import(&self, addr: SocketAddr, import: &Import) -> Result<Imported, CallError> {
+        let body = ImportWire::from(import);
+        let call = post(addr, "/kv/import", &body);
+        let wire: ImportedWire = self.0.json(call, self.0.deadlines().transfer, refusal).await?;
+        Ok(Imported { handle: wire.handle, receipts: receipts(wire.receipts)? })
+    }
+
+    async fn discard(&self, addr: SocketAddr, handle: &str) -> Result<(), CallError> {
+        let path = &format!("/kv/import/{handle}");
+        let call = empty(Method::DELETE, addr, path);
+        self.0.bytes(call, self.0.deadlines().call, refusal).await.map(drop)
+    }
+
+    async fn export(&self, addr: SocketAddr, export: &Export) -> Result<Vec<Receipt>, CallError> {
+        let body = ExportWire::from(export);
+        let call = post(addr, "/kv/export", &body);
+        let wire: ExportedWire = self.0.json(call, self.0.deadlines().transfer, refusal).await?;
+        receipts(wire.receipts)
+    }
+
+    async fn load(&self, addr: SocketAddr) -> Result<Load, CallError> {
+        let call = empty(Method::GET, addr, "/load");
+        let wire: LoadWire = self.0.json(call, self.0.deadlines().call, refusal).await?;
+        Ok(wire.into())
+    }
+
+    async fn order(
+        &self,
+        addr: SocketAddr,
+        fence: Fence,
+        wanted: &Wanted,
+    ) -> Result<(), CallError> {
+        let body = OrderWire { fence, wanted: wanted.clone() };
+        let call = JsonCall {
+            method: Method::PUT,
+            addr,
+            path: "/orders",
+            body: Some(&body),
+            connection: Connection::Pooled,
+        };
+        self.0.bytes(call, self.0.deadlines().call, refusal).await.map(drop)
+    }
+
+    async fn orders(&self, addr: SocketAddr) -> Result<Orders, CallError> {
+        let call = empty(Method::GET, addr, "/orders");
+        let wire: OrdersWire = self.0.json(call, self.0.deadlines().call, refusal).await?;
+        Ok(Orders { fence: wire.fence, wanted: wire.wanted, actual: wire.actual })
+    }
+}
+
+fn empty(method: Method, addr: SocketAddr, path: &str) -> JsonCall<'_, ()> {
+    JsonCall { method, addr, path, body: None, connection: Connection::Pooled }
+}
+
+fn post<'a, A>(addr: SocketAddr, path: &'a str, body: &'a A) -> JsonCall<'a, A> {
+    JsonCall { method: Method::POST, addr, path, body: Some(body), connection: Connection::Pooled }
+}
+
+fn receipts(wires: Vec<ReceiptWire>) -> Result<Vec<Receipt>, CallError> {
+    wires.into_iter().map(|w| Receipt::try_from(w).map_err(CallError::malformed)).collect()
+}
+
+fn refusal(status: StatusCode, body: &[u8]) -> CallError {
+    let kind = serde_json::from_slice::<ErrorWire>(body).map(|w| w.error.kind).ok();
+    let refusal = match (status, kind.as_deref()) {
+        (_, Some("leaving")) => Refusal::Leaving,
+        (_, Some("overloaded")) => Refusal::Overloaded,
+        (_, Some("wrong_weights")) => Refusal::WrongWeights,
+        (_, Some("stale_fence")) => Refusal::StaleFence,
+        (StatusCode::NOT_FOUND, _) => Refusal::Missing,
+        (status, _) => Refusal::Status(status.as_u16()),
+    };
+    refusal.into()
+}
+
+#[derive(Deserialize)]
+struct ErrorWire {
+    error: ErrorKindWire,
+}
+
+#[derive(Deserialize)]
+struct ErrorKindWire {
+    #[serde(rename = "type")]
+    kind: String,
+}
+
+#[derive(Serialize)]
+struct ImportWire {
+    request_id: RequestId,
+    weights: Name,
+    cache_salt: Digest,
+    source: String,
+    pieces: Vec<ImportPieceWire>,
+}
+
+#[derive(Serialize)]
+struct ImportPieceWire {
+    key: PieceKey,
+    generation: u64,
+}
+
+impl From<&Import> for ImportWire {
+    fn from(import: &Import) -> Self {
+        let piece = |&(key, generation): &(PieceKey, u64)| ImportPieceWire { key, generation };
+        Self {
+            request_id: import.request,
+            weights: import.weights.clone(),
+            cache_salt: import.salt,
+            source: format!("http://{}", import.source),
+            pieces: import.pieces.iter().map(piece).collect(),
+        }
+    }
+}
+
+#[derive(Deserialize)]
+struct ImportedWire {
+    handle: std::sync::Arc<str>,
+    receipts: Vec<ReceiptWire>,
+}
+
+#[derive(Serialize)]
+struct ExportWire {
+    request_id: RequestId,
+    dest: String,
+    pieces: Vec<ExportPieceWire>,
+}
+
+#[derive(Serialize)]
+struct ExportPieceWire {
+    index: u32,
+    key: PieceKey,
+    generation: u64,
+}
+
+impl From<&Export> for ExportWire {
+    fn from(export: &Export) -> Self {
+        let piece = |&(index, key, generation): &(u32, PieceKey, u64)| ExportPieceWire {
+            index,
+            key,
+            generation,
+        };
+        Self {
+            request_id: export.request,
+            dest: format!("http://{}", export.dest),
+            pieces: export.pieces.iter().map(piece).collect(),
+        }
+    }
+}
+
+#[derive(Deserialize)]
+struct ExportedWire {
+    receipts: Vec<ReceiptWire>,
+}
+
+#[derive(Serialize)]
+struct OrderWire {
+    fence: Fence,
+    wanted: Wanted,
+}
+
+#[derive(Deserialize)]
+struct OrdersWire {
+    fence: Fence,
+    wanted: Option<Wanted>,
+    actual: Wanted,
+}
+
+#[derive(Deserialize)]
+struct LoadWire {
+    named_metrics: MetricsWire,
+    weights: Option<Name>,
+    #[serde(default)]
+    leaving: bool,
+}
+
+#[derive(Deserialize)]
+struct MetricsWire {
+    running: f64,
+    waiting: f64,
+    prefill_tokens_per_s: f64,
+}
+
+impl From<LoadWire> for Load {
+    fn from(wire: LoadWire) -> Self {
+        let metrics = wire.named_metrics;
+        Self {
+            running: metrics.running as u32,
+            waiting: metrics.waiting as u32,
+            prefill: metrics.prefill_tokens_per_s,
+            weights: wire.weights,
+            leaving: wire.leaving,
+        }
+    }
+}
--- /dev/null
+++ b/crates/outbound/src/tokens.rs
@@ -0,0 +1,168 @@
+//! Token streams of engines.
+
+use std::{pin::Pin, sync::Arc, time::Duration};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use eventsource_stream::{Event, EventStreamError, Eventsource};
+use futures_util::{Stream, StreamExt, stream};
+use http_body_util::BodyExt;
+use hyper::{Response, body::Incoming};
+use ident::{Name, RequestId};
+use serde::Deserialize;
+use tokio::time::timeout;
+
+use crate::CallError;
+
+/// Why a generation ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Finish {
+    /// The model ended its answer.
+    Stop,
+    /// The token limit was reached.
+    Length,
+}
+
+/// Token counts of a finished request.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Tokens of the prompt.
+    pub prompt: u32,
+    /// Tokens generated.
+    pub completion: u32,
+    /// Tokens of the prompt that were not recomputed.
+    pub cached: u32,
+}
+
+/// One event of a stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Token {
+    /// The request it belongs to, as the engine says.
+    pub request: RequestId,
+    /// Index of the event's token in the answer.
+    pub offset: u64,
+    /// The text.
+    pub text: Arc<str>,
+    /// Set on the last event.
+    pub finish: Option<Finish>,
+    /// The weight version the engine served.
+    pub weights: Option<Name>,
+    /// Set on the last event.
+    pub usage: Option<Usage>,
+}
+
+/// A stream of tokens from a replica.
+#[async_trait]
+pub trait TokenSource: Send {
+    /// The next token, or `None` after the end. Fails with [`CallError::Silent`] when neither a
+    /// token nor a keep-alive came within the progress deadline.
+    async fn next(&mut self) -> Result<Option<Token>, CallError>;
+}
+
+type Events = Pin<Box<dyn Stream<Item = Result<Event, EventStreamError<CallError>>> + Send>>;
+
+/// Tokens parsed from an engine's event stream.
+pub(crate) struct EventTokens(Events);
+
+impl EventTokens {
+    pub(crate) fn new(response: Response<Incoming>, progress: Duration) -> Self {
+        Self(Box::pin(chunks(response.into_body(), progress).eventsource()))
+    }
+}
+
+#[async_trait]
+impl TokenSource for EventTokens {
+    async fn next(&mut self) -> Result<Option<Token>, CallError> {
+        let event = match self.0.next().await {
+            None => return Err(CallError::Broken("the stream ended before its last event".into())),
+            Some(Ok(event)) => event,
+            Some(Err(EventStreamError::Transport(e))) => return Err(e),
+            Some(Err(e)) => return Err(CallError::malformed(e)),
+        };
+        if event.data == "[DONE]" {
+            return Ok(None);
+        }
+        let offset = event.id.parse().map_err(CallError::malformed)?;
+        let wire: TokenWire = serde_json::from_str(&event.data).map_err(CallError::malformed)?;
+        wire.token(offset).map(Some)
+    }
+}
+
+/// The body's chunks; a silence longer than `progress` ends the stream with an error.
+fn chunks(
+    body: Incoming,
+    progress: Duration,
+) -> impl Stream<Item = Result<Bytes, CallError>> + Send {
+    stream::unfold(Some(body), move |body| async move {
+        let mut body = body?;
+        loop {
+            match timeout(progress, body.frame()).await {
+                Err(_) => return Some((Err(CallError::Silent), None)),
+                Ok(None) => return None,
+                Ok(Some(Err(e))) => {
+                    return Some((Err(CallError::Broken(e.to_string().into())), None));
+                }
+                Ok(Some(Ok(frame))) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Some((Ok(data), Some(body)));
+                    }
+                }
+            }
+        }
+    })
+}
+
+#[derive(Deserialize)]
+struct TokenWire {
+    id: RequestId,
+    choices: Vec<ChoiceWire>,
+    system_fingerprint: Option<Name>,
+    usage: Option<UsageWire>,
+}
+
+#[derive(Deserialize)]
+struct ChoiceWire {
+    text: Arc<str>,
+    finish_reason: Option<Finish>,
+}
+
+#[derive(Deserialize)]
+struct UsageWire {
+    prompt_tokens: u32,
+    completion_tokens: u32,
+    #[serde(default)]
+    prompt_tokens_details: DetailsWire,
+}
+
+#[derive(Default, Deserialize)]
+struct DetailsWire {
+    #[serde(default)]
+    cached_tokens: u32,
+}
+
+impl TokenWire {
+    fn token(self, offset: u64) -> Result<Token, CallError> {
+        let choice = self.choices.into_iter().next();
+        let choice =
+            choice.ok_or_else(|| CallError::Malformed("an event without choice".into()))?;
+        Ok(Token {
+            request: self.id,
+            offset,
+            text: choice.text,
+            finish: choice.finish_reason,
+            weights: self.system_fingerprint,
+            usage: self.usage.map(Usage::from),
+        })
+    }
+}
+
+impl From<UsageWire> for Usage {
+    fn from(wire: UsageWire) -> Self {
+        Self {
+            prompt: wire.prompt_tokens,
+            completion: wire.completion_tokens,
+            cached: wire.prompt_tokens_details.cached_tokens,
+        }
+    }
+}
