--- /dev/null
+++ b/crates/lease/tests/lease_terms.rs
@@ -0,0 +1,83 @@
+//! Taking, renewing, losing and releasing leases, one step at a time.
+
+mod common;
+
+use std::{sync::Arc, time::Duration};
+
+use common::{Steps, TERM, leases, name};
+use ident::{Clock, Fence};
+use lease::LeaseError;
+use table::Memory;
+
+#[tokio::test]
+async fn lapse_is_watched() {
+    let t = Arc::new(Memory::new());
+    // The second clock is an hour off; only spans count.
+    let (ca, cb) = (Steps::at(5_000_000), Steps::at(1_000_000));
+    let (a, b) = (leases(&t, &ca, "a"), leases(&t, &cb, "b"));
+    let mut held = a.acquire(&name("x"), TERM).await.unwrap();
+    assert_eq!(held.fence(), Fence(1));
+    cb.step(TERM * 10);
+    assert!(matches!(b.acquire(&name("x"), TERM).await, Err(LeaseError::Taken { .. })));
+    cb.step(TERM);
+    assert!(b.acquire(&name("x"), TERM).await.is_err(), "the margin for clock rates has to pass");
+    ca.step(TERM / 2);
+    a.renew(&mut held, TERM).await.unwrap();
+    cb.step(TERM / 2);
+    assert!(b.acquire(&name("x"), TERM).await.is_err(), "the renewal starts the watch anew");
+    cb.step(TERM * 2);
+    assert_eq!(b.acquire(&name("x"), TERM).await.unwrap().fence(), Fence(2));
+    assert!(held.valid(ca.now()), "the paused holder can't know");
+    assert_eq!(a.renew(&mut held, TERM).await, Err(LeaseError::Lost));
+    assert!(!held.valid(ca.now()));
+}
+
+#[tokio::test]
+async fn release_frees_at_once() {
+    let t = Arc::new(Memory::new());
+    let c = Steps::at(1);
+    let (a, b) = (leases(&t, &c, "a"), leases(&t, &c, "b"));
+    let held = a.acquire(&name("x"), TERM).await.unwrap();
+    a.release(held).await.unwrap();
+    assert_eq!(b.acquire(&name("x"), TERM).await.unwrap().fence(), Fence(2));
+}
+
+#[tokio::test]
+async fn lost_answers_are_read_back() {
+    let t = Arc::new(Memory::new());
+    let c = Steps::at(1);
+    let a = leases(&t, &c, "a");
+    t.lose_answers(1);
+    let mut held = a.acquire(&name("x"), TERM).await.unwrap();
+    t.lose_answers(1);
+    c.step(TERM / 2);
+    a.renew(&mut held, TERM).await.unwrap();
+    assert_eq!(held.until(), c.now().after(TERM));
+    t.down(true);
+    assert!(matches!(a.renew(&mut held, TERM).await, Err(LeaseError::Table(_))));
+    assert!(held.valid(c.now()));
+    c.step(TERM);
+    assert!(!held.valid(c.now()));
+    t.down(false);
+    assert_eq!(a.renew(&mut held, TERM).await, Err(LeaseError::Lost));
+}
+
+#[tokio::test]
+async fn slots_are_bounded() {
+    let t = Arc::new(Memory::new());
+    let c = Steps::at(1);
+    let all: Vec<_> = (0..5).map(|i| leases(&t, &c, &format!("n{i}"))).collect();
+    let mut held = Vec::new();
+    for l in &all {
+        match l.slots(&name("loads"), 3).acquire(TERM).await {
+            Ok(h) => held.push((l, h)),
+            Err(e) => assert!(matches!(e, LeaseError::Taken { .. }), "{e}"),
+        }
+    }
+    assert_eq!(held.len(), 3);
+    let (l, h) = held.pop().unwrap();
+    l.release(h).await.unwrap();
+    c.step(Duration::from_secs(1));
+    all[4].slots(&name("loads"), 3).acquire(TERM).await.unwrap();
+    assert!(all[3].slots(&name("loads"), 3).acquire(TERM).await.is_err());
+}
