--- a/crates/outbound/src/engine.rs
+++ b/crates/outbound/src/engine.rs
@@ -105,8 +105,8 @@
     pub fence: Fence,
     /// What it was last ordered to be.
     pub wanted: Option<Wanted>,
-    /// What it is.
-    pub actual: Wanted,
+    /// What it serves as; `None` while it loads.
+    pub actual: Option<Wanted>,
 }
 
 /// A model engine's replicas.
@@ -260,7 +260,9 @@
     async fn orders(&self, addr: SocketAddr) -> Result<Orders, CallError> {
         let call = empty(Method::GET, addr, "/orders");
         let wire: OrdersWire = self.0.json(call, self.0.deadlines().call, refusal).await?;
-        Ok(Orders { fence: wire.fence, wanted: wire.wanted, actual: wire.actual })
+        let ActualWire { weights, role } = wire.actual;
+        let actual = weights.map(|weights| Wanted { weights, role });
+        Ok(Orders { fence: wire.fence, wanted: wire.wanted, actual })
     }
 }
 
@@ -378,7 +380,13 @@
 struct OrdersWire {
     fence: Fence,
     wanted: Option<Wanted>,
-    actual: Wanted,
+    actual: ActualWire,
+}
+
+#[derive(Deserialize)]
+struct ActualWire {
+    weights: Option<Name>,
+    role: Name,
 }
 
 #[derive(Deserialize)]
