--- a/crates/fakes/src/engine/orders.rs
+++ b/crates/fakes/src/engine/orders.rs
@@ -67,8 +67,14 @@
 pub(super) struct Shown {
     fence: u64,
     wanted: Option<Wanted>,
+    actual: Actual,
+}
+
+#[derive(Serialize)]
+struct Actual {
     /// `None` while weights are loading.
-    actual: Option<Wanted>,
+    weights: Option<String>,
+    role: String,
 }
 
 pub(super) async fn take(
@@ -100,7 +106,7 @@
 fn shown(engine: &Engine) -> Json<Shown> {
     let weights = engine.reported();
     let orders = engine.orders.lock();
-    let actual = weights.map(|weights| Wanted { weights, role: orders.role.clone() });
+    let actual = Actual { weights, role: orders.role.clone() };
     Json(Shown { fence: orders.fence, wanted: orders.wanted.clone(), actual })
 }
 
