--- a/crates/fakes/src/engine/cache.rs
+++ b/crates/fakes/src/engine/cache.rs
@@ -82,6 +82,11 @@
         losers
     }
 
+    /// Drops everything, as when other weights take the memory.
+    pub fn clear(&mut self) {
+        self.entries.clear();
+    }
+
     fn evict(&mut self) -> Option<Arc<str>> {
         let oldest = self.entries.iter().min_by_key(|(_, e)| e.used).map(|(k, _)| *k)?;
         self.entries.remove(&oldest).map(|e| e.owner)
--- a/crates/fakes/src/engine/orders.rs
+++ b/crates/fakes/src/engine/orders.rs
@@ -111,13 +111,14 @@
 }
 
 impl Orders {
-    /// Loads `version` unless it is served or on its way already.
+    /// Loads `version` unless it is served or on its way already; empties the cache.
     fn load(&mut self, engine: &Arc<Engine>, version: String) {
         let serving = self.weights.as_deref() == Some(&version);
         let coming = self.loading.as_ref().is_some_and(|l| l.version == version);
         if serving || coming {
             return;
         }
+        engine.cache.lock().clear();
         if let Some(loading) = self.loading.take() {
             loading.task.abort();
         }
--- a/crates/rig/src/proc.rs
+++ b/crates/rig/src/proc.rs
@@ -8,6 +8,7 @@
     net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, ChildStdout, Command, ExitStatus, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
     time::Duration,
 };
 
@@ -21,6 +22,13 @@
 /// Bytes of a process's log shown when its test fails.
 const TAIL_BYTES: usize = 4000;
 
+/// First of the ports for [`free_port`].
+const FIRST_PORT: u16 = 12_000;
+/// Ports one process draws from.
+const BLOCK_PORTS: u32 = 50;
+/// Number of such blocks.
+const PORT_BLOCKS: u32 = 400;
+
 /// Why a process of a test could not be used.
 #[derive(Debug, thiserror::Error)]
 pub enum RigError {
@@ -239,7 +247,20 @@
     paths.find(|path| path.is_file()).ok_or_else(|| RigError::NotBuilt(name.to_owned()))
 }
 
-/// A loopback port that was free a moment ago.
+/// A loopback port that was free a moment ago, and that nobody is likely to take soon: it lies
+/// below the ports the system gives to outgoing connections, and processes that run at once draw
+/// from different blocks.
 pub fn free_port() -> io::Result<u16> {
-    Ok(TcpListener::bind(("127.0.0.1", 0))?.local_addr()?.port())
+    static DRAWN: AtomicU32 = AtomicU32::new(0);
+    let block = std::process::id() % PORT_BLOCKS * BLOCK_PORTS;
+    let mut error = io::ErrorKind::AddrInUse.into();
+    for _ in 0..BLOCK_PORTS {
+        let at = block + DRAWN.fetch_add(1, Ordering::Relaxed) % BLOCK_PORTS;
+        let port = FIRST_PORT + u16::try_from(at).unwrap_or_default();
+        match TcpListener::bind(("127.0.0.1", port)) {
+            Ok(_) => return Ok(port),
+            Err(e) => error = e,
+        }
+    }
+    Err(error)
 }
