Run the whole path as separate processes: demo and README

Found on the way: the rig's caller read the address answer's expiry as a wall clock time; it is a term, so that clocks of callers do not matter.

--- a/crates/lentild/src/run.rs
+++ b/crates/lentild/src/run.rs
@@ -51,10 +51,10 @@
     };
     match settings.reload(&new) {
         Ok(change) => {
-            if let Some(level) = change.level {
-                if let Err(error) = logs.set(level) {
-                    tracing::error!(%error, "log level not changed");
-                }
+            if let Some(level) = change.level
+                && let Err(error) = logs.set(level)
+            {
+                tracing::error!(%error, "log level not changed");
             }
             *settings = new;
             tracing::info!("settings reloaded");
--- a/crates/rig/src/caller/whereabouts.rs
+++ b/crates/rig/src/caller/whereabouts.rs
@@ -1,6 +1,6 @@
 //! Which address to use: asked from any instance, kept until the answer expires.
 
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use serde::Deserialize;
 use tokio::time::Instant;
@@ -11,27 +11,17 @@
 /// Longest time an answer is kept, whatever it says.
 const MAX_TERM: Duration = Duration::from_secs(3600);
 
-/// `{"addresses":[{"addr":"ip:port",..}],"expires":MS}`, best address first; `expires` in
-/// milliseconds since the epoch.
+/// `{"addresses":[{"addr":"ip:port",..}],"expires_ms":MS}`, best address first; the answer may be
+/// kept for so many milliseconds.
 #[derive(Deserialize)]
 struct WhereWire {
     addresses: Vec<AddressWire>,
-    expires: u64,
+    expires_ms: u64,
 }
 
 #[derive(Deserialize)]
-#[serde(untagged)]
-enum AddressWire {
-    Text(String),
-    Full { addr: String },
-}
-
-impl From<AddressWire> for String {
-    fn from(wire: AddressWire) -> Self {
-        match wire {
-            AddressWire::Text(addr) | AddressWire::Full { addr } => addr,
-        }
-    }
+struct AddressWire {
+    addr: String,
 }
 
 #[derive(Debug, Clone)]
@@ -120,9 +110,8 @@
             *self.http.lock() = crate::Http::new();
         }
         let wire: WhereWire = reply?.json()?;
-        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let left = Duration::from_millis(wire.expires).saturating_sub(now).min(MAX_TERM);
-        let addresses = wire.addresses.into_iter().map(String::from).collect();
+        let left = Duration::from_millis(wire.expires_ms).min(MAX_TERM);
+        let addresses = wire.addresses.into_iter().map(|a| a.addr).collect();
         Ok(Place { context: context.to_owned(), addresses, expires: Instant::now() + left })
     }
 }
--- a/crates/rig/src/instance.rs
+++ b/crates/rig/src/instance.rs
@@ -1,8 +1,8 @@
 //! An instance of lentilpitch in a test.
 
-use std::{fs, ops::Deref};
+use std::{fs, ops::Deref, process::ExitStatus};
 
-use crate::{Platform, Proc, RigError};
+use crate::{Platform, Proc, RigError, STATE_LIMIT};
 
 /// What the platform's list says of an instance.
 #[derive(Debug, Clone, Copy)]
@@ -42,6 +42,11 @@
         platform.enlist(&proc.addr().to_string(), &labels).await?;
         Ok(Self { proc, _dir: dir })
     }
+
+    /// Asks it to drain and waits for its end.
+    pub async fn stop(self) -> Result<ExitStatus, RigError> {
+        self.proc.stop(STATE_LIMIT).await
+    }
 }
 
 impl Deref for Instance {
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -1,6 +1,7 @@
 //! Starts and stops the processes of a test and talks to them; a small caller.
 
 mod caller;
+mod deployment;
 mod http;
 mod instance;
 mod platform;
@@ -9,6 +10,7 @@
 
 pub use crate::{
     caller::{Answer, Booked, CallError, Caller, CallerConfig, Completion, Problem, Ran},
+    deployment::{Deployment, Entry, OPERATOR_KEY, STATE_LIMIT, Spec},
     http::{EventReader, Http, HttpError, Reply, SseEvent},
     instance::{Instance, Place},
     platform::Platform,
