Add lentilctl, the operators' program

A change carries an id for all its tries: an instance that can't be reached, or whose answer is lost, is followed by the next one with the same id, so the change is accepted at most once. Exit codes part a lost race (3) and an unknown outcome (4) from failure. Moving a target is a row of compare-and-set steps that each look at what is there, so it may be repeated after any failure. Sessions are kept as command and expected output and run against three instances in memory.

--- a/crates/admin/src/memory.rs
+++ b/crates/admin/src/memory.rs
@@ -26,7 +26,7 @@
 #[derive(Debug)]
 struct Own {
     view: View,
-    held: bool,
+    lag: u32,
     fail: Option<ControlError>,
     lost: u32,
     phase: Phase,
@@ -60,7 +60,7 @@
     fn build(name: Name, zone: Name, token: Arc<str>, shared: Arc<Mutex<Shared>>) -> Self {
         let own = Own {
             view: View::default(),
-            held: false,
+            lag: 0,
             fail: None,
             lost: 0,
             phase: Phase::Serving,
@@ -71,9 +71,10 @@
         Self { name, zone, token, log, shared, own: Mutex::new(own) }
     }
 
-    /// Keeps this instance at its present revision, or lets it follow the log again.
-    pub fn hold(&self, held: bool) {
-        self.own.lock().held = held;
+    /// Keeps this instance at its present revision for the next `reads` reads.
+    pub fn lag(&self, reads: u32) {
+        self.view();
+        self.own.lock().lag = reads;
     }
 
     /// Lets every change fail with `error`, or none.
@@ -104,9 +105,10 @@
     fn view(&self) -> View {
         let shared = self.shared.lock();
         let mut own = self.own.lock();
-        if !own.held {
+        if own.lag == 0 {
             own.view = shared.view.clone();
         }
+        own.lag = own.lag.saturating_sub(1);
         own.view.clone()
     }
 }
@@ -175,7 +177,7 @@
             boot: Boot(1),
             phase: own.phase,
             rev,
-            freshness: Freshness { fresh: !own.held, confirmed: Time(0) },
+            freshness: Freshness { fresh: own.lag == 0, confirmed: Time(0) },
             running: 0,
             replicas: own.replicas.clone(),
             peers: Vec::new(),
--- a/crates/fields/src/form.rs
+++ b/crates/fields/src/form.rs
@@ -1,5 +1,7 @@
 //! Forms of single values.
 
+use std::time::Duration;
+
 use ident::{Digest, Name};
 use serde_json::Value;
 
@@ -29,3 +31,19 @@
 
 /// True or false.
 pub const BOOL: Form<bool> = Form { wanted: "true or false", read: Value::as_bool };
+
+/// A span of time that is not 0.
+pub const SPAN: Form<Duration> =
+    Form { wanted: "a time such as 10s or 250ms", read: |v| parse_span(v.as_str()?) };
+
+/// Reads a span of time in `ms`, `s` or `m` that is not 0.
+pub fn parse_span(text: &str) -> Option<Duration> {
+    let digits = text.trim_end_matches(|c: char| c.is_ascii_lowercase());
+    let n: u64 = digits.parse().ok().filter(|&n| n > 0)?;
+    match &text[digits.len()..] {
+        "ms" => Some(Duration::from_millis(n)),
+        "s" => Some(Duration::from_secs(n)),
+        "m" => n.checked_mul(60).map(Duration::from_secs),
+        _ => None,
+    }
+}
--- a/crates/fields/src/lib.rs
+++ b/crates/fields/src/lib.rs
@@ -10,6 +10,6 @@
 
 pub use crate::{
     fault::{Fault, Faults},
-    form::{BOOL, DIGEST, Form, NAME, TEXT},
+    form::{BOOL, DIGEST, Form, NAME, SPAN, TEXT, parse_span},
     read::{Fields, Item},
 };
--- /dev/null
+++ b/crates/lentilctl/src/commands/apply.rs
@@ -0,0 +1,68 @@
+//! Creating and replacing documents from YAML files.
+
+use std::path::Path;
+
+use admin::read_doc;
+use conf::{DocKey, Kind};
+use serde_json::Value;
+
+use super::Context;
+use crate::{
+    cli::{ApplyArgs, ChangeArgs},
+    client::Wanted,
+    document::{self, Document},
+    exit::Exit,
+    failure::Failure,
+    random,
+};
+
+/// Applies a file of documents of any kinds in their order; stops at the first that is refused.
+pub async fn all(cx: &Context, file: &Path) -> Result<Exit, Failure> {
+    let none = ChangeArgs { expect: None, change_id: None };
+    each(cx, document::read(file, None)?, none).await
+}
+
+/// Applies a file of documents of one kind.
+pub async fn one_kind(cx: &Context, kind: Kind, args: &ApplyArgs) -> Result<Exit, Failure> {
+    let documents = document::read(&args.file, Some(kind))?;
+    let single = args.change.expect.is_some() || args.change.change_id.is_some();
+    if single && documents.len() != 1 {
+        return Err(Failure::OneDocument(documents.len()));
+    }
+    each(cx, documents, args.change).await
+}
+
+async fn each(cx: &Context, documents: Vec<Document>, args: ChangeArgs) -> Result<Exit, Failure> {
+    for document in documents {
+        one(cx, document, args).await?;
+    }
+    Ok(Exit::Done)
+}
+
+async fn one(cx: &Context, document: Document, args: ChangeArgs) -> Result<(), Failure> {
+    let Document { key, value } = document;
+    let present = cx.client.find(&key).await?;
+    let (expect, what) = match (&present, args.expect) {
+        (_, Some(rev)) => (Some(rev), "changed"),
+        (Some((_, rev)), None) => (Some(*rev), "changed"),
+        (None, None) => (None, "created"),
+    };
+    if let Some((old, rev)) = &present
+        && args.change_id.is_none()
+        && args.expect.is_none_or(|e| e == *rev)
+        && same(&key, old, &value)
+    {
+        return cx.out.unchanged(&key, *rev, "unchanged");
+    }
+    let id = args.change_id.unwrap_or_else(random::change_id);
+    let change = cx.client.change(&Wanted { id, key, value: Some(value), expect }).await?;
+    cx.out.change(&change, what)
+}
+
+/// Whether `new` says the same as `old`. A document with faults differs: the instance lists them.
+fn same(key: &DocKey, old: &Value, new: &Value) -> bool {
+    match (read_doc(key, old.clone()), read_doc(key, new.clone())) {
+        (Ok(old), Ok(new)) => old == new,
+        _ => false,
+    }
+}
--- /dev/null
+++ b/crates/lentilctl/tests/golden_sessions.rs
@@ -0,0 +1,216 @@
+//! Whole sessions: commands with the output they must give.
+//!
+//! A session file holds blocks set apart by empty lines:
+//!
+//! - `--- NAME` writes the lines up to `===` to a file;
+//! - `! WORDS` does something to an instance, see [`Rig::act`];
+//! - `$ lentilctl ...` runs a command against three instances; the lines below are its output,
+//!   errors after it, without empty lines, and `[exit N]` unless N is 0.
+//!
+//! Addresses are shown as `http://1` to `http://3`, keys as KEY, ids and digests as ID. With
+//! `GOLDEN_UPDATE=1` the files are rewritten with the output seen, for review.
+
+use std::{fmt::Write, fs, path::Path, process::Command, sync::Arc, time::Duration};
+
+use admin::{Control, ControlError, Memory, ReplicaState, ReplicaStatus, RolloutStatus};
+use events::EventKind;
+use ident::{Name, Rev, Time};
+use tokio::{net::TcpListener, runtime::Runtime, task::JoinHandle};
+
+const KEY: &str = "operator-key";
+
+fn name(text: &str) -> Name {
+    Name::new(text).unwrap()
+}
+
+struct Instance {
+    memory: Arc<Memory>,
+    url: String,
+    task: JoinHandle<()>,
+}
+
+struct Rig {
+    dir: tempfile::TempDir,
+    instances: Vec<Instance>,
+    _runtime: Runtime,
+}
+
+impl Rig {
+    fn new() -> Self {
+        let runtime = Runtime::new().unwrap();
+        let first = Memory::new(name("inkline-1"), name("regina"), KEY);
+        let second = first.join(name("inkline-2"), name("saskatoon"));
+        let third = first.join(name("inkline-3"), name("winnipeg"));
+        let all = [first, second, third].map(Arc::new);
+        let instances = all.into_iter().map(|m| runtime.block_on(serve(m))).collect();
+        let dir = tempfile::tempdir().unwrap();
+        fs::write(dir.path().join("key"), KEY).unwrap();
+        Self { dir, instances, _runtime: runtime }
+    }
+
+    /// Does what a `!` line says to the instance it names.
+    fn act(&self, line: &str) {
+        let words: Vec<_> = line.split(' ').collect();
+        let instance = &self.instances[words[1].parse::<usize>().unwrap() - 1];
+        let memory = &instance.memory;
+        match words[0] {
+            "lag" => memory.lag(words[2].parse().unwrap()),
+            "lose" => memory.lose_answers(words[2].parse().unwrap()),
+            "outage" => {
+                let retry_after = Duration::from_secs(3);
+                memory.fail(Some(ControlError::Unavailable { retry_after }));
+            }
+            "recover" => memory.fail(None),
+            "stop" => {
+                instance.task.abort();
+                while !instance.task.is_finished() {
+                    std::thread::yield_now();
+                }
+            }
+            "watch" => memory.set_replicas(vec![ReplicaStatus {
+                name: name(words[2]),
+                target: name(words[3]),
+                zone: name("regina"),
+                state: ReplicaState::Live,
+                weights: None,
+                running: 0,
+            }]),
+            "rollout" => memory.set_rollout(Some(RolloutStatus {
+                model: name(words[2]),
+                version: name(words[3]),
+                leader: None,
+                total: 12,
+                ready: 12,
+                loading: 0,
+            })),
+            "event" => {
+                let at = Time(words[2].parse().unwrap());
+                memory.log.record(at, EventKind::ConfApplied { rev: Rev(1) });
+            }
+            other => panic!("unknown action {other}"),
+        }
+    }
+
+    fn command(&self, line: &str) -> String {
+        let mut words = line.split(' ').map(str::to_owned);
+        assert_eq!(words.next().as_deref(), Some("lentilctl"));
+        let urls: Vec<_> = self.instances.iter().map(|i| i.url.as_str()).collect();
+        let args = words.map(|w| match w.strip_prefix("http://") {
+            Some(n) => self.instances[n.parse::<usize>().unwrap() - 1].url.clone(),
+            None => w,
+        });
+        let output = Command::new(env!("CARGO_BIN_EXE_lentilctl"))
+            .args(args)
+            .current_dir(self.dir.path())
+            .env("LENTIL_ADMIN", urls.join(","))
+            .env("LENTIL_KEY_FILE", "key")
+            .output()
+            .unwrap();
+        let mut text = String::from_utf8(output.stdout).unwrap();
+        text.push_str(&String::from_utf8(output.stderr).unwrap());
+        if !output.status.success() {
+            writeln!(text, "[exit {}]", output.status.code().unwrap()).unwrap();
+        }
+        let text = self.mask(&text);
+        text.lines().filter(|l| !l.is_empty()).flat_map(|l| [l, "\n"]).collect()
+    }
+
+    fn mask(&self, text: &str) -> String {
+        let mut text = text.to_owned();
+        for (i, instance) in self.instances.iter().enumerate() {
+            let short = format!("http://{}", i + 1);
+            let width = instance.url.len();
+            text = text.replace(&format!("{}  ", instance.url), &format!("{short:width$}  "));
+            text = text.replace(&instance.url, &short);
+        }
+        let mut out = String::new();
+        let mut rest = text.as_str();
+        while !rest.is_empty() {
+            let digits = rest.bytes().take_while(u8::is_ascii_hexdigit).count();
+            let (word, after) = rest.split_at(digits.max(rest.chars().next().unwrap().len_utf8()));
+            out.push_str(match digits {
+                64 => "KEY",
+                32 => "ID",
+                _ => word,
+            });
+            rest = after;
+        }
+        out
+    }
+
+    /// Runs a session and returns it with the output seen.
+    fn run(&self, session: &str) -> String {
+        let mut seen = String::new();
+        let mut lines = session.lines().peekable();
+        while let Some(line) = lines.next() {
+            writeln!(seen, "{line}").unwrap();
+            if let Some(file) = line.strip_prefix("--- ") {
+                let body: Vec<_> = lines.by_ref().take_while(|l| *l != "===").collect();
+                fs::write(self.dir.path().join(file), body.join("\n")).unwrap();
+                writeln!(seen, "{}\n===", body.join("\n")).unwrap();
+            } else if let Some(action) = line.strip_prefix("! ") {
+                self.act(action);
+            } else if let Some(command) = line.strip_prefix("$ ") {
+                while lines.next_if(|l| !l.is_empty()).is_some() {}
+                seen.push_str(&self.command(command));
+            }
+        }
+        seen
+    }
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        self.instances.iter().for_each(|i| i.task.abort());
+    }
+}
+
+async fn serve(memory: Arc<Memory>) -> Instance {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    let control: Arc<dyn Control> = memory.clone();
+    let serving = axum::serve(listener, admin::router(control));
+    let task = tokio::spawn(async move { serving.await.unwrap() });
+    Instance { memory, url, task }
+}
+
+fn check(file: &str) {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/sessions").join(file);
+    let session = fs::read_to_string(&path).unwrap();
+    let rig = Rig::new();
+    let seen = rig.run(&session);
+    if std::env::var_os("GOLDEN_UPDATE").is_some() {
+        fs::write(&path, &seen).unwrap();
+    }
+    assert_eq!(seen, session, "{file} differs");
+}
+
+#[test]
+fn documents() {
+    check("documents.txt");
+}
+
+#[test]
+fn lost_races() {
+    check("lost_races.txt");
+}
+
+#[test]
+fn lost_answers() {
+    check("lost_answers.txt");
+}
+
+#[test]
+fn moving_targets() {
+    check("moving_targets.txt");
+}
+
+#[test]
+fn api_keys() {
+    check("api_keys.txt");
+}
+
+#[test]
+fn running_instances() {
+    check("running_instances.txt");
+}
--- a/crates/node/src/settings/check.rs
+++ b/crates/node/src/settings/check.rs
@@ -2,12 +2,12 @@
 
 use std::net::SocketAddr;
 
-use fields::{DIGEST, Faults, Fields, Item, NAME, TEXT};
+use fields::{DIGEST, Faults, Fields, Item, NAME, SPAN, TEXT};
 
 use super::{
     DeploymentKey, Drain, Keys, Limits, Listen, Log, Objects, Platform, Settings, SettingsWire,
     Table, Tls,
-    forms::{ADDR, COUNT, FORMAT, LEVEL, PATH, SPAN, URL},
+    forms::{ADDR, COUNT, FORMAT, LEVEL, PATH, URL},
     key::MATERIAL,
 };
 
--- a/crates/node/src/settings/forms.rs
+++ b/crates/node/src/settings/forms.rs
@@ -1,6 +1,6 @@
 //! How single settings are written.
 
-use std::{net::SocketAddr, path::PathBuf, time::Duration};
+use std::{net::SocketAddr, path::PathBuf};
 
 use fields::Form;
 use hyper::Uri;
@@ -33,22 +33,6 @@
     read: |v| usize::try_from(v.as_u64()?).ok().filter(|&n| n > 0),
 };
 
-/// A span of time that is not 0.
-pub const SPAN: Form<Duration> = Form {
-    wanted: "a time such as 10s or 250ms",
-    read: |v| {
-        let text = v.as_str()?;
-        let digits = text.trim_end_matches(|c: char| c.is_ascii_lowercase());
-        let n: u64 = digits.parse().ok().filter(|&n| n > 0)?;
-        match &text[digits.len()..] {
-            "ms" => Some(Duration::from_millis(n)),
-            "s" => Some(Duration::from_secs(n)),
-            "m" => n.checked_mul(60).map(Duration::from_secs),
-            _ => None,
-        }
-    },
-};
-
 /// How log lines are written.
 pub const FORMAT: Form<Format> = Form {
     wanted: "text or json",
