--- a/crates/admin/src/control.rs
+++ b/crates/admin/src/control.rs
@@ -56,6 +56,14 @@
         /// The revision that made the present document; `None` when there is none.
         current: Option<Rev>,
     },
+    /// The id was accepted for another change, which stands.
+    #[error("change id {id} was accepted for another change; make a new one")]
+    IdReused {
+        /// The id.
+        id: RequestId,
+        /// The revision of that other change.
+        current: Rev,
+    },
     /// The document is wrong or does not fit the others. Not accepted.
     #[error("the document needs changes:\n{0}")]
     Invalid(Faults),
--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -11,6 +11,7 @@
 mod headers;
 mod memory;
 mod problem;
+mod refusal;
 mod router;
 mod status;
 mod views;
--- a/crates/admin/src/memory.rs
+++ b/crates/admin/src/memory.rs
@@ -119,12 +119,13 @@
             return Ok(stored.clone());
         }
         let current = self.view.doc(&change.key).map(|(_, rev)| rev);
-        if current.is_none() && change.doc.is_none() {
-            return Err(ControlError::Missing);
-        }
         if current != expect {
             return Err(ControlError::Stale { current });
         }
+        let faults = conf::faults(&self.view, &change.key, change.doc.as_ref());
+        if !faults.is_empty() {
+            return Err(ControlError::invalid(change.id, &change.key, &faults));
+        }
         self.view.apply(&change).expect("the change follows the log's last");
         self.changes.push(change.clone());
         Ok(change)
--- a/crates/admin/src/problem.rs
+++ b/crates/admin/src/problem.rs
@@ -141,6 +141,7 @@
     fn from(error: ControlError) -> Self {
         match error {
             ControlError::Stale { current } => Self::Stale { current },
+            ControlError::IdReused { id, current } => Self::IdReused { id, current },
             ControlError::Invalid(faults) => Self::Invalid(faults),
             ControlError::Unavailable { retry_after } => Self::Unavailable { retry_after },
             ControlError::Unknown { id } => Self::Unknown { id },
--- a/crates/admin/tests/http_answers.rs
+++ b/crates/admin/tests/http_answers.rs
@@ -192,3 +192,21 @@
     let (status, _, body) = ask(&memory, "POST /admin/v1/drain", &[], "").await;
     assert_eq!((status, &body["phase"]), (202, &json!("draining")));
 }
+
+#[tokio::test]
+async fn documents_that_do_not_fit() {
+    let memory = instance();
+    let headers = [("if-none-match", "*"), (CHANGE_ID, &id(1))];
+    let target = json!({"name": "writer", "org": "inkline", "kind": {"engine": {"model": "none", "fenced": true}}});
+    let put = "PUT /admin/v1/targets/writer";
+    let (status, _, body) = ask(&memory, put, &headers, target.to_string()).await;
+    let wanted = json!([{
+        "path": "kind.engine.model",
+        "wanted": "the name of an existing model; create it first",
+        "found": "none",
+    }]);
+    assert_eq!((status, &body["faults"]), (422, &wanted));
+    let headers = [("if-match", "\"r1\""), (CHANGE_ID, &id(1))];
+    let (status, ..) = ask(&memory, "DELETE /admin/v1/targets/writer", &headers, "").await;
+    assert_eq!(status, 412);
+}
--- a/crates/lentilctl/src/commands/docs.rs
+++ b/crates/lentilctl/src/commands/docs.rs
@@ -3,11 +3,10 @@
 use admin::{ListWire, plural};
 use conf::{DocKey, Kind};
 use ident::Name;
+use serde_json::json;
 
 use super::Context;
-use crate::{
-    cli::ChangeArgs, client::Wanted, document, exit::Exit, failure::Failure, output, random,
-};
+use crate::{cli::ChangeArgs, client::Wanted, document, exit::Exit, failure::Failure, random};
 
 /// Lists names and revisions.
 pub async fn list(cx: &Context, kind: Kind) -> Result<Exit, Failure> {
@@ -37,7 +36,8 @@
     let expect = match (args.expect, cx.client.find(&key).await?) {
         (Some(rev), _) | (None, Some((_, rev))) => rev,
         (None, None) => {
-            output::line(&format!("{} {}: not there", output::singular(kind), key.name))?;
+            let text = format!("{} {}: not there", kind.as_str(), key.name);
+            cx.out.show(&text, &json!({"kind": kind, "name": key.name, "rev": null}))?;
             return Ok(Exit::Done);
         }
     };
--- a/crates/lentilctl/src/document.rs
+++ b/crates/lentilctl/src/document.rs
@@ -71,12 +71,12 @@
         Some(kind) => (kind, value),
         None => {
             let kinds = [Kind::Template, Kind::Team, Kind::Target, Kind::Model];
-            let named = |k: &Kind| value.get(crate::output::singular(*k)).is_some();
+            let named = |k: &Kind| value.get(k.as_str()).is_some();
             let kind = kinds.into_iter().find(named);
             let alone = value.as_object().is_some_and(|m| m.len() == 1);
             let kind = kind.filter(|_| alone);
             let kind = kind.ok_or(Failure::NoKind { path: path.into(), position })?;
-            (kind, value[crate::output::singular(kind)].clone())
+            (kind, value[kind.as_str()].clone())
         }
     };
     let name = value.get("name").and_then(Value::as_str).and_then(|n| Name::new(n).ok());
--- a/crates/lentilctl/src/failure.rs
+++ b/crates/lentilctl/src/failure.rs
@@ -6,7 +6,7 @@
 use conf::Kind;
 use ident::{Name, RequestId, Rev};
 
-use crate::{exit::Exit, output::singular, patch::PatchError};
+use crate::{exit::Exit, patch::PatchError};
 
 /// Why a command failed.
 #[derive(Debug, thiserror::Error)]
@@ -94,7 +94,7 @@
     #[error("{}", describe(.0))]
     Refused(Problem),
     /// There is no such document.
-    #[error("there is no {} {name}; `lentilctl {} list` shows all", singular(*kind), singular(*kind))]
+    #[error("there is no {} {name}; `lentilctl {} list` shows all", kind.as_str(), kind.as_str())]
     Missing {
         /// Kind of the document.
         kind: Kind,
@@ -104,7 +104,7 @@
     /// Another change came first.
     #[error(
         "{} {name} was {} meanwhile; nothing of this change was accepted.{now}\n{}",
-        singular(*kind),
+        kind.as_str(),
         current.map_or("removed".into(), |r| format!("changed by {r}")),
         advice(*kind, name, *current, *retry)
     )]
@@ -124,7 +124,7 @@
     #[error(
         "{} {name} was changed meanwhile, and the instance that was asked has not caught up; \
          nothing of this change was accepted. Run the command again, first against another --admin",
-        singular(*kind)
+        kind.as_str()
     )]
     Behind {
         /// Kind of the document.
@@ -136,7 +136,7 @@
     #[error(
         "{} {name} may have been changed: {reason}.\nRun the same command again with \
          --change-id {id} where it takes one: the change is accepted at most once",
-        singular(*kind)
+        kind.as_str()
     )]
     Unknown {
         /// Kind of the document.
@@ -192,7 +192,7 @@
 }
 
 fn advice(kind: Kind, name: &Name, current: Option<Rev>, retry: bool) -> String {
-    let kind = singular(kind);
+    let kind = kind.as_str();
     if current.is_none() {
         return format!("Create it anew with `lentilctl {kind} apply` if it is still wanted");
     }
--- a/crates/lentilctl/src/output.rs
+++ b/crates/lentilctl/src/output.rs
@@ -4,7 +4,7 @@
 
 use admin::ChangeWire;
 use comfy_table::{Table, presets};
-use conf::{DocKey, Kind};
+use conf::DocKey;
 use ident::Rev;
 use serde::Serialize;
 use serde_json::json;
@@ -32,13 +32,13 @@
 
     /// Prints an accepted change.
     pub fn change(self, change: &ChangeWire, what: &str) -> Result<(), Failure> {
-        let text = format!("{} {}: {what} ({})", singular(change.kind), change.name, change.rev);
+        let text = format!("{} {}: {what} ({})", change.kind.as_str(), change.name, change.rev);
         self.show(&text, change)
     }
 
     /// Prints that a document needed no change.
     pub fn unchanged(self, key: &DocKey, rev: Rev, what: &str) -> Result<(), Failure> {
-        let text = format!("{} {}: {what} ({rev})", singular(key.kind), key.name);
+        let text = format!("{} {}: {what} ({rev})", key.kind.as_str(), key.name);
         self.show(&text, &json!({"kind": key.kind, "name": key.name, "rev": rev}))
     }
 
@@ -58,13 +58,3 @@
 pub fn line(text: &str) -> Result<(), Failure> {
     Ok(writeln!(io::stdout().lock(), "{text}")?)
 }
-
-/// The word for a kind of document.
-pub fn singular(kind: Kind) -> &'static str {
-    match kind {
-        Kind::Template => "template",
-        Kind::Team => "team",
-        Kind::Target => "target",
-        Kind::Model => "model",
-    }
-}
