Add the samples of both deployments and check them in tests

Settings, instance lists at the sizes of today and documents are read by the code that reads them in use. Applying the documents again showed that a file without keys took a team's API keys away and brought withdrawn replicas back: fields that other commands change now stay as they are when a file leaves them out. The platform's addresses must be plain http, as their clients want them.

--- a/crates/admin/src/wire.rs
+++ b/crates/admin/src/wire.rs
@@ -73,7 +73,7 @@
     pub faults: Vec<FaultWire>,
     /// When trying again makes sense, in milliseconds from now.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub retry_ms: Option<u64>,
+    pub retry_after_ms: Option<u64>,
 }
 
 impl From<Problem> for ProblemWire {
@@ -86,7 +86,7 @@
             current: None,
             change: None,
             faults: Vec::new(),
-            retry_ms: problem
+            retry_after_ms: problem
                 .retry_after()
                 .map(|d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX)),
         };
@@ -127,7 +127,7 @@
                 Self::Invalid(Faults::from(faults))
             }
             "unavailable" => {
-                let retry_after = Duration::from_millis(wire.retry_ms.unwrap_or(0));
+                let retry_after = Duration::from_millis(wire.retry_after_ms.unwrap_or(0));
                 Self::Unavailable { retry_after }
             }
             "unknown" => Self::Unknown { id: change? },
--- a/crates/admin/tests/http_answers.rs
+++ b/crates/admin/tests/http_answers.rs
@@ -104,7 +104,7 @@
     let headers = [("if-none-match", "*"), (CHANGE_ID, &id(1))];
     memory.fail(Some(ControlError::Unavailable { retry_after: Duration::from_millis(1500) }));
     let (status, _, body) = ask(&memory, put, &headers, model("v1")).await;
-    assert_eq!((status, &body["retry_ms"]), (503, &json!(1500)));
+    assert_eq!((status, &body["retry_after_ms"]), (503, &json!(1500)));
     assert_eq!(memory.changes().len(), 0);
 
     memory.fail(None);
--- a/crates/lentilctl/src/commands/apply.rs
+++ b/crates/lentilctl/src/commands/apply.rs
@@ -40,8 +40,9 @@
 }
 
 async fn one(cx: &Context, document: Document, args: ChangeArgs) -> Result<(), Failure> {
-    let Document { key, value } = document;
+    let Document { key, mut value } = document;
     let present = cx.client.find(&key).await?;
+    carry(key.kind, present.as_ref().map(|(old, _)| old), &mut value);
     let (expect, what) = match (&present, args.expect) {
         (_, Some(rev)) => (Some(rev), "changed"),
         (Some((_, rev)), None) => (Some(*rev), "changed"),
@@ -59,6 +60,31 @@
     cx.out.change(&change, what)
 }
 
+/// Fills in what a file may leave out because other commands change it: a team's keys, a target's
+/// state and withdrawn replicas, and the version a model had before. It stays as it is.
+fn carry(kind: Kind, old: Option<&Value>, new: &mut Value) {
+    let Some(fields) = new.as_object_mut() else { return };
+    let kept: &[&str] = match kind {
+        Kind::Team => &["keys"],
+        Kind::Target => &["state", "withdrawn"],
+        Kind::Model => &["previous"],
+        Kind::Template => &[],
+    };
+    let rolled = kind == Kind::Model && old.and_then(|o| o.get("version")) != fields.get("version");
+    for &field in kept {
+        if fields.contains_key(field) {
+            continue;
+        }
+        let from = if rolled { "version" } else { field };
+        if let Some(value) = old.and_then(|o| o.get(from)) {
+            fields.insert(field.into(), value.clone());
+        }
+    }
+    if kind == Kind::Team {
+        fields.entry("keys").or_insert(Value::Array(Vec::new()));
+    }
+}
+
 /// Whether `new` says the same as `old`. A document with faults differs: the instance lists them.
 fn same(key: &DocKey, old: &Value, new: &Value) -> bool {
     match (read_doc(key, old.clone()), read_doc(key, new.clone())) {
--- a/crates/lentilctl/tests/golden_sessions.rs
+++ b/crates/lentilctl/tests/golden_sessions.rs
@@ -7,7 +7,7 @@
 //! - `$ lentilctl ...` runs a command against three instances; the lines below are its output,
 //!   errors after it, without empty lines, and `[exit N]` unless N is 0.
 //!
-//! Addresses are shown as `http://1` to `http://3`, keys as KEY, ids and digests as ID. With
+//! A file below `samples/` is the repository's. Addresses are shown as `http://1` to `http://3`, keys as KEY, ids and digests as ID. With
 //! `GOLDEN_UPDATE=1` the files are rewritten with the output seen, for review.
 
 use std::{fmt::Write, fs, path::Path, process::Command, sync::Arc, time::Duration};
@@ -18,6 +18,7 @@
 use tokio::{net::TcpListener, runtime::Runtime, task::JoinHandle};
 
 const KEY: &str = "operator-key";
+const REPOSITORY: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../..");
 
 fn name(text: &str) -> Name {
     Name::new(text).unwrap()
@@ -97,6 +98,7 @@
         let urls: Vec<_> = self.instances.iter().map(|i| i.url.as_str()).collect();
         let args = words.map(|w| match w.strip_prefix("http://") {
             Some(n) => self.instances[n.parse::<usize>().unwrap() - 1].url.clone(),
+            None if w.starts_with("samples/") => format!("{REPOSITORY}/{w}"),
             None => w,
         });
         let output = Command::new(env!("CARGO_BIN_EXE_lentilctl"))
@@ -210,6 +212,11 @@
     check("api_keys.txt");
 }
 
+#[test]
+fn sample_documents() {
+    check("sample_documents.txt");
+}
+
 #[test]
 fn running_instances() {
     check("running_instances.txt");
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -69,10 +69,17 @@
     pub table: Table,
     /// The object store.
     pub objects: Objects,
-    /// The list of live and leaving instances.
+    /// The list of live and leaving instances. Invariant: `http://ip` or `http://ip:port`.
     pub list: Uri,
 }
 
+impl Platform {
+    /// The address of the list's endpoint.
+    pub fn list_addr(&self) -> SocketAddr {
+        forms::ip_of(&self.list).expect("checked when the settings were read")
+    }
+}
+
 /// The transactional table service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Table {
--- a/crates/node/src/settings/check.rs
+++ b/crates/node/src/settings/check.rs
@@ -7,7 +7,7 @@
 use super::{
     DeploymentKey, Drain, Keys, Limits, Listen, Log, Objects, Platform, Settings, SettingsWire,
     Table, Tls,
-    forms::{ADDR, COUNT, FORMAT, LEVEL, PATH, URL},
+    forms::{ADDR, COUNT, FORMAT, IP_URL, LEVEL, PATH, URL},
     key::MATERIAL,
 };
 
@@ -91,7 +91,7 @@
     let objects_url = objects.take("url").read(&URL, faults);
     let bucket = objects.take("bucket").read(&TEXT, faults);
     objects.end(faults);
-    let list = fields.take("list").read(&URL, faults);
+    let list = fields.take("list").read(&IP_URL, faults);
     fields.end(faults);
     Some(Platform {
         table: Table { url: table_url?, name: name? },
--- a/crates/node/src/settings/forms.rs
+++ b/crates/node/src/settings/forms.rs
@@ -13,14 +13,33 @@
 
 /// An endpoint.
 pub const URL: Form<Uri> = Form {
-    wanted: "an http:// or https:// URL",
+    wanted: "an http:// URL",
     read: |v| {
         let url: Uri = v.as_str()?.parse().ok()?;
-        let known = matches!(url.scheme_str(), Some("http" | "https"));
-        (known && url.host().is_some_and(|h| !h.is_empty())).then_some(url)
+        let plain = url.scheme_str() == Some("http");
+        (plain && url.host().is_some_and(|h| !h.is_empty())).then_some(url)
     },
 };
 
+/// An endpoint named by number.
+pub const IP_URL: Form<Uri> = Form {
+    wanted: "an http:// URL with an IP number",
+    read: |v| {
+        let url: Uri = v.as_str()?.parse().ok()?;
+        ip_of(&url).map(|_| url)
+    },
+};
+
+/// The address of an `http://` URL with an IP number.
+pub fn ip_of(url: &Uri) -> Option<SocketAddr> {
+    let host = url.host().filter(|_| url.scheme_str() == Some("http"))?;
+    let host = host.trim_start_matches('[').trim_end_matches(']');
+    Some(SocketAddr::new(host.parse().ok()?, url.port_u16().unwrap_or(HTTP_PORT)))
+}
+
+/// The port of `http://` URLs that name none.
+const HTTP_PORT: u16 = 80;
+
 /// The path of a file.
 pub const PATH: Form<PathBuf> = Form {
     wanted: "the path of a file",
--- a/crates/node/tests/settings_faults.rs
+++ b/crates/node/tests/settings_faults.rs
@@ -30,6 +30,7 @@
     assert_eq!(s.advertise, s.listen.callers);
     assert_eq!(s.drain.most, Duration::from_millis(250));
     assert_eq!((s.log.format, s.log.level), (Format::Json, Level::Debug));
+    assert_eq!(s.platform.list_addr(), "10.9.0.3:80".parse().unwrap());
     assert_eq!(s.limits, Limits::default());
     assert!(s.keys.operators.is_sorted() && s.keys.operators.len() == 2);
     let DeploymentKey::Inline(key) = &s.keys.deployment else { panic!("not inline") };
@@ -91,10 +92,15 @@
             "abc,",
             "keys.operators[0]: wanted a digest of 32 hexadecimal digits, found \"abc\"",
         ),
+        (
+            "http://10.9.0.2:9000",
+            "https://10.9.0.2",
+            "platform.objects.url: wanted an http:// URL, found \"https://10.9.0.2\"",
+        ),
         (
             "http://10.9.0.3/sd",
             "ftp://x",
-            "platform.list: wanted an http:// or https:// URL, found \"ftp://x\"",
+            "platform.list: wanted an http:// URL with an IP number, found \"ftp://x\"",
         ),
         (
             "drain: {",
