--- a/crates/node/src/logs.rs
+++ b/crates/node/src/logs.rs
@@ -41,7 +41,10 @@
 
 /// Own crates at `level`, libraries from warnings up.
 fn filter(level: Level) -> EnvFilter {
-    let own = ["admin", "conf", "entry", "lease", "ledger", "lentild", "member", "node", "outbound", "wire"];
+    let own = [
+        "admin", "conf", "entry", "lease", "ledger", "lentild", "member", "node", "outbound",
+        "wire",
+    ];
     let directives: Vec<_> = own.iter().map(|name| format!("{name}={}", level.as_str())).collect();
     EnvFilter::new(format!("warn,{}", directives.join(",")))
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -165,12 +165,7 @@
     let running = u32::try_from(settings.limits.running).unwrap_or(u32::MAX);
     Ok(Core {
         events: Log::new(name.clone(), parts.boot, EVENTS),
-        ledger: Ledger::new(
-            parts.table.clone(),
-            parts.blob.clone(),
-            clock.clone(),
-            name.clone(),
-        ),
+        ledger: Ledger::new(parts.table.clone(), parts.blob.clone(), clock.clone(), name.clone()),
         name,
         zone,
         clock,
--- a/crates/node/src/rollout.rs
+++ b/crates/node/src/rollout.rs
@@ -1,9 +1,6 @@
 //! Drives rollouts: for each model deployment, whoever holds its lease orders the replicas.
 
-use std::{
-    sync::Arc,
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use admin::RolloutStatus;
 use conf::{Target, TargetKind};
@@ -105,7 +102,8 @@
 /// the lease is lost or another version is wanted.
 async fn lead(rollouts: &Rollouts, target: &Target, version: Name, fenced: bool) {
     let core = &rollouts.core;
-    let name = Name::new(&format!("rollout.{}", target.name)).unwrap_or_else(|_| target.name.clone());
+    let name =
+        Name::new(&format!("rollout.{}", target.name)).unwrap_or_else(|_| target.name.clone());
     let Ok(mut held) = rollouts.leases.acquire(&name, TERM).await else { return };
     rollouts.set_led(&target.name, true);
     let phase = |phase| EventKind::Rollout {
@@ -204,7 +202,8 @@
                 replica: order.replica.clone(),
                 fence: order.fence,
             });
-            let wanted = outbound::Wanted { weights: order.wanted.weights, role: order.wanted.role };
+            let wanted =
+                outbound::Wanted { weights: order.wanted.weights, role: order.wanted.role };
             let sent = core.backends.engine.order(replica.addr, order.fence, &wanted);
             let result = timeout(order.deadline.since(now), sent).await;
             let label = match result.unwrap_or(Err(CallError::Silent)) {
