--- a/crates/admin/tests/http_answers.rs
+++ b/crates/admin/tests/http_answers.rs
@@ -104,7 +104,7 @@
     let headers = [("if-none-match", "*"), (CHANGE_ID, &id(1))];
     memory.fail(Some(ControlError::Unavailable { retry_after: Duration::from_millis(1500) }));
     let (status, _, body) = ask(&memory, put, &headers, model("v1")).await;
-    assert_eq!((status, &body["retry_ms"]), (503, &json!(1500)));
+    assert_eq!((status, &body["retry_after_ms"]), (503, &json!(1500)));
     assert_eq!(memory.changes().len(), 0);
 
     memory.fail(None);
@@ -192,3 +192,21 @@
     let (status, _, body) = ask(&memory, "POST /admin/v1/drain", &[], "").await;
     assert_eq!((status, &body["phase"]), (202, &json!("draining")));
 }
+
+#[tokio::test]
+async fn documents_that_do_not_fit() {
+    let memory = instance();
+    let headers = [("if-none-match", "*"), (CHANGE_ID, &id(1))];
+    let target = json!({"name": "writer", "org": "inkline", "kind": {"engine": {"model": "none", "fenced": true}}});
+    let put = "PUT /admin/v1/targets/writer";
+    let (status, _, body) = ask(&memory, put, &headers, target.to_string()).await;
+    let wanted = json!([{
+        "path": "kind.engine.model",
+        "wanted": "the name of an existing model; create it first",
+        "found": "none",
+    }]);
+    assert_eq!((status, &body["faults"]), (422, &wanted));
+    let headers = [("if-match", "\"r1\""), (CHANGE_ID, &id(1))];
+    let (status, ..) = ask(&memory, "DELETE /admin/v1/targets/writer", &headers, "").await;
+    assert_eq!(status, 412);
+}
--- a/crates/node/src/settings/forms.rs
+++ b/crates/node/src/settings/forms.rs
@@ -1,6 +1,6 @@
 //! How single settings are written.
 
-use std::{net::SocketAddr, path::PathBuf, time::Duration};
+use std::{net::SocketAddr, path::PathBuf};
 
 use fields::Form;
 use hyper::Uri;
@@ -13,14 +13,33 @@
 
 /// An endpoint.
 pub const URL: Form<Uri> = Form {
-    wanted: "an http:// or https:// URL",
+    wanted: "an http:// URL",
     read: |v| {
         let url: Uri = v.as_str()?.parse().ok()?;
-        let known = matches!(url.scheme_str(), Some("http" | "https"));
-        (known && url.host().is_some_and(|h| !h.is_empty())).then_some(url)
+        let plain = url.scheme_str() == Some("http");
+        (plain && url.host().is_some_and(|h| !h.is_empty())).then_some(url)
     },
 };
 
+/// An endpoint named by number.
+pub const IP_URL: Form<Uri> = Form {
+    wanted: "an http:// URL with an IP number",
+    read: |v| {
+        let url: Uri = v.as_str()?.parse().ok()?;
+        ip_of(&url).map(|_| url)
+    },
+};
+
+/// The address of an `http://` URL with an IP number.
+pub fn ip_of(url: &Uri) -> Option<SocketAddr> {
+    let host = url.host().filter(|_| url.scheme_str() == Some("http"))?;
+    let host = host.trim_start_matches('[').trim_end_matches(']');
+    Some(SocketAddr::new(host.parse().ok()?, url.port_u16().unwrap_or(HTTP_PORT)))
+}
+
+/// The port of `http://` URLs that name none.
+const HTTP_PORT: u16 = 80;
+
 /// The path of a file.
 pub const PATH: Form<PathBuf> = Form {
     wanted: "the path of a file",
@@ -33,22 +52,6 @@
     read: |v| usize::try_from(v.as_u64()?).ok().filter(|&n| n > 0),
 };
 
-/// A span of time that is not 0.
-pub const SPAN: Form<Duration> = Form {
-    wanted: "a time such as 10s or 250ms",
-    read: |v| {
-        let text = v.as_str()?;
-        let digits = text.trim_end_matches(|c: char| c.is_ascii_lowercase());
-        let n: u64 = digits.parse().ok().filter(|&n| n > 0)?;
-        match &text[digits.len()..] {
-            "ms" => Some(Duration::from_millis(n)),
-            "s" => Some(Duration::from_secs(n)),
-            "m" => n.checked_mul(60).map(Duration::from_secs),
-            _ => None,
-        }
-    },
-};
-
 /// How log lines are written.
 pub const FORMAT: Form<Format> = Form {
     wanted: "text or json",
