--- a/crates/rig/src/caller/whereabouts.rs
+++ b/crates/rig/src/caller/whereabouts.rs
@@ -11,11 +11,11 @@
 /// Longest time an answer is kept, whatever it says.
 const MAX_TERM: Duration = Duration::from_secs(3600);
 
-/// `{"addresses":[{"addr":"ip:port",..}],"expires_ms":MS}`, best address first; the answer may be
-/// kept for so many milliseconds.
+/// Best address first.
 #[derive(Deserialize)]
 struct WhereWire {
     addresses: Vec<AddressWire>,
+    /// From the answer on.
     expires_ms: u64,
 }
 
@@ -105,14 +105,16 @@
         let (http, bearer) = (self.http(), self.bearer());
         let headers = [("authorization", &*bearer)];
         let call = http.send(hyper::Method::GET, &url, &headers, bytes::Bytes::new());
-        let reply = self.head(call, end).await;
+        let asked_at = Instant::now();
+        let reply = self.within(self.config.silence, call, end).await;
         if reply.is_err() {
             *self.http.lock() = crate::Http::new();
         }
         let wire: WhereWire = reply?.json()?;
-        let left = Duration::from_millis(wire.expires_ms).min(MAX_TERM);
+        let term = Duration::from_millis(wire.expires_ms).min(MAX_TERM);
         let addresses = wire.addresses.into_iter().map(|a| a.addr).collect();
-        Ok(Place { context: context.to_owned(), addresses, expires: Instant::now() + left })
+        // Counted from the question, so never too long.
+        Ok(Place { context: context.to_owned(), addresses, expires: asked_at + term })
     }
 }
 
