--- /dev/null
+++ b/crates/bench/src/instance.rs
@@ -0,0 +1,192 @@
+//! One entry instance: the decision crates with what they know.
+
+use std::time::Duration;
+
+use admit::{Gate, Limits, Offer, RetryBudget, Verdict, share};
+use ident::{Digest, Name, RequestId, Time};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use route::{Ask, Choice, Contexts, Entry, Hot, Kept, Links, Load, NoRoute, Policy, Pool, Used};
+
+use crate::{
+    fake::Engine,
+    policies::PolicyKind,
+    spec::{PIECE_KV_BYTES, Spec},
+    trace::Request,
+};
+
+/// Contexts remembered.
+const CONTEXTS: usize = 10_000;
+/// Instances that are home to one team.
+const SPREAD: u8 = 8;
+/// Limits of every team.
+const LIMITS: Limits = Limits { rate: 1_000, inflight: 2_000 };
+
+/// Names that stand for indices.
+#[derive(Debug)]
+pub(crate) struct Names {
+    pub(crate) engines: Vec<Name>,
+    pub(crate) stores: Vec<Name>,
+    pub(crate) targets: Vec<Name>,
+    pub(crate) weights: Name,
+}
+
+pub(crate) fn name(text: &str) -> Name {
+    Name::new(text).expect("built-in names are valid")
+}
+
+/// The digest that stands for a context.
+pub(crate) fn key(context: usize) -> Digest {
+    Digest::of(&context.to_le_bytes())
+}
+
+/// One entry instance.
+pub(crate) struct Instance {
+    pub(crate) pool: Pool,
+    pub(crate) links: Links,
+    pub(crate) contexts: Contexts,
+    pub(crate) gate: Gate,
+    pub(crate) budget: RetryBudget,
+    policy: Box<dyn Policy>,
+    zone: Name,
+    rank: usize,
+    members: usize,
+    rng: SmallRng,
+}
+
+impl Instance {
+    pub(crate) fn new(
+        spec: &Spec,
+        names: &Names,
+        kind: PolicyKind,
+        rank: usize,
+        seed: u64,
+    ) -> Self {
+        let members = spec.instances;
+        let replicas: usize = spec.replicas.iter().sum();
+        let places = replicas * Engine::slots() / members;
+        let limits: Vec<_> =
+            names.stores.iter().map(|s| (s.clone(), spec.link / members as u64)).collect();
+        let mut links = Links::default();
+        links.sync(&limits, Time(0));
+        Self {
+            pool: pool(spec, names),
+            links,
+            contexts: Contexts::new(CONTEXTS),
+            gate: Gate::new(places as u32),
+            budget: RetryBudget::default(),
+            policy: kind.build(),
+            zone: spec.zones[rank % spec.zones.len()].clone(),
+            rank,
+            members,
+            rng: SmallRng::seed_from_u64(seed ^ (rank as u64) << 48),
+        }
+    }
+
+    pub(crate) fn draw(&mut self) -> u64 {
+        self.rng.random()
+    }
+
+    /// The replica that may hold the request's context.
+    pub(crate) fn hot(&self, names: &Names, request: &Request, now: Time) -> Option<Hot> {
+        self.contexts.hot(&key(request.context), &names.weights, now)
+    }
+
+    /// Asks the gate.
+    pub(crate) fn offer(
+        &mut self,
+        job: usize,
+        spec: &Spec,
+        request: &Request,
+        cached: u32,
+        now: Time,
+    ) -> Verdict {
+        let rest = request.tokens.saturating_sub(cached);
+        let offer = Offer {
+            id: RequestId(job as u128),
+            team: spec.teams[request.team].name.clone(),
+            limits: share(LIMITS, SPREAD, self.members, self.rank),
+            class: request.class,
+            deadline: now.after(Duration::from_millis(request.patience)),
+            cost: request.tokens + request.answer,
+            service: Duration::from_secs_f64(f64::from(rest) / f64::from(spec.prefill)),
+        };
+        let draw = self.draw();
+        self.gate.offer(offer, draw, now)
+    }
+
+    /// Asks the policy.
+    pub(crate) fn choose(
+        &mut self,
+        spec: &Spec,
+        names: &Names,
+        request: &Request,
+        lookup: Lookup<'_>,
+        now: Time,
+    ) -> Result<Choice, NoRoute> {
+        let org = spec.teams[request.team].org;
+        let ask = Ask {
+            targets: &names.targets[org..=org],
+            weights: &names.weights,
+            tokens: request.tokens,
+            pieces: Spec::pieces(request.tokens),
+            kept: lookup.kept.map(|(store, pieces)| Kept {
+                store: names.stores[store].clone(),
+                pieces,
+                bytes: u64::from(pieces) * PIECE_KV_BYTES,
+            }),
+            hot: lookup.hot,
+            class: request.class,
+            value: spec.value,
+            zone: &self.zone,
+            deadline: lookup.deadline,
+            exclude: lookup.tried,
+        };
+        let draw = self.rng.random();
+        self.policy.choose(&self.pool, &self.links, &ask, draw, now)
+    }
+
+    /// Takes a sample of all engines' load.
+    pub(crate) fn report(&mut self, names: &Names, loads: &[Load], now: Time) {
+        for (engine, load) in names.engines.iter().zip(loads) {
+            self.pool.report(engine, *load, now);
+        }
+    }
+
+    /// Notes that a replica now holds the request's context.
+    pub(crate) fn used(&mut self, names: &Names, request: &Request, engine: usize, now: Time) {
+        let used = Used {
+            replica: names.engines[engine].clone(),
+            pieces: Spec::pieces(request.shared),
+            weights: names.weights.clone(),
+            at: now,
+        };
+        self.contexts.put(key(request.context), used);
+    }
+}
+
+/// What was found out about a request before it is routed.
+pub(crate) struct Lookup<'a> {
+    /// Index of a store and the pieces it keeps.
+    pub(crate) kept: Option<(usize, u32)>,
+    pub(crate) hot: Option<Hot>,
+    pub(crate) tried: &'a [Name],
+    pub(crate) deadline: Time,
+}
+
+fn pool(spec: &Spec, names: &Names) -> Pool {
+    let mut pool = Pool::default();
+    let orgs = spec.replicas.iter().enumerate();
+    let orgs = orgs.flat_map(|(org, count)| std::iter::repeat_n(org, *count));
+    let entry = |(i, (engine, org)): (usize, (&Name, usize))| Entry {
+        name: engine.clone(),
+        target: names.targets[org].clone(),
+        zone: spec.zones[i % spec.zones.len()].clone(),
+        addr: ([127, 0, 0, 1], 7_000 + i as u16).into(),
+        leaving: false,
+    };
+    pool.sync_list(names.engines.iter().zip(orgs).enumerate().map(entry).collect(), Time(0));
+    for engine in &names.engines {
+        pool.serves(engine, Some(names.weights.clone()));
+    }
+    pool
+}
