Prefer options that are safely in time

Cause: the cheapest option by the team's weights was checked against the deadline only after it was chosen, so a team that weighs recomputation saw refusals although another option was in time. An option whose expected wait, plus half of it, fits before the deadline now goes first.

--- a/crates/route/src/cost.rs
+++ b/crates/route/src/cost.rs
@@ -11,6 +11,8 @@
 
 /// Extra time to reach a replica in another zone.
 const CROSS_ZONE: Duration = Duration::from_millis(2);
+/// Time to spare before the deadline, as a part of the expected time to first token.
+const SLACK: f64 = 0.5;
 /// Replicas drawn beside the hot one.
 const DRAWN: usize = 2;
 
@@ -33,7 +35,7 @@
         let mut best: Option<Offer> = None;
         for replica in shortlist(&found, ask, draw) {
             for option in view.options(replica) {
-                if best.as_ref().is_none_or(|b| option.cost < b.cost) {
+                if best.as_ref().is_none_or(|b| option.beats(b)) {
                     best = Some(option);
                 }
             }
@@ -77,10 +79,22 @@
     plan: Plan,
     tokens: u32,
     first: Time,
+    /// Whether the first token is expected with some time to spare before the deadline.
+    is_safe: bool,
     cost: f64,
 }
 
 impl Offer<'_> {
+    /// An option safely before the deadline goes before one that is not; else the cheaper one, or
+    /// without any safe one the earlier one.
+    fn beats(&self, other: &Self) -> bool {
+        match (self.is_safe, other.is_safe) {
+            (true, true) => self.cost < other.cost,
+            (false, false) => self.first < other.first,
+            (safe, _) => safe,
+        }
+    }
+
     fn choice(self, now: Time) -> Choice {
         Choice {
             replica: self.replica.name.clone(),
@@ -144,6 +158,8 @@
         let value = self.ask.value;
         let cost = f64::from(value.latency) * first.since(self.now).as_secs_f64()
             + f64::from(value.recompute) * share;
-        Offer { replica, plan, tokens, first, cost }
+        let slack = first.since(self.now).mul_f64(SLACK);
+        let is_safe = first.after(slack) <= self.ask.deadline;
+        Offer { replica, plan, tokens, first, is_safe, cost }
     }
 }
