Let load reports wear off with age

Cause: with reports 1 to 20 s old, replicas that were idle when they reported drew requests of all instances. The number of others' waiting prompts now tends to that of an average replica as the report ages, by a factor of e in 2 s.

--- a/crates/route/src/cost.rs
+++ b/crates/route/src/cost.rs
@@ -31,7 +31,9 @@
         now: Time,
     ) -> Result<Choice, NoRoute> {
         let found = candidates(pool, ask, draw, now)?;
-        let view = View { pool, links, ask, now };
+        let others: u32 = found.iter().map(|r| r.others()).sum();
+        let usual = f64::from(others) / found.len() as f64;
+        let view = View { pool, links, ask, usual, now };
         let mut best: Option<Offer> = None;
         for replica in shortlist(&found, ask, draw) {
             for option in view.options(replica) {
@@ -111,6 +113,8 @@
     pool: &'a Pool,
     links: &'a Links,
     ask: &'a Ask<'a>,
+    /// Prompts of other instances that wait at an average candidate.
+    usual: f64,
     now: Time,
 }
 
@@ -148,7 +152,7 @@
         import: Option<Time>,
     ) -> Offer<'p> {
         let tokens = tokens.ceil() as u32;
-        let mut wait = replica.queue(self.pool.mean_tokens(), self.now);
+        let mut wait = replica.queue(self.pool.mean_tokens(), self.usual, self.now);
         if replica.zone != *self.ask.zone {
             wait += CROSS_ZONE;
         }
--- a/crates/route/src/replica.rs
+++ b/crates/route/src/replica.rs
@@ -8,6 +8,8 @@
 
 /// Prefill rate assumed before a replica reported one, in tokens per second.
 const DEFAULT_RATE: u32 = 10_000;
+/// Time in which the news of a load report wear off.
+const REPORT_LIFE: Duration = Duration::from_secs(2);
 /// Pause after a replica refused work because it is full.
 const FULL_PAUSE: Duration = Duration::from_millis(250);
 
@@ -142,11 +144,19 @@
     }
 
     /// Expected wait before a prompt sent at `now` is computed: this instance's own prompts, and
-    /// those of others that the last report counted, of `mean` tokens each.
-    pub fn queue(&self, mean: u32, now: Time) -> Duration {
+    /// those of others, of `mean` tokens each. The older the last report, the more the number of
+    /// others' prompts tends to `usual`, that of an average replica.
+    pub fn queue(&self, mean: u32, usual: f64, now: Time) -> Duration {
         let own = self.busy.since(now);
-        let others = self.load.waiting.saturating_sub(self.pending_at(self.load.at));
-        own + self.prefill(mean) * others
+        let age = now.since(self.load.at).as_secs_f64();
+        let weight = (-age / REPORT_LIFE.as_secs_f64()).exp();
+        let others = usual + (f64::from(self.others()) - usual) * weight;
+        own + self.prefill(mean).mul_f64(others)
+    }
+
+    /// Prompts of other instances that waited when the load was reported.
+    pub(crate) fn others(&self) -> u32 {
+        self.load.waiting.saturating_sub(self.pending_at(self.load.at))
     }
 
     /// Requests of this instance that waited for their first token at `at`.
--- a/crates/route/tests/pool_state.rs
+++ b/crates/route/tests/pool_state.rs
@@ -136,7 +136,7 @@
     for _ in 0..4 {
         tickets.push(pool.started(&name("w-0"), 1000, Time(10)).unwrap());
     }
-    let queue = |pool: &Pool, i: usize, now| pool.replicas()[i].queue(1000, now);
+    let queue = |pool: &Pool, i: usize, now| pool.replicas()[i].queue(1000, i as f64, now);
     assert_eq!(queue(&pool, 0, Time(10)), Duration::from_secs(4));
     assert_eq!(queue(&pool, 1, Time(10)), Duration::from_secs(1));
     assert_eq!(queue(&pool, 0, Time(1010)), Duration::from_secs(3));
@@ -148,6 +148,17 @@
     assert_eq!(choice.replica, name("w-1"));
 }
 
+#[test]
+fn old_reports_tend_to_the_usual() {
+    let mut pool = pool(1);
+    let load = Load { running: 0, waiting: 4, prefill_rate: 1000, at: Time(0) };
+    pool.report(&name("w-0"), load, Time(0));
+    let queue = |now| pool.replicas()[0].queue(1000, 2.0, Time(now)).as_millis();
+    assert_eq!(queue(0), 4000);
+    assert!((2300..3700).contains(&queue(2_000)), "{}", queue(2_000));
+    assert!((2000..2010).contains(&queue(20_000)));
+}
+
 #[test]
 fn random_histories_keep_the_pool_sound() {
     bolero::check!().with_iterations(400).with_type::<Vec<(u8, u8)>>().for_each(|steps| {
