Send changes between peers in the form of the log's rows

Documents as operators write them refuse unknown fields, so a peer of an older release could not read a newer one's changes; the rows of the log tolerate them. conf offers that form as Change::to_json and from_json.

--- a/crates/conf/src/wire.rs
+++ b/crates/conf/src/wire.rs
@@ -40,6 +40,19 @@
     }
 }
 
+impl Change {
+    /// The change as JSON, in the form of the log's rows, which other releases can read.
+    pub fn to_json(&self) -> Vec<u8> {
+        serde_json::to_vec(&ChangeWire::from(self.clone()))
+            .expect("wire types have string keys and always serialise")
+    }
+
+    /// Reads what [`Change::to_json`] wrote.
+    pub fn from_json(bytes: &[u8]) -> Result<Self, serde_json::Error> {
+        serde_json::from_slice::<ChangeWire>(bytes).map(Into::into)
+    }
+}
+
 /// The row of the newest revision, and the row of a change id.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct RevWire {
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -1,7 +1,7 @@
 //! The format of messages on the wire.
 
-use conf::{Change, Doc, DocKey, Kind};
-use ident::{Boot, Name, RequestId, Rev};
+use conf::Change;
+use ident::{Boot, Name, Rev};
 use member::{MAX_NEWS, News, PeerState, Ping, Pong, Status};
 use serde::{Deserialize, Serialize};
 
@@ -11,12 +11,12 @@
 const FRESH: u8 = 2;
 const TABLE: u8 = 4;
 
-/// Bytes of a change beside its name and document, at most.
-const CHANGE_FRAME: usize = 48;
+/// Bytes of a change's length on the wire, at most.
+const LENGTH_BYTES: usize = 3;
 
 /// Encodes a message.
 pub fn encode(message: &Message) -> Result<Vec<u8>, CodecError> {
-    Ok(postcard::to_stdvec(&MessageWire::try_from(message)?)?)
+    Ok(postcard::to_stdvec(&MessageWire::from(message))?)
 }
 
 /// Decodes a message that the life `boot` of its sender sealed.
@@ -26,8 +26,7 @@
 
 /// An upper bound of a change's size on the wire, in bytes.
 pub(crate) fn change_bytes(change: &Change) -> usize {
-    let doc = change.doc.as_ref().map_or(0, |d| serde_json::to_vec(d).map_or(0, |v| v.len()));
-    CHANGE_FRAME + change.key.name.as_str().len() + doc
+    LENGTH_BYTES + change.to_json().len()
 }
 
 #[derive(Serialize, Deserialize)]
@@ -35,7 +34,8 @@
     Ping(TalkWire),
     Pong(TalkWire),
     ChangesAsk(u64),
-    Changes(Vec<ChangeWire>),
+    /// Each in the JSON form of the log's rows, which other releases can read.
+    Changes(Vec<Vec<u8>>),
 }
 
 /// A ping or a pong. The sender's boot is part of the seal.
@@ -57,28 +57,14 @@
     state: u8,
 }
 
-/// A change; its document is JSON, which tolerates fields that one end does not know yet.
-#[derive(Serialize, Deserialize)]
-struct ChangeWire {
-    rev: u64,
-    id: [u8; 16],
-    kind: u8,
-    name: String,
-    doc: Option<Vec<u8>>,
-}
-
-impl TryFrom<&Message> for MessageWire {
-    type Error = CodecError;
-
-    fn try_from(message: &Message) -> Result<Self, CodecError> {
-        Ok(match message {
+impl From<&Message> for MessageWire {
+    fn from(message: &Message) -> Self {
+        match message {
             Message::Ping(p) => Self::Ping(TalkWire::from((&p.status, p.news.as_slice()))),
             Message::Pong(p) => Self::Pong(TalkWire::from((&p.status, p.news.as_slice()))),
             Message::ChangesAsk { after } => Self::ChangesAsk(after.0),
-            Message::Changes { list } => {
-                Self::Changes(list.iter().map(ChangeWire::try_from).collect::<Result<_, _>>()?)
-            }
-        })
+            Message::Changes { list } => Self::Changes(list.iter().map(Change::to_json).collect()),
+        }
     }
 }
 
@@ -97,7 +83,7 @@
             }
             MessageWire::ChangesAsk(after) => Self::ChangesAsk { after: Rev(after) },
             MessageWire::Changes(list) => Self::Changes {
-                list: list.into_iter().map(Change::try_from).collect::<Result<_, _>>()?,
+                list: list.iter().map(|c| Change::from_json(c)).collect::<Result<_, _>>()?,
             },
         })
     }
@@ -167,44 +153,3 @@
         Ok(Self { name: Name::new(&wire.name)?, incarnation: wire.incarnation, state })
     }
 }
-
-impl TryFrom<&Change> for ChangeWire {
-    type Error = CodecError;
-
-    fn try_from(change: &Change) -> Result<Self, CodecError> {
-        let kind = match change.key.kind {
-            Kind::Template => 0,
-            Kind::Team => 1,
-            Kind::Target => 2,
-            Kind::Model => 3,
-        };
-        Ok(Self {
-            rev: change.rev.0,
-            id: change.id.0.to_be_bytes(),
-            kind,
-            name: change.key.name.as_str().to_owned(),
-            doc: change.doc.as_ref().map(serde_json::to_vec).transpose()?,
-        })
-    }
-}
-
-impl TryFrom<ChangeWire> for Change {
-    type Error = CodecError;
-
-    fn try_from(wire: ChangeWire) -> Result<Self, CodecError> {
-        let kind = match wire.kind {
-            0 => Kind::Template,
-            1 => Kind::Team,
-            2 => Kind::Target,
-            3 => Kind::Model,
-            got => return Err(CodecError::Unknown { what: Field::Kind, got }),
-        };
-        let doc: Option<Doc> = wire.doc.map(|d| serde_json::from_slice(&d)).transpose()?;
-        Ok(Self {
-            rev: Rev(wire.rev),
-            id: RequestId(u128::from_be_bytes(wire.id)),
-            key: DocKey { kind, name: Name::new(&wire.name)? },
-            doc,
-        })
-    }
-}
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -12,8 +12,8 @@
     /// The bytes do not decode.
     #[error("the message does not decode; both ends must run compatible versions: {0}")]
     Postcard(#[from] postcard::Error),
-    /// A document does not decode.
-    #[error("a document does not decode; both ends must run compatible versions: {0}")]
+    /// A change does not decode.
+    #[error("a change does not decode; both ends must run compatible versions: {0}")]
     Json(#[from] serde_json::Error),
     /// A name is not valid.
     #[error("the message holds a bad name: {0}")]
@@ -38,8 +38,6 @@
     Version,
     /// State of a peer.
     State,
-    /// Kind of a document.
-    Kind,
 }
 
 impl std::fmt::Display for Field {
@@ -47,7 +45,6 @@
         f.write_str(match self {
             Self::Version => "version",
             Self::State => "state",
-            Self::Kind => "kind",
         })
     }
 }
