--- a/crates/lentildemo/src/steps.rs
+++ b/crates/lentildemo/src/steps.rs
@@ -31,6 +31,7 @@
         prompt: format!("{calendar}{question}"),
         tokens: TOKENS,
         context: "prairie-gala".to_owned(),
+        batch: false,
     }
 }
 
--- a/crates/rig/src/deployment.rs
+++ b/crates/rig/src/deployment.rs
@@ -133,6 +133,7 @@
             key: format!("{team}-key"),
             zone: Some(zone.to_owned()),
             silence: Duration::from_secs(4),
+            patience: Duration::from_secs(8),
             limit: Duration::from_secs(60),
         })
     }
