Prove at-most-once calls over whole processes

Cause: the ledger was proved on its own; the path around it (claim, send, outcome, table faults, frozen and killed holders) was not. The service's own log is the judge.

--- a/crates/rig/src/deployment.rs
+++ b/crates/rig/src/deployment.rs
@@ -138,6 +138,33 @@
         })
     }
 
+    /// Makes one attempt at a call by way of one instance, as `team`.
+    pub async fn call(
+        &self,
+        entry: &Entry,
+        team: &str,
+        target: &str,
+        key: &str,
+        body: &str,
+    ) -> Result<Reply, HttpError> {
+        let bearer = format!("Bearer {team}-key");
+        let headers = [
+            ("authorization", &*bearer),
+            ("content-type", "application/json"),
+            ("idempotency-key", key),
+        ];
+        let url = format!("{}/v1/call/{target}/deposits", entry.instance.url());
+        let body = Bytes::from(body.to_owned());
+        let call = self.platform.http.send(Method::POST, &url, &headers, body);
+        timeout(STATE_LIMIT, call).await.map_err(|_| HttpError::Silent(STATE_LIMIT))?
+    }
+
+    /// How often a service ran the call with `key`, by the service's own log.
+    pub async fn runs(&self, service: &str, key: &str) -> Result<usize, RigError> {
+        let log = self.platform.log(self.platform.proc(service)?).await?;
+        Ok(log.iter().filter(|call| call["key"] == key).count())
+    }
+
     /// Sends a request to an instance's operators' API.
     pub async fn admin(
         &self,
