Recompute damaged cache blocks and write them anew

Cause: two exports of one context at once leave records of one and pieces of the other. Every return then found an import that did not match, recomputed, and wrote nothing, since records existed: kept cache was lost for good. The stand-in engine also ignored evict_all, so the demo's return was served from the accelerator, not from the store.

Ruled out: a wrong answer (the receipts were refused, the text was right each time).

--- a/crates/entry/src/launch.rs
+++ b/crates/entry/src/launch.rs
@@ -134,11 +134,19 @@
 async fn start(core: &Core, job: &Job, placed: Placed) -> Result<Live, CallError> {
     let Placed { target, weights, choice, ticket, found, hot } = placed;
     record(core, job, &target, &choice);
-    let Found { keys, records, store } = found;
+    let Found { keys, mut records, store } = found;
     let handle = match &choice.plan {
         Plan::Import { bytes, .. } => {
             let stage = Stage { job, weights: &weights, addr: choice.addr, bytes: *bytes };
-            stage.import(core, store.as_ref(), &records).await
+            match stage.import(core, store.as_ref(), &records).await {
+                Staged::Ready(handle) => Some(handle),
+                Staged::Rejected { good } => {
+                    // The rest is written anew after this request: its records are of no use.
+                    records.truncate(good);
+                    None
+                }
+                Staged::Failed => None,
+            }
         }
         _ => None,
     };
@@ -192,6 +200,16 @@
     }
 }
 
+/// How an import went.
+enum Staged {
+    /// All pieces are the recorded ones; the handle names them.
+    Ready(Arc<str>),
+    /// A piece is not the recorded one; so many before it are. The prompt is recomputed.
+    Rejected { good: usize },
+    /// Nothing is known of the pieces. The prompt is recomputed.
+    Failed,
+}
+
 /// An import into a replica's staging area.
 struct Stage<'a> {
     job: &'a Job,
@@ -201,18 +219,12 @@
 }
 
 impl Stage<'_> {
-    /// Stages the recorded pieces and checks what the engine received; `None` means that the
-    /// prompt is recomputed.
-    async fn import(
-        &self,
-        core: &Core,
-        store: Option<&StoreRef>,
-        records: &[Record],
-    ) -> Option<Arc<str>> {
-        let store = store?;
-        let class = self.job.asked.class;
-        let transfer =
-            core.stores.links.lock().reserve(&store.name, self.bytes, class, core.now())?;
+    /// Stages the recorded pieces and checks what the engine received.
+    async fn import(&self, core: &Core, store: Option<&StoreRef>, records: &[Record]) -> Staged {
+        let Some(store) = store else { return Staged::Failed };
+        let (class, now) = (self.job.asked.class, core.now());
+        let transfer = core.stores.links.lock().reserve(&store.name, self.bytes, class, now);
+        let Some(transfer) = transfer else { return Staged::Failed };
         sleep(transfer.start.since(core.now())).await;
         core.metrics.link_bytes.inc_by(self.bytes);
         let import = Import {
@@ -224,12 +236,13 @@
         };
         let result = core.backends.engine.import(self.addr, &import).await;
         self.settle(core, transfer, result.is_ok());
-        let staged = result.ok()?;
+        let Ok(staged) = result else { return Staged::Failed };
         if kv::confirm(records, &staged.receipts).is_ok() {
-            return Some(staged.handle);
+            return Staged::Ready(staged.handle);
         }
         self.reject(core, &staged.handle).await;
-        None
+        let pairs = records.iter().zip(&staged.receipts);
+        Staged::Rejected { good: pairs.take_while(|(r, got)| r.receipt == **got).count() }
     }
 
     fn settle(&self, core: &Core, transfer: Transfer, done: bool) {
--- a/crates/fakes/src/control.rs
+++ b/crates/fakes/src/control.rs
@@ -67,6 +67,8 @@
     meters: Mutex<Sorted<&'static str, Meter>>,
     /// Grows when open connections are to go silent; connections opened before stay silent.
     epoch: AtomicU64,
+    /// Grows when everything kept is to be dropped.
+    evictions: AtomicU64,
 }
 
 impl Control {
@@ -82,6 +84,9 @@
         if faults.silent_open {
             self.epoch.fetch_add(1, Ordering::SeqCst);
         }
+        if faults.evict_all {
+            self.evictions.fetch_add(1, Ordering::SeqCst);
+        }
         *self.faults.lock() = faults;
     }
 
@@ -102,6 +107,11 @@
         self.epoch.load(Ordering::SeqCst)
     }
 
+    /// How often everything kept was to be dropped. A keeper that has seen fewer drops all.
+    pub(crate) fn evictions(&self) -> u64 {
+        self.evictions.load(Ordering::SeqCst)
+    }
+
     /// Appends to the log; returns the entry's sequence number, from 1 on.
     pub(crate) fn log<T>(&self, entry: &T) -> u64
     where
--- a/crates/fakes/src/fault.rs
+++ b/crates/fakes/src/fault.rs
@@ -78,7 +78,8 @@
     pub full: bool,
     /// Store: flip one bit of every piece that is read.
     pub flip_bits: bool,
-    /// Store: keep nothing, though writes are acknowledged.
+    /// Engine and store: drop everything kept, and keep nothing while set, though writes are
+    /// acknowledged.
     pub evict_all: bool,
     /// Store: keep the first half of every piece written and acknowledge the whole.
     pub partial_writes: bool,
--- a/crates/fakes/src/store.rs
+++ b/crates/fakes/src/store.rs
@@ -10,7 +10,7 @@
     response::{IntoResponse, Response},
     routing::{get, post, put},
 };
-use parking_lot::Mutex;
+use parking_lot::{Mutex, MutexGuard};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
@@ -50,6 +50,8 @@
     pieces: Sorted<Arc<str>, Kept>,
     size: u64,
     tick: u64,
+    /// Evictions of everything that were carried out.
+    evictions: u64,
 }
 
 impl Shelf {
@@ -101,25 +103,33 @@
         self.control.with(|f| f.link_rate).unwrap_or(self.config.rate)
     }
 
+    /// What is kept, emptied first where everything is to be dropped.
+    fn shelf(&self) -> MutexGuard<'_, Shelf> {
+        let evictions = self.control.evictions();
+        let mut shelf = self.shelf.lock();
+        if shelf.evictions != evictions {
+            shelf.clear();
+            shelf.evictions = evictions;
+        }
+        shelf
+    }
+
     fn keep(&self, key: String, bytes: Bytes, generation: String) -> StatusCode {
-        let (full, evict) = self.control.with(|f| (f.full, f.evict_all));
+        let (full, hold) = self.control.with(|f| (f.full, f.evict_all));
         if full || bytes.len() as u64 > self.config.capacity {
             return StatusCode::INSUFFICIENT_STORAGE;
         }
-        let mut shelf = self.shelf.lock();
+        let mut shelf = self.shelf();
         shelf.put(key.into(), Version { bytes, generation }, self.config.capacity);
-        if evict {
+        if hold {
             shelf.clear();
         }
         StatusCode::CREATED
     }
 
     fn find(&self, key: &str) -> Option<Version> {
-        let (stale, evict) = self.control.with(|f| (f.stale_generation, f.evict_all));
-        let mut shelf = self.shelf.lock();
-        if evict {
-            shelf.clear();
-        }
+        let stale = self.control.with(|f| f.stale_generation);
+        let mut shelf = self.shelf();
         let kept = shelf.get(key)?;
         let old = kept.before.as_ref().filter(|_| stale);
         Some(old.unwrap_or(&kept.value).clone())
@@ -220,7 +230,7 @@
 }
 
 async fn load(State(store): State<Arc<Store>>) -> Json<Load> {
-    let used = store.shelf.lock().size;
+    let used = store.shelf().size;
     let capacity = store.config.capacity;
     Json(Load { used, capacity, link_bytes_per_s: store.rate() })
 }
--- /dev/null
+++ b/crates/node/tests/deployed_cache.rs
@@ -0,0 +1,136 @@
+//! No answer is built from a cache block that was freed, altered or only partly written, nor from
+//! another team's: the answer's text shows which blocks were used.
+
+use rig::{Answer, Completion, Deployment, STATE_LIMIT, Spec, wait_for};
+use serde_json::{Value, json};
+
+const STORE: &str = "inkline-store-1";
+const ENGINES: [&str; 2] = ["inkline-writer-1", "inkline-writer-2"];
+
+fn ask(context: &str, question: &str) -> Completion {
+    let brief: String =
+        (0..300).map(|i| format!("{context}: table {i} seats {} guests. ", i % 9)).collect();
+    Completion {
+        model: "writer".to_owned(),
+        prompt: format!("{brief}{question}"),
+        tokens: 12,
+        context: context.to_owned(),
+        batch: false,
+    }
+}
+
+async fn answer(d: &Deployment, team: &str, ask: &Completion) -> Answer {
+    let answer = d.caller(team, "regina").complete(ask).await.unwrap();
+    let wanted = fakes::expected(&ask.model, &answer.weights, &ask.prompt, ask.tokens);
+    assert_eq!(answer.text, wanted, "{} of {team}", ask.context);
+    answer
+}
+
+async fn store_faults(d: &Deployment, knobs: Value) {
+    d.platform.faults(d.platform.proc(STORE).unwrap(), knobs).await.unwrap();
+}
+
+/// Empties the accelerators' prefix caches.
+async fn evict(d: &Deployment) {
+    for name in ENGINES {
+        let engine = d.platform.proc(name).unwrap();
+        d.platform.faults(engine, json!({"evict_all": true})).await.unwrap();
+        d.platform.faults(engine, json!({})).await.unwrap();
+    }
+}
+
+async fn wait_kept(d: &Deployment, contexts: usize) {
+    wait_for("contexts to be kept", STATE_LIMIT, || async {
+        (d.events("kept").await.ok()?.len() >= contexts).then_some(())
+    })
+    .await
+    .unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn damaged_blocks_are_recomputed() {
+    let d = Deployment::start(&Spec::default()).await.unwrap();
+    answer(&d, "weddings", &ask("gala", "Who is first?")).await;
+    wait_kept(&d, 1).await;
+    evict(&d).await;
+    let good = answer(&d, "weddings", &ask("gala", "Who is second?")).await;
+    assert!(good.cached * 2 > good.prompt, "kept cache is used: {good:?}");
+    for knobs in
+        [json!({"flip_bits": true}), json!({"outage": true}), json!({"cut_after_bytes": 100})]
+    {
+        evict(&d).await;
+        store_faults(&d, knobs.clone()).await;
+        let again = answer(&d, "weddings", &ask("gala", "Who is third?")).await;
+        assert_eq!(again.cached, 0, "under {knobs}");
+        store_faults(&d, json!({})).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn partly_written_blocks_are_recomputed() {
+    let d = Deployment::start(&Spec::default()).await.unwrap();
+    store_faults(&d, json!({"partial_writes": true})).await;
+    answer(&d, "weddings", &ask("gala", "Who is first?")).await;
+    wait_for("the export to end", STATE_LIMIT, || async {
+        let url = format!("{}/load", d.platform.proc(STORE).ok()?.url());
+        let load: Value = d.platform.http.get(&url).await.ok()?.json().ok()?;
+        (load["used"].as_u64()? > 0).then_some(())
+    })
+    .await
+    .unwrap();
+    store_faults(&d, json!({})).await;
+    evict(&d).await;
+    answer(&d, "weddings", &ask("gala", "Who is second?")).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn replaced_blocks_are_recomputed() {
+    let d = Deployment::start(&Spec::default()).await.unwrap();
+    // Two exports of the same pieces: the later generation replaces the earlier one.
+    let same = ask("gala", "Who is first?");
+    let caller = d.caller("weddings", "regina");
+    let (a, b) = tokio::join!(caller.complete(&same), caller.complete(&same));
+    assert_eq!(a.unwrap().text, b.unwrap().text);
+    wait_kept(&d, 2).await;
+    evict(&d).await;
+    store_faults(&d, json!({"stale_generation": true})).await;
+    answer(&d, "weddings", &ask("gala", "Who is second?")).await;
+    store_faults(&d, json!({})).await;
+    // Records and pieces of the two exports may be mixed up for good. The first prompt that finds
+    // out writes them anew.
+    wait_for("kept cache to be used again", STATE_LIMIT, || async {
+        evict(&d).await;
+        (answer(&d, "weddings", &ask("gala", "Who is third?")).await.cached > 0).then_some(())
+    })
+    .await
+    .unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_full_or_dead_store_costs_recompute_only() {
+    let mut d = Deployment::start(&Spec::default()).await.unwrap();
+    store_faults(&d, json!({"full": true})).await;
+    answer(&d, "weddings", &ask("gala", "Who is first?")).await;
+    evict(&d).await;
+    answer(&d, "weddings", &ask("gala", "Who is second?")).await;
+    store_faults(&d, json!({})).await;
+    evict(&d).await;
+    answer(&d, "weddings", &ask("fair", "Who is first?")).await;
+    d.platform.kill(STORE);
+    evict(&d).await;
+    answer(&d, "weddings", &ask("fair", "Who is second?")).await;
+    answer(&d, "weddings", &ask("gala", "Who is third?")).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn teams_share_no_cache() {
+    let d = Deployment::start(&Spec::default()).await.unwrap();
+    let same = ask("gala", "Who is first?");
+    answer(&d, "weddings", &same).await;
+    wait_kept(&d, 1).await;
+    // Neither from the store nor from an accelerator, hot as it is.
+    let other = answer(&d, "fairs", &same).await;
+    assert_eq!(other.cached, 0, "another team's cache was used");
+    let own = answer(&d, "weddings", &same).await;
+    assert!(own.cached > 0, "the team's own cache is used");
+}
