Test configuration changes under races, lost and late answers

table::Faulty puts a seeded unreliable way before the in-memory table: answers lost after the effect, commits lost, refused, or taking effect after their caller gave up.

--- /dev/null
+++ b/crates/conf/tests/operator_races.rs
@@ -0,0 +1,133 @@
+//! Operators race over an unreliable table: the log stays gapless, a change id counts once, and
+//! whoever is told that a change was not accepted finds it nowhere.
+
+mod common;
+
+use std::{cell::RefCell, rc::Rc, sync::Arc};
+
+use common::{World, key, model};
+use conf::{AcceptError, Change, Doc, Kind, Store};
+use ident::{RequestId, Rev};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use table::{Faulty, Odds};
+
+const SEEDS: u64 = 150;
+const OPERATORS: u128 = 4;
+const CHANGES: u128 = 12;
+const MODELS: u32 = 3;
+const ODDS: Odds =
+    Odds { lose: 8, drop: 6, delay: 12, arrive: 30, refuse: 4, conflict: 5, unread: 6 };
+
+/// What an operator was told in the end.
+struct Told {
+    id: RequestId,
+    expect: Option<Rev>,
+    answer: Result<Change, AcceptError>,
+    /// Whether an earlier answer was "unknown".
+    repeated: bool,
+}
+
+/// Changes one model, repeating the request with the same id while the answer is "unknown".
+async fn change(store: &Store, rng: &mut SmallRng, id: RequestId) -> Told {
+    if rng.random_bool(0.6) {
+        let _ = store.refresh().await;
+    }
+    let name = format!("m{}", rng.random_range(0..MODELS));
+    let at = key(Kind::Model, &name);
+    let expect = store.view().doc(&at).map(|(_, rev)| rev);
+    let doc: Option<Doc> =
+        rng.random_bool(0.8).then(|| model(&name, &format!("v{}", id.0))).or_else(|| {
+            // Removing an absent document is a fault, not a race.
+            expect.is_none().then(|| model(&name, "v0"))
+        });
+    let mut repeated = false;
+    loop {
+        let answer = store.accept(id, at.clone(), doc.clone(), expect).await;
+        if !matches!(answer, Err(AcceptError::Unknown(_))) || rng.random_bool(0.05) {
+            return Told { id, expect, answer, repeated };
+        }
+        repeated = true;
+    }
+}
+
+async fn race(seed: u64) -> (Vec<Told>, Vec<Change>) {
+    let w = World::new();
+    let faulty = Arc::new(Faulty::new(w.table.clone(), seed, ODDS));
+    let told = Rc::new(RefCell::new(Vec::new()));
+    let tasks = tokio::task::LocalSet::new();
+    for op in 0..OPERATORS {
+        let (table, blob, told) = (faulty.clone(), w.blob.clone(), told.clone());
+        tasks.spawn_local(async move {
+            let store = Store::new(table, blob);
+            let mut rng = SmallRng::seed_from_u64(seed * 100 + op as u64);
+            for n in 0..CHANGES {
+                let one = change(&store, &mut rng, RequestId(op * 1000 + n)).await;
+                told.borrow_mut().push(one);
+            }
+        });
+    }
+    tasks.await;
+    faulty.flush().await;
+    let log = w.store().changes(Rev(0), 10_000).await.unwrap();
+    (Rc::into_inner(told).unwrap().into_inner(), log)
+}
+
+/// The revision of the changed document before `change`.
+fn before(log: &[Change], change: &Change) -> Option<Rev> {
+    let earlier = log.iter().rev().find(|c| c.rev < change.rev && c.key == change.key);
+    earlier.filter(|c| c.doc.is_some()).map(|c| c.rev)
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn log_is_gapless_and_honest() {
+    let (mut accepted, mut stale, mut unavailable, mut unknown) = (0, 0, 0, 0);
+    for seed in 0..SEEDS {
+        let (told, log) = race(seed).await;
+        for (i, c) in log.iter().enumerate() {
+            assert_eq!(c.rev, Rev(i as u64 + 1), "seed {seed}");
+        }
+        for t in &told {
+            let found: Vec<&Change> = log.iter().filter(|c| c.id == t.id).collect();
+            assert!(found.len() <= 1, "seed {seed}: {} was accepted {} times", t.id, found.len());
+            if let Some(c) = found.first() {
+                assert_eq!(before(&log, c), t.expect, "seed {seed}: {} overwrote unseen", t.id);
+            }
+            match &t.answer {
+                Ok(c) => {
+                    accepted += 1;
+                    assert_eq!(found, [c], "seed {seed}");
+                }
+                Err(AcceptError::Stale { current }) => {
+                    stale += 1;
+                    assert_ne!(*current, t.expect);
+                    assert!(found.is_empty(), "seed {seed}: {} is stale and in the log", t.id);
+                }
+                Err(AcceptError::Unavailable(_)) => {
+                    unavailable += 1;
+                    assert!(found.is_empty() || t.repeated, "seed {seed}: {} is in the log", t.id);
+                }
+                Err(AcceptError::Unknown(_)) => unknown += 1,
+                Err(e) => panic!("seed {seed}: {e}"),
+            }
+        }
+    }
+    println!("accepted {accepted}, stale {stale}, unavailable {unavailable}, unknown {unknown}");
+    assert!(accepted > 1000 && stale > 100 && unavailable > 10 && unknown > 10);
+}
+
+#[tokio::test]
+async fn outage_is_never_an_acceptance() {
+    let w = World::new();
+    let s = w.store();
+    let doc = model("m", "v1");
+    let accept = || s.accept(RequestId(1), doc.key(), Some(doc.clone()), None);
+    w.table.down(true);
+    assert!(matches!(accept().await, Err(AcceptError::Unknown(_))));
+    w.table.down(false);
+    w.table.refuse(true);
+    assert!(matches!(accept().await, Err(AcceptError::Unavailable(_))));
+    w.table.refuse(false);
+    w.table.lose_answers(1);
+    assert_eq!(accept().await.unwrap().rev, Rev(1));
+    assert_eq!(accept().await.unwrap().rev, Rev(1));
+}
--- a/crates/table/src/lib.rs
+++ b/crates/table/src/lib.rs
@@ -4,6 +4,7 @@
 //! with each write. The only mutation is a transaction of conditional writes.
 
 mod dynamo;
+mod faulty;
 mod item;
 mod memory;
 
@@ -13,6 +14,7 @@
 
 pub use crate::{
     dynamo::{Access, Dynamo},
+    faulty::{Faulty, Odds},
     memory::Memory,
 };
 
