Let a panic in a task of a randomised test fail the test

The tasks' results were dropped, so an assertion inside one was printed and otherwise lost; found when a run without a lease guard never ended. Each task is joined now.

--- a/crates/conf/tests/operator_races.rs
+++ b/crates/conf/tests/operator_races.rs
@@ -54,19 +54,22 @@
     let w = World::new();
     let faulty = Arc::new(Faulty::new(w.table.clone(), seed, ODDS));
     let told = Rc::new(RefCell::new(Vec::new()));
-    let tasks = tokio::task::LocalSet::new();
+    let (tasks, mut joins) = (tokio::task::LocalSet::new(), Vec::new());
     for op in 0..OPERATORS {
         let (table, blob, told) = (faulty.clone(), w.blob.clone(), told.clone());
-        tasks.spawn_local(async move {
+        joins.push(tasks.spawn_local(async move {
             let store = Store::new(table, blob);
             let mut rng = SmallRng::seed_from_u64(seed * 100 + op as u64);
             for n in 0..CHANGES {
                 let one = change(&store, &mut rng, RequestId(op * 1000 + n)).await;
                 told.borrow_mut().push(one);
             }
-        });
+        }));
     }
     tasks.await;
+    for join in joins {
+        join.await.unwrap();
+    }
     faulty.flush().await;
     let log = w.store().changes(Rev(0), 10_000).await.unwrap();
     (Rc::into_inner(told).unwrap().into_inner(), log)
--- a/crates/ledger/tests/call_interleavings.rs
+++ b/crates/ledger/tests/call_interleavings.rs
@@ -144,12 +144,12 @@
     let w = World::new();
     let table = Arc::new(Faulty::new(w.table.clone(), seed, ODDS));
     let model = Rc::new(RefCell::new(Model::default()));
-    let tasks = tokio::task::LocalSet::new();
+    let (tasks, mut joins) = (tokio::task::LocalSet::new(), Vec::new());
     for n in 0..NODES {
         let (ledger, again) = (node(&w, &table, n, 0), node(&w, &table, n, 1));
         let (clock, model) = (w.clock.clone(), model.clone());
         let rng = SmallRng::seed_from_u64(seed * 100 + n);
-        tasks.spawn_local(async move {
+        joins.push(tasks.spawn_local(async move {
             let mut node = Node { ledger, clock, model, rng };
             for i in 0..ATTEMPTS {
                 node.attempt(n * 1000 + i + 1).await;
@@ -168,9 +168,12 @@
                 node.attempt(n * 1000 + i + 1).await;
             }
             while node.ledger.sweep().await > 0 {}
-        });
+        }));
     }
     tasks.await;
+    for join in joins {
+        join.await.unwrap();
+    }
     table.flush().await;
     table.set_odds(Odds::default());
     check_end(&node(&w, &table, 9, 0), &model, seed).await;
