--- /dev/null
+++ b/crates/lease/tests/rollout_bounds.rs
@@ -0,0 +1,267 @@
+//! Rollouts over engines that load, lag, lose orders and leave.
+
+mod common;
+
+use std::time::Duration;
+
+use common::name;
+use ident::{Fence, Time};
+use lease::{Block, Bounds, Demand, LONGEST_ORDER, Order, Replica, Rollout, Step, Wanted};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+const SEEDS: u64 = 300;
+const TICK: Duration = Duration::from_millis(500);
+const MAX_TICKS: u32 = 20_000;
+const FLOOR: u32 = 60;
+
+fn wanted(version: &str) -> Wanted {
+    Wanted { weights: name(version), role: name("mixed") }
+}
+
+/// An engine as it is, and as it was last read.
+struct Engine {
+    replica: Replica,
+    read: Replica,
+    loaded: Time,
+}
+
+impl Engine {
+    fn new(i: usize, capacity: u32) -> Self {
+        let replica = Replica {
+            name: name(&format!("r{i:02}")),
+            capacity,
+            wanted: Some(wanted("v1")),
+            actual: Some(wanted("v1")),
+            fence: Fence(1),
+            live: true,
+            read: Time(0),
+        };
+        Self { read: replica.clone(), replica, loaded: Time(0) }
+    }
+
+    fn take(&mut self, order: &Wanted, fence: Fence, checks: bool, loaded: Time) -> bool {
+        if checks && fence < self.replica.fence {
+            return false;
+        }
+        self.replica.fence = if checks { fence } else { self.replica.fence };
+        self.replica.wanted = Some(order.clone());
+        if self.replica.actual.as_ref() != Some(order) {
+            self.replica.actual = None;
+            self.loaded = loaded;
+        }
+        true
+    }
+
+    fn tick(&mut self, now: Time) {
+        if self.replica.actual.is_none() && self.loaded.passed(now) {
+            self.replica.actual = self.replica.wanted.clone();
+        }
+    }
+}
+
+/// What goes wrong in a run.
+#[derive(Clone, Copy, PartialEq)]
+enum Trouble {
+    None,
+    LostOrders,
+    FormerHolder,
+    Leaving,
+}
+
+struct Sim {
+    rng: SmallRng,
+    now: Time,
+    engines: Vec<Engine>,
+    flying: Vec<(Time, Order)>,
+    trouble: Trouble,
+    checks: bool,
+    loads: usize,
+    /// Percentage of the capacity that must serve; lower where one replica has much of it.
+    floor: u8,
+    /// When the former holder's paused order arrived, and where.
+    former: Option<(Time, usize)>,
+}
+
+impl Sim {
+    fn new(seed: u64) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let trouble = match seed % 4 {
+            0 => Trouble::None,
+            1 => Trouble::LostOrders,
+            2 => Trouble::FormerHolder,
+            _ => Trouble::Leaving,
+        };
+        let n = rng.random_range(4..16);
+        let mut engines: Vec<_> = (0..n).map(|i| Engine::new(i, rng.random_range(1..4))).collect();
+        // The former holder got some replicas done.
+        for e in engines.iter_mut().filter(|_| rng.random_bool(0.2)) {
+            e.replica.wanted = Some(wanted("v2"));
+            e.replica.actual = Some(wanted("v2"));
+            e.read = e.replica.clone();
+        }
+        let total: u32 = engines.iter().map(|e| e.replica.capacity).sum();
+        let largest = engines.iter().map(|e| e.replica.capacity).max().unwrap();
+        let floor = FLOOR.min((total - largest) * 100 / total) as u8;
+        let (checks, loads) = (rng.random_bool(0.5), rng.random_range(1..4));
+        let (now, flying) = (Time(1_000_000), Vec::new());
+        Self { rng, now, engines, flying, trouble, checks, loads, floor, former: None }
+    }
+
+    fn readings(&mut self) -> Vec<Replica> {
+        for e in &mut self.engines {
+            if self.rng.random_bool(0.7) {
+                e.read = Replica { read: self.now, ..e.replica.clone() };
+            }
+        }
+        self.engines.iter().map(|e| e.read.clone()).collect()
+    }
+
+    fn send(&mut self, orders: Vec<Order>) {
+        let lossy = matches!(self.trouble, Trouble::LostOrders | Trouble::FormerHolder);
+        for order in orders {
+            if lossy && self.rng.random_bool(0.3) {
+                continue;
+            }
+            let most = if lossy { LONGEST_ORDER } else { TICK };
+            let delay = self.rng.random_range(0..most.as_millis() as u64);
+            self.flying.push((Time(self.now.0 + delay), order));
+        }
+    }
+
+    fn tick(&mut self) {
+        self.now = self.now.after(TICK);
+        let (now, checks) = (self.now, self.checks);
+        let landed: Vec<_> = self.flying.extract_if(.., |(at, _)| at.passed(now)).collect();
+        for (_, order) in landed {
+            let loaded = now.after(Duration::from_millis(self.rng.random_range(1_000..40_000)));
+            let mut all = self.engines.iter_mut();
+            let e = all.find(|e| e.replica.name == order.replica).unwrap();
+            e.take(&order.wanted, order.fence, checks, loaded);
+        }
+        if self.trouble == Trouble::FormerHolder
+            && self.former.is_none()
+            && self.rng.random_bool(0.02)
+        {
+            let at = self.rng.random_range(0..self.engines.len());
+            let loaded = now.after(Duration::from_secs(5));
+            self.engines[at].take(&wanted("v0"), Fence(1), checks, loaded);
+            self.former = Some((now, at));
+        }
+        if self.trouble == Trouble::Leaving && self.rng.random_bool(0.01) {
+            let at = self.rng.random_range(0..self.engines.len());
+            self.engines[at].replica.live = self.rng.random_bool(0.5);
+        }
+        self.engines.iter_mut().for_each(|e| e.tick(now));
+    }
+
+    fn total(&self) -> u32 {
+        self.engines.iter().map(|e| e.replica.capacity).sum()
+    }
+
+    fn serving(&self, version: Option<&str>) -> u32 {
+        let serves = |e: &&Engine| {
+            let actual = e.replica.actual.as_ref();
+            actual.is_some_and(|a| version.is_none_or(|v| a.weights == name(v)))
+        };
+        self.engines.iter().filter(serves).map(|e| e.replica.capacity).sum()
+    }
+
+    fn check_bounds(&self, keep: u8) {
+        let loading = self.engines.iter().filter(|e| e.replica.actual.is_none()).count();
+        assert!(loading <= self.loads, "{loading} loads at once, {} allowed", self.loads);
+        let total = self.total();
+        assert!(self.serving(None) * 100 >= total * u32::from(self.floor), "below the floor");
+        assert!(self.serving(Some("v1")) * 100 >= total * u32::from(keep), "v1 has too little");
+    }
+}
+
+/// Runs to the end and returns the ticks it took.
+fn run(seed: u64) -> u32 {
+    let mut sim = Sim::new(seed);
+    let bounds = Bounds { floor: sim.floor, loads: sim.loads };
+    let quiet = Rollout::quiet_until(sim.now, Duration::from_secs(15));
+    let mut rollout = Rollout::new(wanted("v2"), Fence(2), sim.checks, quiet, bounds);
+    let mut keep = 30.min(sim.serving(Some("v1")) * 100 / sim.total()) as u8;
+    for ticks in 0..MAX_TICKS {
+        if ticks == 300 {
+            keep = 0;
+        }
+        let demands = [Demand { version: name("v1"), share: keep }];
+        let readings = sim.readings();
+        match rollout.step(&readings, &demands, sim.loads, sim.now) {
+            Step::Orders(orders) => sim.send(orders),
+            Step::Done => {
+                check_done(&mut sim);
+                return ticks;
+            }
+            Step::Superseded => panic!("nobody else holds the lease"),
+            Step::Wait(_) | Step::Loading | Step::Blocked(_) | Step::Settling => {}
+        }
+        sim.tick();
+        if matches!(sim.trouble, Trouble::None | Trouble::LostOrders) {
+            sim.check_bounds(keep);
+        }
+    }
+    panic!("the rollout never ended");
+}
+
+fn check_done(sim: &mut Sim) {
+    let (now, checks) = (sim.now, sim.checks);
+    for (i, e) in sim.engines.iter_mut().enumerate().filter(|(_, e)| e.read.live) {
+        let unseen = sim.former.is_some_and(|(at, j)| j == i && at >= e.read.read);
+        let state = e.replica.actual.as_ref();
+        assert!(unseen || state == Some(&wanted("v2")), "done with {state:?}");
+        if checks {
+            let old = e.take(&wanted("v0"), Fence(1), checks, now);
+            assert!(!old, "an engine takes the former holder's order after the rollout");
+        }
+    }
+}
+
+#[test]
+fn bounds_hold_to_the_end() {
+    let mut most = 0;
+    for seed in 0..SEEDS {
+        let ticks = std::panic::catch_unwind(|| run(seed));
+        most = most.max(ticks.unwrap_or_else(|_| panic!("seed {seed}")));
+    }
+    println!("longest rollout: {most} ticks");
+}
+
+fn still(i: usize, version: &str, read: u64) -> Replica {
+    let mut r = Engine::new(i, 1).replica;
+    (r.wanted, r.actual, r.read) = (Some(wanted(version)), Some(wanted(version)), Time(read));
+    r
+}
+
+#[test]
+fn unfenced_waits_and_reads_twice() {
+    let quiet = Rollout::quiet_until(Time(1_000), Duration::from_secs(5));
+    assert_eq!(quiet, Time(16_000));
+    let bounds = Bounds { floor: 0, loads: 1 };
+    let mut r = Rollout::new(wanted("v1"), Fence(2), false, quiet, bounds);
+    assert_eq!(r.step(&[still(0, "v1", 15_000)], &[], 1, Time(15_000)), Step::Wait(quiet));
+    assert_ne!(r.step(&[still(0, "v1", 15_000)], &[], 1, Time(16_000)), Step::Done);
+    assert_eq!(r.step(&[still(0, "v1", 17_000)], &[], 1, Time(17_000)), Step::Settling);
+    assert_eq!(r.step(&[still(0, "v1", 17_000)], &[], 1, Time(18_000)), Step::Settling);
+    // A paused order of the former holder shows up and is ordered away.
+    let back = r.step(&[still(0, "v0", 19_000)], &[], 1, Time(19_000));
+    assert!(matches!(back, Step::Orders(ref o) if o.len() == 1), "{back:?}");
+    assert_eq!(r.step(&[still(0, "v1", 30_000)], &[], 1, Time(30_000)), Step::Settling);
+    assert_eq!(r.step(&[still(0, "v1", 31_000)], &[], 1, Time(31_000)), Step::Done);
+}
+
+#[test]
+fn reasons_are_given() {
+    let step = |floor, share, slots, fence| {
+        let bounds = Bounds { floor, loads: 1 };
+        let mut r = Rollout::new(wanted("v2"), Fence(fence), true, Time(0), bounds);
+        let demands = [Demand { version: name("v1"), share }];
+        r.step(&[still(0, "v1", 1_000), still(1, "v1", 1_000)], &demands, slots, Time(1_000))
+    };
+    assert_eq!(step(51, 0, 1, 2), Step::Blocked(Block::Floor));
+    assert_eq!(step(0, 51, 1, 2), Step::Blocked(Block::InUse(name("v1"))));
+    assert_eq!(step(0, 0, 0, 2), Step::Blocked(Block::Slots));
+    assert_eq!(step(0, 0, 1, 0), Step::Superseded);
+    assert!(matches!(step(50, 50, 1, 2), Step::Orders(o) if o.len() == 1));
+}
--- a/crates/table/src/faulty.rs
+++ b/crates/table/src/faulty.rs
@@ -10,8 +10,11 @@
 
 /// Most task switches before and after a call's effect.
 const MAX_YIELDS: u32 = 3;
+/// Task switches of a call that is held up.
+const STALL_YIELDS: u32 = 100;
 
-/// How likely each fault is, in percent. At most one strikes a call, but for `arrive`.
+/// How likely each fault is, in percent. At most one strikes a call, but for
+/// `arrive` and `stall`.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Odds {
     /// A commit takes effect and its answer is lost.
@@ -29,6 +32,8 @@
     pub conflict: u32,
     /// A read gets no answer.
     pub unread: u32,
+    /// A call is held up for long, before or after its effect. Besides the others.
+    pub stall: u32,
 }
 
 struct Inner {
@@ -97,7 +102,10 @@
 
 impl Inner {
     fn chance(&mut self) -> (u32, Option<Vec<Write>>) {
-        let yields = self.rng.random_range(0..=MAX_YIELDS);
+        let mut yields = self.rng.random_range(0..=MAX_YIELDS);
+        if self.odds.stall > 0 && self.rng.random_range(0..100) < self.odds.stall {
+            yields = STALL_YIELDS;
+        }
         let arrives = self.rng.random_range(0..100) < self.odds.arrive && !self.late.is_empty();
         let late = arrives.then(|| {
             let at = self.rng.random_range(0..self.late.len());
