--- a/crates/blob/src/s3.rs
+++ b/crates/blob/src/s3.rs
@@ -17,6 +17,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// Bound of one try.
 const TRY_TIMEOUT: Duration = Duration::from_secs(4);
+/// How long an unused connection is kept.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Tries after the first; objects are immutable, so a repeated put does no harm.
 const RETRIES: usize = 2;
 
@@ -37,6 +39,7 @@
         let client = ClientOptions::new()
             .with_allow_http(true)
             .with_timeout(TRY_TIMEOUT)
+            .with_pool_idle_timeout(IDLE_TIMEOUT)
             .with_connect_timeout(TRY_TIMEOUT);
         let store = AmazonS3Builder::new()
             .with_endpoint(url)
--- a/crates/table/src/dynamo.rs
+++ b/crates/table/src/dynamo.rs
@@ -18,6 +18,8 @@
 
 /// Region named in signatures; the platform's service ignores it.
 const REGION: &str = "local";
+/// How long an unused connection is kept. One that went silent meanwhile costs a call its deadline.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Longest body of a row, in bytes.
 const MAX_BODY: usize = 256 * 1024;
 /// Most writes in one transaction.
@@ -83,7 +85,7 @@
             .credentials_provider(access.credentials())
             .retry_config(RetryConfig::disabled())
             .timeout_config(timeouts)
-            .http_client(Builder::new().build_http())
+            .http_client(Builder::new().pool_idle_timeout(IDLE_TIMEOUT).build_http())
             .build();
         Ok(Self { client: Client::from_conf(config), table: table.into() })
     }
--- /dev/null
+++ b/crates/table/tests/dynamo_answers.rs
@@ -0,0 +1,213 @@
+//! How answers of the table service, and their absence, are classified.
+
+use std::{sync::Arc, time::Duration};
+
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+use table::{Dynamo, Expect, Table, TableError, Write};
+use tokio::{
+    io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
+    net::{TcpListener, TcpStream},
+};
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+/// What the stand-in does with each request.
+#[derive(Clone)]
+enum Reply {
+    Json(u16, Value),
+    Text(&'static str),
+    Silence,
+    /// Each connection answers its first request and then goes silent.
+    Once,
+    Cut,
+}
+
+/// Requests seen, as operation and body.
+type Seen = Arc<Mutex<Vec<(String, Value)>>>;
+
+/// Reads one request; `None` when the peer is gone.
+async fn request(stream: &mut BufReader<TcpStream>) -> Option<(String, Value)> {
+    let (mut target, mut len) = (String::new(), 0);
+    loop {
+        let mut line = String::new();
+        if stream.read_line(&mut line).await.ok()? == 0 {
+            return None;
+        }
+        let line = line.trim().to_ascii_lowercase();
+        if line.is_empty() {
+            break;
+        }
+        if let Some(n) = line.strip_prefix("content-length: ") {
+            len = n.parse().unwrap();
+        }
+        if let Some(t) = line.strip_prefix("x-amz-target: dynamodb_20120810.") {
+            target = t.to_owned();
+        }
+    }
+    let mut body = vec![0; len];
+    stream.read_exact(&mut body).await.ok()?;
+    Some((target, serde_json::from_slice(&body).unwrap()))
+}
+
+async fn serve(stream: TcpStream, reply: Reply, seen: Seen) {
+    let mut stream = BufReader::new(stream);
+    let mut answered = 0;
+    while let Some(one) = request(&mut stream).await {
+        seen.lock().push(one);
+        answered += 1;
+        let (status, body) = match &reply {
+            Reply::Json(status, body) => (*status, body.to_string()),
+            Reply::Text(text) => (200, (*text).to_owned()),
+            Reply::Once if answered == 1 => (200, "{}".to_owned()),
+            Reply::Silence | Reply::Once => continue,
+            Reply::Cut => return,
+        };
+        let head = format!(
+            "HTTP/1.1 {status} X\r\ncontent-type: application/x-amz-json-1.0\r\ncontent-length: {}\r\n\r\n",
+            body.len()
+        );
+        stream.write_all(head.as_bytes()).await.unwrap();
+        stream.write_all(body.as_bytes()).await.unwrap();
+    }
+}
+
+async fn start(reply: Reply) -> (String, Seen) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    let seen = Seen::default();
+    let log = seen.clone();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(serve(stream, reply.clone(), log.clone()));
+        }
+    });
+    (url, seen)
+}
+
+fn put() -> Vec<Write> {
+    let (part, sort) = ("p".into(), "s".into());
+    vec![Write { part, sort, expect: Expect::Version(3), body: Some("{}".into()) }]
+}
+
+/// The answer to a commit, and how many requests it took.
+async fn commit(reply: Reply, deadline: Duration) -> (Result<(), TableError>, usize) {
+    let (url, seen) = start(reply).await;
+    let t = Dynamo::new(&url, "conf", deadline).unwrap();
+    let answer = tokio::time::timeout(LIMIT, t.commit(put())).await.unwrap();
+    let n = seen.lock().len();
+    (answer, n)
+}
+
+fn cancelled(code: &str) -> Reply {
+    Reply::Json(
+        400,
+        json!({
+            "__type": "com.amazonaws.dynamodb.v20120810#TransactionCanceledException",
+            "Message": "cancelled",
+            "CancellationReasons": [{"Code": "None"}, {"Code": code}],
+        }),
+    )
+}
+
+fn error(status: u16, name: &str) -> Reply {
+    let kind = format!("com.amazonaws.dynamodb.v20120810#{name}");
+    Reply::Json(status, json!({"__type": kind, "message": "no"}))
+}
+
+#[tokio::test]
+async fn definite_refusals() {
+    let (answer, n) = commit(cancelled("ConditionalCheckFailed"), LIMIT).await;
+    assert_eq!((answer, n), (Err(TableError::Conflict), 1));
+    let (answer, _) = commit(cancelled("TransactionConflict"), LIMIT).await;
+    assert_eq!(answer, Err(TableError::Conflict));
+    let refusals = [
+        cancelled("ThrottlingError"),
+        error(400, "ThrottlingException"),
+        error(400, "ProvisionedThroughputExceededException"),
+    ];
+    for reply in refusals {
+        let (answer, n) = commit(reply, LIMIT).await;
+        assert!(matches!(answer, Err(TableError::Refused(_))), "{answer:?}");
+        assert_eq!(n, 1, "the SDK must not retry");
+    }
+}
+
+#[tokio::test]
+async fn refused_connection_is_definite() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    drop(listener);
+    let t = Dynamo::new(&url, "conf", LIMIT).unwrap();
+    let answer = t.commit(put()).await;
+    assert!(matches!(answer, Err(TableError::Refused(_))), "{answer:?}");
+    assert!(Dynamo::new("https://x", "conf", LIMIT).is_err());
+}
+
+#[tokio::test]
+async fn everything_else_is_unknown() {
+    let replies = [
+        error(500, "InternalServerError"),
+        error(503, "ServiceUnavailable"),
+        error(400, "TransactionInProgressException"),
+        Reply::Text("not json"),
+        Reply::Cut,
+    ];
+    for reply in replies {
+        let (answer, n) = commit(reply, LIMIT).await;
+        assert!(!answer.clone().unwrap_err().definite(), "{answer:?}");
+        assert_eq!(n, 1, "the SDK must not retry");
+    }
+    let (answer, n) = commit(Reply::Silence, Duration::from_millis(200)).await;
+    assert!(matches!(answer, Err(TableError::Unknown(_))), "{answer:?}");
+    assert_eq!(n, 1);
+}
+
+#[tokio::test]
+async fn silent_connection_is_left() {
+    let (url, _) = start(Reply::Once).await;
+    let t = Dynamo::new(&url, "conf", Duration::from_secs(2)).unwrap();
+    t.commit(put()).await.unwrap();
+    let silent = t.commit(put()).await;
+    assert!(matches!(silent, Err(TableError::Unknown(_))), "{silent:?}");
+    t.commit(put()).await.unwrap();
+}
+
+#[tokio::test]
+async fn calls_are_as_published() {
+    let (url, seen) = start(Reply::Json(200, json!({}))).await;
+    let t = Dynamo::new(&url, "conf", LIMIT).unwrap();
+    t.commit(put()).await.unwrap();
+    let gone = Write { expect: Expect::Absent, body: None, ..put().remove(0) };
+    t.commit(vec![gone]).await.unwrap();
+    assert_eq!(t.get("p", "s").await.unwrap(), None);
+    assert!(t.range("p", "a", 7).await.unwrap().is_empty());
+    let seen = seen.lock();
+    let put = &seen[0].1["TransactItems"][0]["Put"];
+    assert_eq!(put["ConditionExpression"], "ver = :v");
+    assert_eq!(put["ExpressionAttributeValues"], json!({":v": {"N": "3"}}));
+    assert_eq!(put["Item"]["ver"], json!({"N": "4"}));
+    assert_eq!(put["Item"]["body"], json!({"S": "{}"}));
+    let delete = &seen[1].1["TransactItems"][0]["Delete"];
+    assert_eq!(delete["ConditionExpression"], "attribute_not_exists(pk)");
+    let token = |i: usize| seen[i].1["ClientRequestToken"].as_str().unwrap().to_owned();
+    assert_ne!(token(0), token(1), "each commit has its own client token");
+    assert_eq!((&*seen[2].0, &seen[2].1["ConsistentRead"]), ("getitem", &json!(true)));
+    assert_eq!(seen[3].1["KeyConditionExpression"], "pk = :p AND sk > :s");
+    assert_eq!((&seen[3].1["Limit"], &seen[3].1["ConsistentRead"]), (&json!(7), &json!(true)));
+}
+
+#[tokio::test]
+async fn rows_are_read() {
+    let item = json!({
+        "pk": {"S": "p"}, "sk": {"S": "s"}, "ver": {"N": "9"}, "body": {"S": "x"}, "ttl": {"N": "1"}
+    });
+    let (url, _) = start(Reply::Json(200, json!({"Item": item, "Items": [item]}))).await;
+    let t = Dynamo::new(&url, "conf", LIMIT).unwrap();
+    let row = t.get("p", "s").await.unwrap().unwrap();
+    assert_eq!((row.version, &*row.body), (9, "x"));
+    assert_eq!(t.range("p", "", 1).await.unwrap(), [row]);
+    let (url, _) = start(Reply::Json(200, json!({"Item": {"pk": {"S": "p"}}}))).await;
+    let t = Dynamo::new(&url, "conf", LIMIT).unwrap();
+    assert!(matches!(t.get("p", "s").await, Err(TableError::Malformed(_))));
+}
