Hold teams above their part while replicas are congested

Cause: queues stood at the replicas, where no turn is kept between teams, so a team sending ten times its rate took its place from all others. The gate now learns how many prompt tokens the replicas can take; while that is nothing, only teams that use less than their part of the rate (by their limits) start requests, and the others take turns or are refused early. The cost of a request in the queue is its prompt tokens to compute.

--- a/crates/admit/src/bucket.rs
+++ b/crates/admit/src/bucket.rs
@@ -2,8 +2,9 @@
 
 use ident::Time;
 
-/// Seconds of its rate that a bucket holds.
-const BURST_SECS: f64 = 1.0;
+/// Seconds of its rate that a bucket holds. Requests come in clumps, more so at one of several
+/// instances: a shorter burst refuses teams well below their limit.
+const BURST_SECS: f64 = 10.0;
 
 /// Invariant: `level` is between 0 and the burst of the last rate seen.
 #[derive(Debug, Clone, Copy)]
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -8,6 +8,7 @@
 mod lane;
 mod retry;
 mod share;
+mod usage;
 
 pub use crate::{
     gate::{Gate, Offer, Outcome, Reason, Refusal, Released, Verdict},
--- a/crates/bench/src/decide.rs
+++ b/crates/bench/src/decide.rs
@@ -11,9 +11,9 @@
     event::{Event, Events},
     fake::{Engine, Job, Link, Lru},
     figures::{Collector, Figures},
-    instance::{Instance, Lookup, Names, key, name},
+    instance::{Home, Instance, Lookup, Names, key, name},
     policies::PolicyKind,
-    spec::{PIECE_KV_BYTES, PIECE_TOKENS, Spec, TOKEN_BYTES, Workload},
+    spec::{PIECE_KV_BYTES, PIECE_TOKENS, Spec, TOKEN_BYTES, TeamSpec, Workload},
     trace::{Request, Trace},
     transfer::Transfers,
 };
@@ -57,7 +57,7 @@
 /// A request under way.
 #[derive(Debug, Default)]
 pub(crate) struct Flight {
-    pub(crate) instance: usize,
+    pub(crate) home: Home,
     returns: u8,
     deadline: Time,
     pub(crate) tried: Vec<Name>,
@@ -185,9 +185,9 @@
         let flight = &mut self.flights[job];
         flight.deadline = now.after(Duration::from_millis(request.patience));
         let cached = self.cached_guess(&request, now, job);
-        let flight = &mut self.flights[job];
-        let instance = &mut self.instances[flight.instance];
-        match instance.offer(job, &self.spec, &request, cached, now) {
+        let home = self.flights[job].home;
+        let instance = &mut self.instances[home.instance];
+        match instance.offer(job, &self.spec, &request, home, cached, now) {
             Verdict::Run => self.launch(job, now),
             Verdict::Wait => {}
             Verdict::Refuse(refusal) => self.refused(job, refusal.retry_at),
@@ -206,7 +206,7 @@
     /// Leading tokens that will likely not be computed.
     fn cached_guess(&self, request: &Request, now: Time, job: usize) -> u32 {
         let kept = self.kept(request).map_or(0, |(_, pieces)| pieces * PIECE_TOKENS);
-        let instance = &self.instances[self.flights[job].instance];
+        let instance = &self.instances[self.flights[job].home.instance];
         let hot = instance.hot(&self.names, request, now).filter(|h| h.trust >= 50);
         hot.map_or(0, |h| h.pieces * PIECE_TOKENS).max(kept)
     }
@@ -215,12 +215,12 @@
     fn launch(&mut self, job: usize, now: Time) {
         let request = self.request(job);
         if self.flights[job].tried.is_empty() {
-            self.instances[self.flights[job].instance].budget.earn();
+            self.instances[self.flights[job].home.instance].budget.earn();
             self.figures.admitted += u64::from(self.is_measured(job));
         }
         let kept = self.kept(&request);
         let flight = &self.flights[job];
-        let instance = &mut self.instances[flight.instance];
+        let instance = &mut self.instances[flight.home.instance];
         let hot = instance.hot(&self.names, &request, now);
         let lookup = Lookup { kept, hot, tried: &flight.tried, deadline: flight.deadline };
         match instance.choose(&self.spec, &self.names, &request, lookup, now) {
@@ -237,7 +237,7 @@
         self.figures.tries += u64::from(self.is_measured(job));
         let engine = self.engine(&choice.replica);
         let flight = &mut self.flights[job];
-        let instance = &mut self.instances[flight.instance];
+        let instance = &mut self.instances[flight.home.instance];
         let last = instance.contexts.last(&key(request.context));
         let last = last.filter(|used| used.replica == choice.replica);
         flight.expected = last.map(|used| (used.pieces, now.since(used.at)));
@@ -278,7 +278,7 @@
 
     fn retry(&mut self, job: usize, end: End, now: Time) {
         let flight = &mut self.flights[job];
-        let instance = &mut self.instances[flight.instance];
+        let instance = &mut self.instances[flight.home.instance];
         if let Some(ticket) = flight.ticket.take() {
             instance.pool.ended(ticket, end, now);
         }
@@ -308,7 +308,7 @@
         }
         self.count(job, &request, now);
         let flight = &mut self.flights[job];
-        let instance = &mut self.instances[flight.instance];
+        let instance = &mut self.instances[flight.home.instance];
         if let Some(ticket) = &flight.ticket {
             instance.pool.first_token(ticket, now);
         }
@@ -339,7 +339,7 @@
         self.engines[engine].finished();
         let flight = &mut self.flights[job];
         if let Some(ticket) = flight.ticket.take() {
-            self.instances[flight.instance].pool.ended(ticket, End::Done, now);
+            self.instances[flight.home.instance].pool.ended(ticket, End::Done, now);
         }
         self.release(job, now);
         self.kick(engine, now);
@@ -347,13 +347,14 @@
 
     /// Gives back the request's place at its gate.
     fn release(&mut self, job: usize, now: Time) {
-        let at = self.flights[job].instance;
+        let at = self.flights[job].home.instance;
         self.instances[at].gate.done(ident::RequestId(job as u128), now);
         self.tick(at, now);
     }
 
     fn tick(&mut self, at: usize, now: Time) {
         let draw = self.instances[at].draw();
+        self.instances[at].set_room(now);
         for released in self.instances[at].gate.tick(draw, now) {
             let job = released.id.0 as usize;
             match released.outcome {
@@ -444,12 +445,21 @@
     }
 }
 
-/// Each request at the home instance of its context.
+/// Each request at the home instance of its context: one of those that are home to its team.
 fn homes(spec: &Spec, trace: &Trace) -> Vec<Flight> {
     let all: Vec<_> = (0..spec.instances).map(|i| (i, format!("entry-{i}"))).collect();
-    let home = |r: &Request| rank(&r.context.to_le_bytes(), &all, |n| &n.1)[0].0;
-    let flight = |r| Flight { instance: home(r), ..Flight::default() };
-    trace.requests.iter().map(flight).collect()
+    let of_team = |t: &TeamSpec| -> Vec<(usize, &str)> {
+        let ranked = rank(t.name.as_str().as_bytes(), &all, |n| &n.1);
+        ranked.iter().take(t.spread.into()).map(|n| (n.0, n.1.as_str())).collect()
+    };
+    let teams: Vec<_> = spec.teams.iter().map(of_team).collect();
+    let home = |r: &Request| {
+        let own = &teams[r.team];
+        let instance = rank(&r.context.to_le_bytes(), own, |n| n.1)[0].0;
+        let place = own.iter().position(|n| n.0 == instance).expect("the home is ranked");
+        Home { instance, place }
+    };
+    trace.requests.iter().map(|r| Flight { home: home(r), ..Flight::default() }).collect()
 }
 
 /// Bytes of the pieces that hold `tokens` leading tokens.
--- a/crates/bench/src/spec.rs
+++ b/crates/bench/src/spec.rs
@@ -60,6 +60,8 @@
     pub weight: f64,
     /// The part of the organisation it belongs to.
     pub org: usize,
+    /// Instances that are home to it.
+    pub spread: u8,
 }
 
 /// Sizes and rates of a workload.
@@ -137,6 +139,11 @@
 /// Relative sizes of the ten teams: a few are large.
 const TEAM_WEIGHTS: [f64; 10] = [30.0, 20.0, 15.0, 8.0, 7.0, 6.0, 5.0, 4.0, 3.0, 2.0];
 
+/// From this weight on a team is at home on all instances.
+const LARGE_WEIGHT: f64 = 15.0;
+/// Home instances of a smaller team.
+const SMALL_SPREAD: u8 = 2;
+
 fn name(text: &str) -> Name {
     Name::new(text).expect("built-in names are valid")
 }
@@ -146,6 +153,7 @@
         name: name(&format!("team-{i}")),
         weight: *weight,
         org: i % orgs,
+        spread: if *weight >= LARGE_WEIGHT { u8::MAX } else { SMALL_SPREAD },
     };
     TEAM_WEIGHTS.iter().enumerate().map(team).collect()
 }
--- a/crates/bench/src/transfer.rs
+++ b/crates/bench/src/transfer.rs
@@ -82,7 +82,7 @@
         let mut start = now;
         let mut booked = None;
         if self.options.policy.budgets() {
-            let links = &mut self.instances[self.flights[job].instance].links;
+            let links = &mut self.instances[self.flights[job].home.instance].links;
             booked = links.reserve(store, bytes, request.class, now);
             start = booked.as_ref().map_or(now, |t| t.start);
         }
@@ -104,7 +104,7 @@
         let bytes = piece_bytes(want) - piece_bytes(kept);
         let mut booked = None;
         if self.options.policy.budgets() {
-            let links = &mut self.instances[self.flights[job].instance].links;
+            let links = &mut self.instances[self.flights[job].home.instance].links;
             booked = links.spare(&self.names.stores[store], bytes, now);
             if booked.is_none() {
                 return;
@@ -155,7 +155,7 @@
         let (job, store, usage) = (transfer.job, transfer.store, transfer.usage);
         if let Some(booked) = transfer.booked.take() {
             let bytes = transfer.bytes;
-            self.instances[self.flights[job].instance].links.settle(booked, bytes, now);
+            self.instances[self.flights[job].home.instance].links.settle(booked, bytes, now);
         }
         let context = self.request(job).context;
         match usage {
--- a/crates/route/src/cost.rs
+++ b/crates/route/src/cost.rs
@@ -7,6 +7,7 @@
 use crate::{
     Ask, Choice, Links, NoRoute, Plan, Policy, Pool, Reason, Replica,
     policy::{candidates, spread},
+    pool::usual,
 };
 
 /// Extra time to reach a replica in another zone.
@@ -31,8 +32,7 @@
         now: Time,
     ) -> Result<Choice, NoRoute> {
         let found = candidates(pool, ask, draw, now)?;
-        let others: u32 = found.iter().map(|r| r.others()).sum();
-        let usual = f64::from(others) / found.len() as f64;
+        let usual = usual(found.iter().copied());
         let view = View { pool, links, ask, usual, now };
         let mut best: Option<Offer> = None;
         for replica in shortlist(&found, ask, draw) {
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -1,16 +1,25 @@
 //! The replicas an instance knows.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use ident::{Name, Time};
 
-use crate::{End, Load, Replica, Ticket};
+use crate::{End, Load, Replica, Ticket, health::Standing};
 
 /// Mean prompt tokens of a request before any was sent.
 const FIRST_MEAN: f64 = 2_000.0;
 /// Weight of a new request in the mean.
 const MEAN_GAIN: f64 = 0.02;
 
+/// Prompts of other instances that wait at an average one of `replicas`.
+pub(crate) fn usual<'p, I>(replicas: I) -> f64
+where
+    I: Iterator<Item = &'p Replica>,
+{
+    let (sum, count) = replicas.fold((0, 0_u32), |(sum, n), r| (sum + r.others(), n + 1));
+    f64::from(sum) / f64::from(count.max(1))
+}
+
 /// A replica in the platform's instance list.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Entry {
@@ -60,6 +69,33 @@
         self.mean as u32
     }
 
+    /// Prompt tokens that could be sent now until the expected queue of an average replica is
+    /// `limit`. Replicas that get no new work do not count.
+    pub fn room(&self, limit: Duration, now: Time) -> u64 {
+        let usual = usual(self.replicas.iter());
+        let one = |r: &Replica| {
+            let queue = r.queue(self.mean_tokens(), usual, now);
+            (limit.as_secs_f64() - queue.as_secs_f64()) * f64::from(r.load.prefill_rate)
+        };
+        self.open(now).map(one).sum::<f64>().max(0.0) as u64
+    }
+
+    /// Prompt tokens of this instance's requests that wait for their first token.
+    pub fn computing(&self) -> u64 {
+        self.replicas.iter().map(Replica::computing).sum()
+    }
+
+    /// Prompt tokens per second that the replicas which take new work compute.
+    pub fn rate(&self, now: Time) -> u64 {
+        self.open(now).map(|r| u64::from(r.load.prefill_rate)).sum()
+    }
+
+    fn open(&self, now: Time) -> impl Iterator<Item = &Replica> {
+        let is_open =
+            move |r: &&Replica| !r.is_leaving() && !matches!(r.standing(now), Standing::Paused(_));
+        self.replicas.iter().filter(is_open)
+    }
+
     /// Takes over the platform's list. An empty list is ignored while replicas are known: a list
     /// that lost everything is more likely than replicas that all left at once.
     pub fn sync_list(&mut self, entries: Vec<Entry>, _now: Time) {
