Keep tries within 1.1 for each admitted request

A tenth per admitted request plus one retry in ten seconds and instance is more than a tenth by design. The tests now ask for 1.1 without an allowance, and tries are counted over the whole run, so that savings made during the warm-up are not seen without the requests that earned them.

--- a/crates/admit/tests/retry_budget.rs
+++ b/crates/admit/tests/retry_budget.rs
@@ -24,17 +24,16 @@
                 tries += u32::from(budget.withdraw(now));
             }
         }
-        let floor = now.0 / 10_000 + 1;
-        let bound = f64::from(requests) * 1.1 + floor as f64;
-        assert!(f64::from(tries) <= bound, "{tries} of {requests}");
-        assert!(f64::from(tries) <= f64::from(requests) * 1.101);
+        assert!(f64::from(tries) <= f64::from(requests) * 1.1, "{tries} of {requests}");
     });
 }
 
 #[test]
-fn a_quiet_instance_may_retry_now_and_then() {
+fn a_quiet_instance_may_retry_in_advance() {
     let mut budget = RetryBudget::default();
     assert!(budget.withdraw(Time(0)));
+    assert!(!budget.withdraw(Time(20_000)), "the first was not earned yet");
+    (0..13).for_each(|_| budget.earn());
     assert!(!budget.withdraw(Time(9_999)));
     assert!(budget.withdraw(Time(10_000)));
 }
--- a/crates/bench/src/decide.rs
+++ b/crates/bench/src/decide.rs
@@ -216,7 +216,7 @@
         let request = self.request(job);
         if self.flights[job].tried.is_empty() {
             self.instances[self.flights[job].home.instance].budget.earn();
-            self.figures.admitted += u64::from(self.is_measured(job));
+            self.figures.admitted += 1;
         }
         let kept = self.kept(&request);
         let flight = &self.flights[job];
@@ -234,7 +234,7 @@
 
     fn send(&mut self, job: usize, choice: &Choice, now: Time) {
         let request = self.request(job);
-        self.figures.tries += u64::from(self.is_measured(job));
+        self.figures.tries += 1;
         let engine = self.engine(&choice.replica);
         let flight = &mut self.flights[job];
         let instance = &mut self.instances[flight.home.instance];
--- a/crates/bench/src/figures.rs
+++ b/crates/bench/src/figures.rs
@@ -66,7 +66,7 @@
     pub goodput: f64,
     /// Share of requests refused with advice on when to come back.
     pub refused: f64,
-    /// Tries at engines per admitted request.
+    /// Tries at engines per admitted request, over the whole run.
     pub tries: f64,
 }
 
