--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -7,7 +7,7 @@
 /// First pause of a replica judged dead.
 const FIRST_PAUSE: Duration = Duration::from_secs(1);
 /// Longest pause of a replica judged dead.
-const MAX_PAUSE: Duration = Duration::from_secs(30);
+const MAX_PAUSE: Duration = Duration::from_secs(8);
 
 /// What a replica may be sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
