Expect interactive prompts to pass batch prompts at replicas

The expected queue is now kept by class, for others' prompts by the usual share of classes. Golden decisions are the same; their pool has twice as many waiting prompts, of which half count.

--- a/crates/bench/src/decide.rs
+++ b/crates/bench/src/decide.rs
@@ -241,7 +241,7 @@
         let last = instance.contexts.last(&key(request.context));
         let last = last.filter(|used| used.replica == choice.replica);
         flight.expected = last.map(|used| (used.pieces, now.since(used.at)));
-        flight.ticket = instance.pool.started(&choice.replica, choice.tokens, now);
+        flight.ticket = instance.pool.started(&choice.replica, choice.tokens, request.class, now);
         flight.engine = engine;
         flight.imported = 0;
         match &choice.plan {
--- a/crates/route/src/cost.rs
+++ b/crates/route/src/cost.rs
@@ -5,9 +5,8 @@
 use ident::{Name, Time};
 
 use crate::{
-    Ask, Choice, Links, NoRoute, Plan, Policy, Pool, Reason, Replica,
+    Ask, Choice, Links, NoRoute, Plan, Policy, Pool, Reason, Replica, Usual,
     policy::{candidates, spread},
-    pool::usual,
 };
 
 /// Extra time to reach a replica in another zone.
@@ -32,8 +31,8 @@
         now: Time,
     ) -> Result<Choice, NoRoute> {
         let found = candidates(pool, ask, draw, now)?;
-        let usual = usual(found.iter().copied());
-        let view = View { pool, links, ask, usual, now };
+        let usual = pool.usual(found.iter().copied());
+        let view = View { links, ask, usual, now };
         let mut best: Option<Offer> = None;
         for replica in shortlist(&found, ask, draw) {
             for option in view.options(replica) {
@@ -110,11 +109,9 @@
 }
 
 struct View<'a> {
-    pool: &'a Pool,
     links: &'a Links,
     ask: &'a Ask<'a>,
-    /// Prompts of other instances that wait at an average candidate.
-    usual: f64,
+    usual: Usual,
     now: Time,
 }
 
@@ -152,7 +149,7 @@
         import: Option<Time>,
     ) -> Offer<'p> {
         let tokens = tokens.ceil() as u32;
-        let mut wait = replica.queue(self.pool.mean_tokens(), self.usual, self.now);
+        let mut wait = replica.queue(self.ask.class, &self.usual, self.now);
         if replica.zone != *self.ask.zone {
             wait += CROSS_ZONE;
         }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -20,5 +20,5 @@
     links::{Links, Transfer, Window},
     policy::{Ask, Choice, Hot, Kept, NoRoute, Plan, Policy, Reason, Value},
     pool::{Entry, Pool},
-    replica::{End, Load, Replica, Ticket},
+    replica::{End, Load, Replica, Ticket, Usual},
 };
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -2,24 +2,17 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use ident::{Name, Time};
+use ident::{Class, Name, Time};
 
-use crate::{End, Load, Replica, Ticket, health::Standing};
+use crate::{End, Load, Replica, Ticket, health::Standing, replica::Usual};
 
 /// Mean prompt tokens of a request before any was sent.
 const FIRST_MEAN: f64 = 2_000.0;
+/// Share of interactive requests before any was sent.
+const FIRST_URGENT: f64 = 0.5;
 /// Weight of a new request in the mean.
 const MEAN_GAIN: f64 = 0.02;
 
-/// Prompts of other instances that wait at an average one of `replicas`.
-pub(crate) fn usual<'p, I>(replicas: I) -> f64
-where
-    I: Iterator<Item = &'p Replica>,
-{
-    let (sum, count) = replicas.fold((0, 0_u32), |(sum, n), r| (sum + r.others(), n + 1));
-    f64::from(sum) / f64::from(count.max(1))
-}
-
 /// A replica in the platform's instance list.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Entry {
@@ -45,11 +38,13 @@
     next: u64,
     /// Mean prompt tokens to compute of this instance's requests.
     mean: f64,
+    /// Share of interactive ones among them.
+    urgent: f64,
 }
 
 impl Default for Pool {
     fn default() -> Self {
-        Self { replicas: Vec::new(), next: 0, mean: FIRST_MEAN }
+        Self { replicas: Vec::new(), next: 0, mean: FIRST_MEAN, urgent: FIRST_URGENT }
     }
 }
 
@@ -64,17 +59,22 @@
         self.at(name).map(|at| &self.replicas[at])
     }
 
-    /// Mean prompt tokens to compute of a request.
-    pub fn mean_tokens(&self) -> u32 {
-        self.mean as u32
+    /// What is usual among `replicas`.
+    pub(crate) fn usual<'p, I>(&self, replicas: I) -> Usual
+    where
+        I: Iterator<Item = &'p Replica>,
+    {
+        let (sum, count) = replicas.fold((0, 0_u32), |(sum, n), r| (sum + r.others(), n + 1));
+        let others = f64::from(sum) / f64::from(count.max(1));
+        Usual { tokens: self.mean as u32, others, urgent: self.urgent }
     }
 
     /// Prompt tokens that could be sent now until the expected queue of an average replica is
     /// `limit`. Replicas that get no new work do not count.
     pub fn room(&self, limit: Duration, now: Time) -> u64 {
-        let usual = usual(self.replicas.iter());
+        let usual = self.usual(self.replicas.iter());
         let one = |r: &Replica| {
-            let queue = r.queue(self.mean_tokens(), usual, now);
+            let queue = r.queue(Class::Batch, &usual, now);
             (limit.as_secs_f64() - queue.as_secs_f64()) * f64::from(r.load.prefill_rate)
         };
         self.open(now).map(one).sum::<f64>().max(0.0) as u64
@@ -160,14 +160,16 @@
 
     /// Notes that a request with `tokens` prompt tokens to compute is sent to a replica; `None`
     /// when the replica is no longer known or leaves, so that the request must not be sent.
-    pub fn started(&mut self, name: &Name, tokens: u32, now: Time) -> Option<Ticket> {
+    pub fn started(&mut self, name: &Name, tokens: u32, class: Class, now: Time) -> Option<Ticket> {
         let at = self.at(name)?;
         if self.replicas[at].is_leaving() {
             return None;
         }
         self.next += 1;
         self.mean += (f64::from(tokens) - self.mean) * MEAN_GAIN;
-        Some(self.replicas[at].start(self.next, tokens, now))
+        let urgent = if class == Class::Interactive { 1.0 } else { 0.0 };
+        self.urgent += (urgent - self.urgent) * MEAN_GAIN;
+        Some(self.replicas[at].start(self.next, tokens, class, now))
     }
 
     /// Notes the first token of a request.
--- a/crates/route/src/replica.rs
+++ b/crates/route/src/replica.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use ident::{Name, Time};
+use ident::{Class, Name, Time};
 
 use crate::health::{Health, Standing};
 
@@ -61,6 +61,8 @@
     id: u64,
     /// Prompt tokens to compute.
     tokens: u32,
+    /// Its urgency.
+    class: Class,
     /// When it was sent.
     sent: Time,
     /// When its first token came.
@@ -103,6 +105,19 @@
     flights: Vec<Flight>,
     /// When all prompts that this instance sent are expected to be computed.
     busy: Time,
+    /// When the interactive ones among them are, which replicas compute first.
+    urgent: Time,
+}
+
+/// What is usual among the replicas of a pool.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Usual {
+    /// Prompt tokens to compute of a request.
+    pub tokens: u32,
+    /// Prompts of other instances that wait at a replica.
+    pub others: f64,
+    /// Share of interactive requests.
+    pub urgent: f64,
 }
 
 impl Replica {
@@ -119,6 +134,7 @@
             hold: Time(0),
             flights: Vec::new(),
             busy: Time(0),
+            urgent: Time(0),
         }
     }
 
@@ -149,15 +165,18 @@
         Duration::from_millis(u64::from(tokens) * 1000 / rate)
     }
 
-    /// Expected wait before a prompt sent at `now` is computed: this instance's own prompts, and
-    /// those of others, of `mean` tokens each. The older the last report, the more the number of
-    /// others' prompts tends to `usual`, that of an average replica.
-    pub fn queue(&self, mean: u32, usual: f64, now: Time) -> Duration {
-        let own = self.busy.since(now);
+    /// Expected wait before a prompt of `class` sent at `now` is computed: this instance's own
+    /// prompts and those of others. The older the last report, the more the number of others'
+    /// prompts tends to the usual one.
+    pub fn queue(&self, class: Class, usual: &Usual, now: Time) -> Duration {
         let age = now.since(self.load.at).as_secs_f64();
         let weight = (-age / REPORT_LIFE.as_secs_f64()).exp();
-        let others = usual + (f64::from(self.others()) - usual) * weight;
-        own + self.prefill(mean).mul_f64(others)
+        let others = usual.others + (f64::from(self.others()) - usual.others) * weight;
+        let (own, part) = match class {
+            Class::Interactive => (self.urgent, usual.urgent),
+            Class::Batch => (self.busy, 1.0),
+        };
+        own.since(now) + self.prefill(usual.tokens).mul_f64(others * part)
     }
 
     /// Prompts of other instances that waited when the load was reported.
@@ -182,10 +201,18 @@
         self.health.standing(now)
     }
 
-    pub(crate) fn start(&mut self, id: u64, tokens: u32, now: Time) -> Ticket {
+    pub(crate) fn start(&mut self, id: u64, tokens: u32, class: Class, now: Time) -> Ticket {
         assert!(self.flights.last().is_none_or(|f| f.id < id), "flights are sorted by id");
-        self.busy = self.busy.max(now).after(self.prefill(tokens));
-        self.flights.push(Flight { id, tokens, sent: now, first: None, due: self.busy });
+        let span = self.prefill(tokens);
+        self.busy = self.busy.max(now).after(span);
+        let due = match class {
+            Class::Interactive => {
+                self.urgent = self.urgent.max(now).after(span);
+                self.urgent
+            }
+            Class::Batch => self.busy,
+        };
+        self.flights.push(Flight { id, tokens, class, sent: now, first: None, due });
         Ticket { id, replica: self.name.clone(), probe: self.health.start() }
     }
 
@@ -197,20 +224,32 @@
             return None;
         }
         flight.first = Some(now);
-        let (due, tokens) = (flight.due, flight.tokens);
-        self.correct(due, now);
+        let (due, class, tokens) = (flight.due, flight.class, flight.tokens);
+        self.correct(due, class, now);
         self.health.succeed();
         Some(tokens)
     }
 
     /// Shifts the expected end of all prompts by the error seen on one of them.
-    fn correct(&mut self, due: Time, now: Time) {
-        if self.pending() == 0 {
-            self.busy = now;
-        } else if now > due {
-            self.busy = self.busy.after(now.since(due));
-        } else {
-            self.busy = self.busy.before(due.since(now)).max(now);
+    fn correct(&mut self, due: Time, class: Class, now: Time) {
+        if class == Class::Interactive {
+            self.urgent = shift(self.urgent, due, now);
+        }
+        self.busy = shift(self.busy, due, now);
+        self.settle(now);
+    }
+
+    /// Without waiting prompts, nothing is expected.
+    fn settle(&mut self, now: Time) {
+        let waits = |class: Option<Class>| {
+            let of_class = |f: &&Flight| class.is_none_or(|c| f.class == c);
+            self.flights.iter().filter(of_class).any(|f| f.first.is_none())
+        };
+        if !waits(Some(Class::Interactive)) {
+            self.urgent = self.urgent.min(now);
+        }
+        if !waits(None) {
+            self.busy = self.busy.min(now);
         }
     }
 
@@ -220,11 +259,13 @@
         };
         let flight = self.flights.remove(at);
         if flight.first.is_none() {
-            self.busy = self.busy.before(self.prefill(flight.tokens));
-        }
-        if self.pending() == 0 {
-            self.busy = self.busy.min(now);
+            let span = self.prefill(flight.tokens);
+            self.busy = self.busy.before(span);
+            if flight.class == Class::Interactive {
+                self.urgent = self.urgent.before(span);
+            }
         }
+        self.settle(now);
         match end {
             End::Done if flight.first.is_some() => self.health.succeed(),
             End::Done | End::Declined => self.health.release(ticket.probe),
@@ -236,3 +277,8 @@
         }
     }
 }
+
+/// `end` moved by the difference between `now` and `due`, not before `now`.
+fn shift(end: Time, due: Time, now: Time) -> Time {
+    if now > due { end.after(now.since(due)) } else { end.before(due.since(now)).max(now) }
+}
--- a/crates/route/tests/policy_choice.rs
+++ b/crates/route/tests/policy_choice.rs
@@ -10,7 +10,8 @@
     Name::new(text).unwrap()
 }
 
-/// Four replicas of 10 000 tokens/s; `w-3` is in another zone; waiting 0, 1, 2, 3 requests.
+/// Four replicas of 10 000 tokens/s; `w-3` is in another zone; 0, 2, 4, 6 requests wait, half of
+/// them interactive.
 fn pool() -> Pool {
     let mut pool = Pool::default();
     let entry = |i: u16| Entry {
@@ -24,7 +25,7 @@
     for i in 0..4_u32 {
         let w = name(&format!("w-{i}"));
         pool.serves(&w, Some(name("v1")));
-        let load = Load { running: 1, waiting: i, prefill_rate: 10_000, at: Time(0) };
+        let load = Load { running: 1, waiting: 2 * i, prefill_rate: 10_000, at: Time(0) };
         pool.report(&w, load, Time(0));
     }
     pool
--- a/crates/route/tests/pool_state.rs
+++ b/crates/route/tests/pool_state.rs
@@ -4,7 +4,7 @@
 
 use ident::{Class, Name, Time};
 use route::{
-    Ask, Cost, End, Entry, LeastLoaded, Links, Load, NoRoute, Policy, Pool, Reason, Value,
+    Ask, Cost, End, Entry, LeastLoaded, Links, Load, NoRoute, Policy, Pool, Reason, Usual, Value,
 };
 
 fn name(text: &str) -> Name {
@@ -30,6 +30,10 @@
     pool
 }
 
+fn usual(others: f64) -> Usual {
+    Usual { tokens: 1000, others, urgent: 0.5 }
+}
+
 fn ask<'a>(targets: &'a [Name], weights: &'a Name, class: Class) -> Ask<'a> {
     Ask {
         targets,
@@ -56,7 +60,7 @@
 #[test]
 fn leaving_replicas_get_no_work() {
     let mut pool = pool(3);
-    let ticket = pool.started(&name("w-0"), 1000, Time(1)).unwrap();
+    let ticket = pool.started(&name("w-0"), 1000, Class::Batch, Time(1)).unwrap();
     pool.left(&name("w-0"), Time(2));
     pool.withdraw(&[name("w-1")]);
     pool.sync_list(vec![entry(0, false), entry(1, false), entry(2, true)], Time(3));
@@ -65,7 +69,7 @@
         assert_eq!(miss.reason, Reason::NoReplica);
         assert!(miss.retry_at > Time(4));
     }
-    assert_eq!(pool.started(&name("w-0"), 1000, Time(5)), None);
+    assert_eq!(pool.started(&name("w-0"), 1000, Class::Batch, Time(5)), None);
     pool.sync_list(vec![entry(1, false)], Time(6));
     assert_eq!(pool.replicas().len(), 2, "w-0 still runs a request");
     pool.ended(ticket, End::Done, Time(7));
@@ -97,12 +101,12 @@
 fn one_failure_makes_suspect_and_a_failed_probe_dead() {
     let mut pool = pool(1);
     let w = name("w-0");
-    let first = pool.started(&w, 10, Time(1)).unwrap();
-    let second = pool.started(&w, 10, Time(1)).unwrap();
+    let first = pool.started(&w, 10, Class::Batch, Time(1)).unwrap();
+    let second = pool.started(&w, 10, Class::Batch, Time(1)).unwrap();
     pool.ended(first, End::Failed, Time(2));
     pool.ended(second, End::Failed, Time(2));
     assert_eq!(chosen(&pool, Class::Interactive, 1, Time(3)), Ok((w.clone(), true)));
-    let probe = pool.started(&w, 10, Time(3)).unwrap();
+    let probe = pool.started(&w, 10, Class::Batch, Time(3)).unwrap();
     assert!(probe.probe);
     assert_eq!(
         chosen(&pool, Class::Interactive, 1, Time(3)).unwrap_err().reason,
@@ -111,7 +115,7 @@
     );
     pool.ended(probe, End::Failed, Time(4));
     assert!(chosen(&pool, Class::Interactive, 1, Time(900)).is_err());
-    let probe = pool.started(&w, 10, Time(1100)).unwrap();
+    let probe = pool.started(&w, 10, Class::Batch, Time(1100)).unwrap();
     pool.first_token(&probe, Time(1200));
     assert_eq!(chosen(&pool, Class::Interactive, 1, Time(1200)), Ok((w, false)));
     pool.ended(probe, End::Done, Time(1300));
@@ -120,7 +124,7 @@
 #[test]
 fn full_replicas_rest_a_while() {
     let mut pool = pool(1);
-    let ticket = pool.started(&name("w-0"), 10, Time(1)).unwrap();
+    let ticket = pool.started(&name("w-0"), 10, Class::Batch, Time(1)).unwrap();
     pool.ended(ticket, End::Refused, Time(2));
     assert_eq!(chosen(&pool, Class::Batch, 1, Time(3)).unwrap_err().reason, Reason::Full);
     assert!(chosen(&pool, Class::Batch, 1, Time(300)).is_ok());
@@ -134,9 +138,10 @@
     pool.report(&name("w-1"), Load { waiting: 1, ..load }, Time(0));
     let mut tickets = Vec::new();
     for _ in 0..4 {
-        tickets.push(pool.started(&name("w-0"), 1000, Time(10)).unwrap());
+        tickets.push(pool.started(&name("w-0"), 1000, Class::Batch, Time(10)).unwrap());
     }
-    let queue = |pool: &Pool, i: usize, now| pool.replicas()[i].queue(1000, i as f64, now);
+    let queue =
+        |pool: &Pool, i: usize, now| pool.replicas()[i].queue(Class::Batch, &usual(i as f64), now);
     assert_eq!(queue(&pool, 0, Time(10)), Duration::from_secs(4));
     assert_eq!(queue(&pool, 1, Time(10)), Duration::from_secs(1));
     assert_eq!(queue(&pool, 0, Time(1010)), Duration::from_secs(3));
@@ -153,12 +158,30 @@
     let mut pool = pool(1);
     let load = Load { running: 0, waiting: 4, prefill_rate: 1000, at: Time(0) };
     pool.report(&name("w-0"), load, Time(0));
-    let queue = |now| pool.replicas()[0].queue(1000, 2.0, Time(now)).as_millis();
+    let queue = |now| pool.replicas()[0].queue(Class::Batch, &usual(2.0), Time(now)).as_millis();
     assert_eq!(queue(0), 4000);
     assert!((2300..3700).contains(&queue(2_000)), "{}", queue(2_000));
     assert!((2000..2010).contains(&queue(20_000)));
 }
 
+#[test]
+fn interactive_prompts_pass_batch_prompts() {
+    let mut pool = pool(1);
+    let load = Load { running: 0, waiting: 0, prefill_rate: 1000, at: Time(0) };
+    pool.report(&name("w-0"), load, Time(0));
+    let batch = pool.started(&name("w-0"), 3000, Class::Batch, Time(1)).unwrap();
+    let urgent = pool.started(&name("w-0"), 1000, Class::Interactive, Time(1)).unwrap();
+    let queue = |pool: &Pool, class| pool.replicas()[0].queue(class, &usual(0.0), Time(1));
+    assert_eq!(queue(&pool, Class::Interactive), Duration::from_secs(1));
+    assert_eq!(queue(&pool, Class::Batch), Duration::from_secs(4));
+    pool.ended(urgent, End::Done, Time(1));
+    assert_eq!(queue(&pool, Class::Interactive), Duration::ZERO);
+    assert_eq!(queue(&pool, Class::Batch), Duration::from_secs(3));
+    pool.first_token(&batch, Time(1));
+    assert_eq!(queue(&pool, Class::Batch), Duration::ZERO);
+    pool.ended(batch, End::Done, Time(2));
+}
+
 #[test]
 fn random_histories_keep_the_pool_sound() {
     bolero::check!().with_iterations(400).with_type::<Vec<(u8, u8)>>().for_each(|steps| {
@@ -169,7 +192,7 @@
             now = now.after(Duration::from_millis(u64::from(arg) * 7));
             let w = name(&format!("w-{}", arg % 4));
             match op % 8 {
-                0 | 1 => open.extend(pool.started(&w, u32::from(arg) * 50, now)),
+                0 | 1 => open.extend(pool.started(&w, u32::from(arg) * 50, Class::Batch, now)),
                 2 if !open.is_empty() => {
                     pool.first_token(&open[usize::from(arg) % open.len()], now)
                 }
