--- a/crates/bench/src/decide.rs
+++ b/crates/bench/src/decide.rs
@@ -44,6 +44,8 @@
     pub load: f64,
     /// Seconds until a load report or an eviction is known to the instances.
     pub lag: u64,
+    /// Limit of each team on requests per second, as a multiple of its usual rate at load 1.
+    pub limit: f64,
     /// A team that sends ten times its rate in the second half.
     pub flood: Option<usize>,
     /// Seconds for which every engine is down in the middle of the run.
@@ -104,8 +106,8 @@
         let engines = names.engines.iter().map(|_| Engine::new(spec.prefill, spec.memory));
         let links = spec.stores.iter().map(|_| Link::new(spec.link as f64));
         let stores = spec.stores.iter().map(|_| Lru::new(spec.store / TOKEN_BYTES));
-        let instances = (0..spec.instances)
-            .map(|rank| Instance::new(&spec, &names, options.policy, rank, options.seed));
+        let instances =
+            (0..spec.instances).map(|rank| Instance::new(&spec, &names, &options, rank));
         Self {
             options,
             reusable: reusable(&trace),
--- a/crates/bench/src/instance.rs
+++ b/crates/bench/src/instance.rs
@@ -8,8 +8,8 @@
 use route::{Ask, Choice, Contexts, Entry, Hot, Kept, Links, Load, NoRoute, Policy, Pool, Used};
 
 use crate::{
+    decide::Options,
     fake::Engine,
-    policies::PolicyKind,
     spec::{PIECE_KV_BYTES, Spec},
     trace::Request,
 };
@@ -18,8 +18,6 @@
 const CONTEXTS: usize = 10_000;
 /// Longest expected queue at a replica that a request is started for.
 const QUEUE_LIMIT: Duration = Duration::from_millis(1_500);
-/// A team's limit on requests per second, as a multiple of its usual rate.
-const LIMIT_FACTOR: f64 = 4.0;
 /// Every team's limit on requests running or queued.
 const INFLIGHT: u32 = 2_000;
 
@@ -60,17 +58,13 @@
     policy: Box<dyn Policy>,
     zone: Name,
     members: usize,
+    /// Limit of a team on requests per second, as a multiple of its usual rate.
+    limit: f64,
     rng: SmallRng,
 }
 
 impl Instance {
-    pub(crate) fn new(
-        spec: &Spec,
-        names: &Names,
-        kind: PolicyKind,
-        rank: usize,
-        seed: u64,
-    ) -> Self {
+    pub(crate) fn new(spec: &Spec, names: &Names, options: &Options, rank: usize) -> Self {
         let members = spec.instances;
         let replicas: usize = spec.replicas.iter().sum();
         let places = replicas * Engine::slots() / members;
@@ -84,10 +78,11 @@
             contexts: Contexts::new(CONTEXTS),
             gate: Gate::new(places as u32),
             budget: RetryBudget::default(),
-            policy: kind.build(),
+            policy: options.policy.build(),
             zone: spec.zones[rank % spec.zones.len()].clone(),
             members,
-            rng: SmallRng::seed_from_u64(seed ^ (rank as u64) << 48),
+            limit: options.limit,
+            rng: SmallRng::seed_from_u64(options.seed ^ (rank as u64) << 48),
         }
     }
 
@@ -121,7 +116,12 @@
         let offer = Offer {
             id: RequestId(job as u128),
             team: team.name.clone(),
-            limits: share(limits(spec, request.team), team.spread, self.members, home.place),
+            limits: share(
+                limits(spec, request.team, self.limit),
+                team.spread,
+                self.members,
+                home.place,
+            ),
             class: request.class,
             deadline: now.after(Duration::from_millis(request.patience)),
             cost: rest,
@@ -191,9 +191,10 @@
     pub(crate) deadline: Time,
 }
 
-fn limits(spec: &Spec, team: usize) -> Limits {
+/// A team's limits: `factor` times its usual rate.
+fn limits(spec: &Spec, team: usize, factor: f64) -> Limits {
     let total: f64 = spec.teams.iter().map(|t| t.weight).sum();
-    let rate = spec.rate * LIMIT_FACTOR * spec.teams[team].weight / total;
+    let rate = spec.rate * factor * spec.teams[team].weight / total;
     Limits { rate: rate.ceil() as u32, inflight: INFLIGHT }
 }
 
--- a/crates/bench/tests/decide_runs.rs
+++ b/crates/bench/tests/decide_runs.rs
@@ -10,6 +10,7 @@
         seed: 1,
         load: 1.0,
         lag: 1,
+        limit: 4.0,
         flood: None,
         outage: 0,
         returns: 0,
--- a/crates/lentilbench/src/main.rs
+++ b/crates/lentilbench/src/main.rs
@@ -47,6 +47,9 @@
     /// Seconds until load reports and evictions are known.
     #[arg(long, default_value_t = 1)]
     lag: u64,
+    /// Limit of each team on requests per second, as a multiple of its usual rate at load 1.
+    #[arg(long, default_value_t = 4.0)]
+    limit: f64,
     /// Index of a team that sends ten times its rate in the second half.
     #[arg(long)]
     flood: Option<usize>,
@@ -103,6 +106,7 @@
             seed,
             load: self.load,
             lag: self.lag,
+            limit: self.limit,
             flood: self.flood,
             outage: self.outage,
             returns: self.returns,
