Spread a new revision among peers at once

A peer's newer revision was only followed when it stood in an answer, and neighbours heard of it with the next regular ping. Now a ping counts too, one peer is asked every half second at most, and a new revision makes the next pings come early. Adds the slopes example.

--- a/crates/member/src/fresh.rs
+++ b/crates/member/src/fresh.rs
@@ -68,20 +68,15 @@
         }
     }
 
-    /// Takes a peer's word on the newest revision, given after `asked`. Returns whether the peer
-    /// has changes that this instance lacks.
+    /// Takes a peer's word on the newest revision, given after `asked`.
     ///
     /// The peer knew its revision to be the newest `age` before it answered, so no earlier than
     /// `age` before it was asked; the time the answer took only makes the word older.
-    pub(crate) fn confirm(&mut self, status: &Status, asked: Time) -> bool {
-        if status.rev > self.rev() {
-            return true;
+    pub(crate) fn confirm(&mut self, status: &Status, asked: Time) {
+        let at = status.age.and_then(|age| asked.0.checked_sub(u64::from(age)));
+        if let Some(at) = at.filter(|_| status.rev <= self.rev()) {
+            self.confirmation.raise(Time(at));
         }
-        if let Some(age) = status.age {
-            let at = asked.0.checked_sub(u64::from(age)).map(Time);
-            at.into_iter().for_each(|at| self.confirmation.raise(at));
-        }
-        false
     }
 
     /// Whether this instance may trust its configuration.
--- a/crates/member/src/members.rs
+++ b/crates/member/src/members.rs
@@ -72,6 +72,10 @@
     pub(crate) quiet: Option<Time>,
     /// Next ping to a dead peer.
     pub(crate) probe: Time,
+    /// No peer is asked for changes before.
+    fetch: Time,
+    /// The revision that neighbours were last told of early.
+    pub(crate) told: Rev,
 }
 
 impl Members {
@@ -90,6 +94,8 @@
             named: Time::default(),
             quiet: None,
             probe: Time::default(),
+            fetch: Time::default(),
+            told: Rev::default(),
             me,
             config,
         }
@@ -176,10 +182,7 @@
             self.retell();
         }
         self.hear(at, pong.status, &pong.news, now);
-        if self.confirm(&pong.status, sent) {
-            let addr = self.peers[at].peer;
-            self.out.push(Action::FetchChanges { from: from.clone(), addr, after: self.rev() });
-        }
+        self.confirm(&pong.status, sent);
         std::mem::take(&mut self.out)
     }
 
@@ -198,6 +201,7 @@
         for news in news {
             self.learn(news, now);
         }
+        self.fetch(at, status.rev, now);
         let peer = &mut self.peers[at];
         if peer.needs_word() {
             peer.due = peer.sent.after(PING_GAP).max(now);
@@ -205,6 +209,16 @@
         self.check_quiet(now);
     }
 
+    /// Asks a peer for the changes that this instance lacks, unless somebody was just asked.
+    fn fetch(&mut self, at: usize, rev: Rev, now: Time) {
+        if rev <= self.rev() || !self.fetch.passed(now) {
+            return;
+        }
+        self.fetch = now.after(PING_GAP);
+        let (from, addr) = (self.peers[at].name.clone(), self.peers[at].peer);
+        self.out.push(Action::FetchChanges { from, addr, after: self.rev() });
+    }
+
     /// Takes news, from the instance itself or passed on. Older news are ignored.
     fn learn(&mut self, news: &News, now: Time) {
         if news.name == self.me.name {
@@ -287,7 +301,7 @@
     }
 
     /// Pings neighbours early, so that news spreads within a second or two.
-    fn hurry(&mut self, now: Time) {
+    pub(crate) fn hurry(&mut self, now: Time) {
         for i in 0..self.near.len() {
             let at = self.find(&self.near[i]).expect("neighbours are known peers");
             let peer = &mut self.peers[at];
--- a/crates/member/src/probe.rs
+++ b/crates/member/src/probe.rs
@@ -14,6 +14,10 @@
     pub fn tick(&mut self, now: Time, draw: u64) -> Vec<Action> {
         self.expire(now);
         self.check_quiet(now);
+        if self.rev() > self.told {
+            self.told = self.rev();
+            self.hurry(now);
+        }
         for i in 0..self.near.len() {
             let at = self.find(&self.near[i]).expect("neighbours are known peers");
             let peer = &self.peers[at];
--- a/crates/member/tests/fresh_cases.rs
+++ b/crates/member/tests/fresh_cases.rs
@@ -120,6 +120,7 @@
 #[test]
 fn one_heard_reader_ends_outage() {
     let mut sim = Sim::new(8, 4, 6);
+    sim.fetch = false;
     sim.run(secs(8));
     tables(&mut sim, |i| i == 0);
     sim.nodes[0].members.set_rev(Rev(9));
@@ -134,6 +135,34 @@
     assert_eq!(count(&sim, Freshness::Stale), 7, "a newer revision exists and was not fetched");
 }
 
+#[test]
+fn newer_revision_ends_outage() {
+    let mut sim = Sim::new(8, 4, 6);
+    sim.run(secs(8));
+    tables(&mut sim, |i| i == 0);
+    sim.rev = Rev(9);
+    sim.cut = |from, to| from == 0 || to == 0;
+    sim.run(secs(12));
+    assert_eq!(fresh(&sim, 0), Freshness::Fresh);
+    assert_eq!(count(&sim, Freshness::Outage), 7);
+    sim.cut = |_, _| false;
+    let done = sim.until(secs(30), |s| s.up_to_date() && count(s, Freshness::Fresh) == 8);
+    assert!(done.is_some(), "peers hand on what one of them read");
+}
+
+#[test]
+fn change_spreads_by_peers() {
+    for size in [8, 320] {
+        let mut sim = Sim::new(size, 8, 8);
+        sim.run(secs(8));
+        tables(&mut sim, |i| i == 5);
+        sim.rev = Rev(2);
+        let took = sim.until(secs(12), Sim::up_to_date);
+        assert!(took.is_some(), "{size}: not everywhere within 12 s");
+        println!("{size} instances, one reads the table: in force after {took:?}");
+    }
+}
+
 #[test]
 fn rolling_replacement_in_outage() {
     let mut sim = Sim::new(8, 4, 7);
--- a/crates/member/tests/sim/mod.rs
+++ b/crates/member/tests/sim/mod.rs
@@ -28,6 +28,7 @@
 enum Mail {
     Ping(usize, usize, Ping, Time),
     Pong(usize, usize, Pong, Time),
+    Fetch(usize, usize),
 }
 
 pub struct Sim {
@@ -39,6 +40,8 @@
     pub cut: fn(usize, usize) -> bool,
     pub size: Size,
     pub zones: usize,
+    /// Questions for changes are answered.
+    pub fetch: bool,
     pub changes: Vec<(Time, usize, Name, PeerState)>,
     list: Vec<(u64, Vec<Entry>)>,
     mail: Vec<Mail>,
@@ -48,6 +51,10 @@
     Name::new(&format!("entry-{i:03}")).unwrap()
 }
 
+fn index(name: &Name) -> usize {
+    name.as_str()[6..].parse().unwrap()
+}
+
 pub fn entry(i: usize, zones: usize) -> Entry {
     let port = 1000 + u16::try_from(i).unwrap();
     let at = |host: u8| ([10, 0, 0, host], port).into();
@@ -71,6 +78,7 @@
             cut: |_, _| false,
             size: |_, _| 0,
             zones,
+            fetch: true,
             changes: Vec::new(),
             list: vec![(0, (0..count).map(|i| entry(i, zones)).collect())],
             mail: Vec::new(),
@@ -171,7 +179,7 @@
         for action in actions {
             match action {
                 Action::Ping { to, ping, .. } => {
-                    let j: usize = to.as_str()[6..].parse().unwrap();
+                    let j = index(&to);
                     self.nodes[i].bytes += (self.size)(&ping.status, &ping.news);
                     self.nodes[i].asks.insert(to, self.now.after(TIMEOUT));
                     self.mail.push(Mail::Ping(i, j, ping, self.now));
@@ -179,7 +187,8 @@
                 Action::Changed { peer, state } => {
                     self.changes.push((self.now, i, peer, state));
                 }
-                Action::FetchChanges { .. } | Action::Forget { .. } => {}
+                Action::FetchChanges { from, .. } => self.mail.push(Mail::Fetch(i, index(&from))),
+                Action::Forget { .. } => {}
             }
         }
     }
@@ -197,6 +206,12 @@
                 node.bytes += (self.size)(&pong.status, &pong.news);
                 self.mail.push(Mail::Pong(j, i, pong, at));
             }
+            Mail::Fetch(i, j) => {
+                if self.fetch && !(self.cut)(i, j) && !(self.cut)(j, i) && self.nodes[j].alive {
+                    let rev = self.nodes[j].members.rev();
+                    self.nodes[i].members.set_rev(rev);
+                }
+            }
             Mail::Pong(j, i, pong, at) => {
                 let deadline = at.after(TIMEOUT);
                 let node = &mut self.nodes[i];
@@ -211,6 +226,11 @@
         }
     }
 
+    /// Whether all living instances have the newest revision.
+    pub fn up_to_date(&self) -> bool {
+        self.nodes.iter().all(|n| !n.alive || n.members.rev() == self.rev)
+    }
+
     /// The states in which living instances hold instance `i`.
     pub fn states(&self, i: usize) -> Vec<PeerState> {
         let of = |n: &Node| find(n, i).map(|p| p.state);
--- /dev/null
+++ b/crates/wire/examples/slopes/peers.rs
@@ -0,0 +1,87 @@
+//! Bytes between instances, computed from the encoded messages of a simulation.
+
+use std::time::Duration;
+
+use ident::{Boot, Secret};
+use member::{News, Ping, Status};
+use wire::{Message, encode, seal::Identity};
+
+use crate::{
+    fit::Series,
+    samples::{changes, name},
+    sim::{self, Sim},
+};
+
+/// HTTP heads of a question or an answer.
+const HEAD: u64 = 60;
+/// TCP and IP headers of a message and its acknowledgement.
+const PACKETS: u64 = 104;
+const SPAN: Duration = Duration::from_secs(60);
+
+pub fn series() -> Vec<Series> {
+    vec![
+        Series {
+            what: "peer bytes at rest, by instances, TCP and IP headers included",
+            unit: "B per instance and second, sent and received",
+            points: [20, 40, 80, 160, 320].map(|n| (n as f64, at_rest(n))).into(),
+            target: 320.0,
+        },
+        Series {
+            what: "peer bytes of 320 instances, by deaths in a minute, headers included",
+            unit: "B per instance and second, sent and received",
+            points: [0, 1, 2, 4, 8].map(|n| (n as f64, with_deaths(n))).into(),
+            target: 1.0,
+        },
+        Series {
+            what: "page of changes, by changes",
+            unit: "B",
+            points: [1, 16, 64, 128].map(|n| (n as f64, page(n))).into(),
+            target: 1.0,
+        },
+    ]
+}
+
+fn size(status: &Status, news: &[News]) -> u64 {
+    let name = sim::name(0);
+    let own = Identity { name: name.clone(), boot: Boot(1), secret: Secret::derive("p", b"") };
+    let message = Message::Ping(Ping { status: *status, news: news.to_vec() });
+    let body = encode(&message).expect("encodes");
+    own.ask(&name, 1 << 40, &body).len() as u64 + HEAD + PACKETS
+}
+
+fn started(count: usize) -> Sim {
+    let mut sim = Sim::new(count, 8, 5);
+    sim.size = size;
+    sim.run(Duration::from_secs(5));
+    sim.nodes.iter_mut().for_each(|n| n.bytes = 0);
+    sim
+}
+
+/// The mean over all living instances.
+fn mean(sim: &Sim) -> f64 {
+    let alive: Vec<_> = sim.nodes.iter().filter(|n| n.alive).map(|n| n.bytes as f64).collect();
+    alive.iter().sum::<f64>() / alive.len() as f64 / SPAN.as_secs_f64()
+}
+
+fn at_rest(count: usize) -> f64 {
+    let mut sim = started(count);
+    sim.run(SPAN);
+    mean(&sim)
+}
+
+fn with_deaths(deaths: usize) -> f64 {
+    let mut sim = started(320);
+    for i in 0..deaths {
+        sim.kill(10 + i * 31);
+        sim.run(SPAN / 8);
+    }
+    sim.run(SPAN - SPAN / 8 * u32::try_from(deaths).expect("at most eight"));
+    mean(&sim)
+}
+
+fn page(count: usize) -> f64 {
+    let list = changes(count);
+    let own = Identity { name: name("entry", 0), boot: Boot(1), secret: Secret::derive("p", b"") };
+    let body = encode(&Message::Changes { list }).expect("encodes");
+    own.answer(&name("entry", 1), Boot(1), 1, &body).len() as f64
+}
--- /dev/null
+++ b/crates/wire/examples/slopes/platform.rs
@@ -0,0 +1,159 @@
+//! Calls to the platform: the stand-ins run in another thread, behind a relay that counts bytes.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+        mpsc,
+    },
+    thread,
+    time::Duration,
+};
+
+use blob::MemoryBlob;
+use conf::Store;
+use fakes::{App, Control, Faults, Instance, TableConfig};
+use ident::Rev;
+use outbound::{Client, Deadlines, Instances, ListClient};
+use table::Dynamo;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream, tcp},
+    runtime::{Builder, Runtime},
+};
+
+use crate::{fit::Series, probe::thread_micros, samples::name};
+
+pub fn series() -> Vec<Series> {
+    let polls = [100, 200, 400, 800].map(|n| (n as f64, poll(n)));
+    let lists = [115, 230, 460, 920].map(|n| (n as f64, read_list(n)));
+    vec![
+        Series {
+            what: "polls of the change log that show nothing new, by polls",
+            unit: "us",
+            points: polls.map(|(n, r)| (n, r.0)).into(),
+            target: 1.0,
+        },
+        Series {
+            what: "bytes of those polls, without TCP and IP headers, by polls",
+            unit: "B sent and received",
+            points: polls.map(|(n, r)| (n, r.1)).into(),
+            target: 1.0,
+        },
+        Series {
+            what: "one read of the platform's list, by entries",
+            unit: "us",
+            points: lists.map(|(n, r)| (n, r.0)).into(),
+            target: 920.0,
+        },
+        Series {
+            what: "bytes of one read of the platform's list, by entries",
+            unit: "B sent and received",
+            points: lists.map(|(n, r)| (n, r.1)).into(),
+            target: 920.0,
+        },
+    ]
+}
+
+/// A stand-in behind a counting relay.
+struct Behind {
+    addr: SocketAddr,
+    bytes: Arc<AtomicU64>,
+}
+
+fn behind<F>(app: F) -> Behind
+where
+    F: FnOnce() -> App + Send + 'static,
+{
+    let (send, receive) = mpsc::channel();
+    let bytes = Arc::new(AtomicU64::new(0));
+    let counter = bytes.clone();
+    thread::spawn(move || {
+        runtime().block_on(async {
+            let far = fakes::spawn(app()).await.expect("a free port");
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+            send.send(listener.local_addr().expect("bound")).expect("the caller waits");
+            loop {
+                let (near, _) = listener.accept().await.expect("accepts");
+                let far = TcpStream::connect(far).await.expect("the stand-in listens");
+                near.set_nodelay(true).expect("a TCP option");
+                far.set_nodelay(true).expect("a TCP option");
+                let ((near_in, near_out), (far_in, far_out)) =
+                    (near.into_split(), far.into_split());
+                tokio::spawn(relay(near_in, far_out, counter.clone()));
+                tokio::spawn(relay(far_in, near_out, counter.clone()));
+            }
+        });
+    });
+    Behind { addr: receive.recv().expect("the thread starts"), bytes }
+}
+
+async fn relay(mut from: tcp::OwnedReadHalf, mut to: tcp::OwnedWriteHalf, count: Arc<AtomicU64>) {
+    let mut buf = vec![0; 16 * 1024];
+    while let Ok(len) = from.read(&mut buf).await {
+        if len == 0 || to.write_all(&buf[..len]).await.is_err() {
+            return;
+        }
+        count.fetch_add(len as u64, Ordering::Relaxed);
+    }
+}
+
+fn runtime() -> Runtime {
+    Builder::new_current_thread().enable_all().build().expect("a runtime")
+}
+
+/// Processor time and bytes of `count` polls.
+fn poll(count: usize) -> (f64, f64) {
+    let far = behind(|| fakes::table(TableConfig::default(), Control::new(Faults::default())));
+    let url = format!("http://{}", far.addr);
+    runtime().block_on(async {
+        let table = Dynamo::new(&url, "lentilpitch", Duration::from_secs(60)).expect("a client");
+        let store = Store::new(Arc::new(table), Arc::new(MemoryBlob::default()));
+        store.changes(Rev(100_000), 500).await.expect("a poll");
+        let (start, before) = (thread_micros(), far.bytes.load(Ordering::Relaxed));
+        for _ in 0..count {
+            store.changes(Rev(100_000), 500).await.expect("a poll");
+        }
+        let bytes = far.bytes.load(Ordering::Relaxed) - before;
+        (thread_micros() - start, bytes as f64)
+    })
+}
+
+/// Processor time and bytes of one read of a list with `count` entries.
+fn read_list(count: usize) -> (f64, f64) {
+    const READS: u32 = 40;
+    let entries = (0..count).map(listed).collect();
+    let far = behind(move || fakes::instances(entries, Control::new(Faults::default())));
+    runtime().block_on(async {
+        let deadlines = Deadlines { call: Duration::from_secs(60), ..Deadlines::default() };
+        let list = ListClient::new(Client::new(deadlines), far.addr, "/sd");
+        let (read, bad) = list.read().await.expect("a list");
+        assert!(read.len() == count && bad == 0, "{} entries, {bad} bad", read.len());
+        let (start, before) = (thread_micros(), far.bytes.load(Ordering::Relaxed));
+        for _ in 0..READS {
+            list.read().await.expect("a list");
+        }
+        let bytes = far.bytes.load(Ordering::Relaxed) - before;
+        let reads = f64::from(READS);
+        ((thread_micros() - start) / reads, bytes as f64 / reads)
+    })
+}
+
+/// An entry: of 920, 320 are instances and 600 replicas.
+fn listed(i: usize) -> Instance {
+    let replica = i % 23 >= 8;
+    let mut labels = serde_json::json!({
+        "role": if replica { "engine" } else { "entry" },
+        "name": name(if replica { "replica" } else { "entry" }, i),
+        "zone": name("zone", i % 8),
+        "state": "live",
+    });
+    if replica {
+        labels["target"] = name("target", i % 11).as_str().into();
+    } else {
+        labels["peer"] = "10.100.100.100:7001".into();
+    }
+    let labels = labels.as_object().expect("made as an object").clone();
+    Instance { targets: vec![format!("10.100.100.{}:7000", i % 250)], labels }
+}
--- /dev/null
+++ b/crates/wire/examples/slopes/samples.rs
@@ -0,0 +1,49 @@
+//! Documents and names of a large deployment.
+
+use conf::{Change, Doc, Item, Limits, Params, Patch, Team, Template, View, Weights};
+use ident::{Digest, Name, RequestId, Rev};
+
+pub fn name(kind: &str, i: usize) -> Name {
+    Name::new(&format!("{kind}-{i:05}")).expect("a valid name")
+}
+
+fn some(kind: &str, from: usize, count: usize) -> Vec<Name> {
+    (from..from + count).map(|i| name(kind, i % 11)).collect()
+}
+
+fn template(i: usize) -> Doc {
+    let limits = Limits { rate: 20, inflight: 40, prompt: 400_000, tokens: 2_000 };
+    let weights = Weights { latency: 3, recompute: 1 };
+    let (models, targets) = (some("model", i, 4), some("target", i, 6));
+    let params = Params { models, targets, limits, weights, spread: 3 };
+    Doc::Template(Template { name: name("template", i), params })
+}
+
+/// A team with two keys and two own lists.
+pub fn team(i: usize, salt: usize) -> Doc {
+    let keys = (0..2).map(|k| Digest::of(format!("{i} {k} {salt}").as_bytes())).collect();
+    let patch = Patch {
+        models: Some(some("model", i, 2)),
+        targets: Some(some("target", i, 2)),
+        ..Patch::default()
+    };
+    let org = name("org", i % 2);
+    Doc::Team(Team { name: name("team", i), template: name("template", i % 40), org, keys, patch })
+}
+
+/// A view with that many teams.
+pub fn view(teams: usize) -> View {
+    let docs = (0..40).map(template).chain((0..teams).map(|i| team(i, 0)));
+    View::from_items(Rev(1), docs.map(|doc| Item { rev: Rev(1), doc }).collect())
+}
+
+/// Changes of `count` teams after revision 1.
+pub fn changes(count: usize) -> Vec<Change> {
+    (0..count)
+        .map(|i| {
+            let doc = team(i, 1);
+            let rev = Rev(2 + i as u64);
+            Change { rev, id: RequestId(i as u128), key: doc.key(), doc: Some(doc) }
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/wire/examples/slopes/work.rs
@@ -0,0 +1,170 @@
+//! Processor time of decisions.
+
+use std::{sync::Arc, time::Duration};
+
+use blob::MemoryBlob;
+use conf::Store;
+use events::{EventKind, Log};
+use ident::{Boot, Name, Secret, Time};
+use member::{News, PeerState, Ping};
+use table::Memory;
+use wire::{Message, decode, encode, seal::Identity};
+
+use crate::{
+    fit::Series,
+    probe::micros,
+    samples::{changes, name, view},
+    sim::{self, Sim},
+};
+
+pub fn series() -> Vec<Series> {
+    vec![
+        Series {
+            what: "membership, peers' messages and list, by instances",
+            unit: "us per instance and second",
+            points: [40, 80, 160, 320].map(|n| (n as f64, membership(n))).into(),
+            target: 320.0,
+        },
+        Series {
+            what: "seal, open, encode and decode, by news in the message",
+            unit: "us per message",
+            points: [0, 2, 4, 6].map(|n| (n as f64, message(n))).into(),
+            target: 6.0,
+        },
+        Series {
+            what: "taking in one change, by teams",
+            unit: "us per change",
+            points: [4500, 9000, 13_500, 18_000].map(|n| (n as f64, learn(n))).into(),
+            target: 18_000.0,
+        },
+        Series {
+            what: "one address answer, by instances",
+            unit: "us per answer",
+            points: [40, 80, 160, 320].map(|n| (n as f64, answer(n))).into(),
+            target: 320.0,
+        },
+        Series {
+            what: "share of a team's limits, by instances",
+            unit: "us per request",
+            points: [40, 80, 160, 320].map(|n| (n as f64, place(n))).into(),
+            target: 320.0,
+        },
+        Series {
+            what: "recording events, by events",
+            unit: "us",
+            points: [100_000, 200_000, 400_000, 800_000].map(|n| (n as f64, record(n))).into(),
+            target: 100_000.0,
+        },
+    ]
+}
+
+/// All instances are stepped in one thread, so this holds the time of the simulation as well.
+fn membership(count: usize) -> f64 {
+    let span = Duration::from_secs(20);
+    let mut sim = Sim::new(count, 8, 3);
+    sim.run(Duration::from_secs(5));
+    micros(|| sim.run(span)) / count as f64 / span.as_secs_f64()
+}
+
+fn message(count: usize) -> f64 {
+    const REPEATS: u32 = 40_000;
+    let own = |i| Identity {
+        name: name("entry", i),
+        boot: Boot(1),
+        secret: Secret::derive("peers", b"key"),
+    };
+    let (a, b) = (own(0), own(1));
+    let state = PeerState::Suspect;
+    let news = (0..count).map(|i| News { name: name("entry", i), incarnation: 1 << 40, state });
+    let message = Message::Ping(Ping { status: sim_status(), news: news.collect() });
+    let time = micros(|| {
+        for seq in 0..REPEATS {
+            let body = encode(&message).expect("encodes");
+            let sealed = a.ask(&b.name, u64::from(seq), &body);
+            let opened = b.open_ask(&sealed).expect("authentic");
+            std::hint::black_box(decode(opened.body, opened.boot).expect("decodes"));
+        }
+    });
+    time / f64::from(REPEATS)
+}
+
+pub fn sim_status() -> member::Status {
+    member::Status {
+        boot: Boot(1),
+        incarnation: 1_700_000_000_000,
+        seen: 1_700_000_000_000,
+        leaving: false,
+        fresh: true,
+        table: true,
+        rev: ident::Rev(100_000),
+        age: Some(1500),
+        load: 700,
+    }
+}
+
+fn learn(teams: usize) -> f64 {
+    const CHANGES: usize = 40;
+    let store = Store::new(Arc::new(Memory::new()), Arc::new(MemoryBlob::default()));
+    let base: Vec<_> = crate::samples::changes(teams)
+        .into_iter()
+        .map(|mut c| {
+            c.rev.0 -= 1;
+            c
+        })
+        .collect();
+    store.learn(&base).expect("consecutive changes");
+    let news: Vec<_> = changes(CHANGES)
+        .into_iter()
+        .map(|mut c| {
+            c.rev.0 += teams as u64 - 1;
+            c
+        })
+        .collect();
+    let time = micros(|| {
+        for change in &news {
+            store.learn(std::slice::from_ref(change)).expect("consecutive changes");
+        }
+    });
+    std::hint::black_box(view(1));
+    time / CHANGES as f64
+}
+
+fn settled(count: usize) -> Sim {
+    let mut sim = Sim::new(count, 8, 4);
+    sim.run(Duration::from_secs(5));
+    sim
+}
+
+fn answer(count: usize) -> f64 {
+    const REPEATS: usize = 5000;
+    let mut sim = settled(count);
+    let (now, zone) = (sim.now, Name::new("zone-3").expect("a valid name"));
+    let members = &mut sim.nodes[0].members;
+    let time = micros(|| {
+        for i in 0..REPEATS {
+            std::hint::black_box(members.answer(&name("team", i), "calendar", 3, Some(&zone), now));
+        }
+    });
+    time / REPEATS as f64
+}
+
+fn place(count: usize) -> f64 {
+    const REPEATS: usize = 5000;
+    let sim = settled(count);
+    let members = &sim.nodes[0].members;
+    let time = micros(|| {
+        for i in 0..REPEATS {
+            std::hint::black_box(members.place(&name("team", i), 3, sim.now));
+        }
+    });
+    time / REPEATS as f64
+}
+
+fn record(count: usize) -> f64 {
+    let log = Log::new(sim::name(0), Boot(1), 8192);
+    micros(|| {
+        for i in 0..count {
+            log.record(Time(i as u64), EventKind::Ready);
+        }
+    })
+}
