--- a/crates/member/src/config.rs
+++ b/crates/member/src/config.rs
@@ -18,7 +18,7 @@
 pub const DEGREE: usize = 6;
 
 /// Most news in one message.
-pub const MAX_NEWS: usize = 6;
+pub const MAX_NEWS: usize = 12;
 
 /// Least time between two pings to one peer that are sent early to spread news.
 pub const PING_GAP: Duration = Duration::from_millis(500);
--- a/crates/member/tests/failure_news.rs
+++ b/crates/member/tests/failure_news.rs
@@ -147,3 +147,44 @@
     let held = find(&sim.nodes[0], 1).unwrap();
     assert!(held.boot != Some(boot) && held.state == PeerState::Down, "{held:?}");
 }
+
+#[test]
+fn newcomer_learns_of_the_dead() {
+    let mut sim = Sim::new(60, 4, 13);
+    sim.run(secs(8));
+    for i in [2, 30, 41] {
+        sim.kill(i);
+    }
+    sim.run(secs(120));
+    sim.restart(7);
+    let known = |s: &Sim| {
+        [2, 30, 41].iter().all(|&i| find(&s.nodes[7], i).unwrap().state == PeerState::Down)
+    };
+    assert!(!known(&sim), "the platform still lists them as live");
+    assert!(sim.until(secs(20), known).is_some());
+    sim.run(secs(20));
+    assert!((0..60).filter(|&i| sim.nodes[i].alive).all(|i| sim.all_hold(i, PeerState::Live)));
+}
+
+#[test]
+fn zone_lost_at_once() {
+    let mut sim = Sim::new(320, 8, 14);
+    sim.run(secs(8));
+    for i in (0..320).filter(|i| i % 8 == 3) {
+        sim.kill(i);
+    }
+    let gone = |s: &Sim| {
+        let named = |n: &sim::Node| n.members.serving(s.now).iter().any(|n| index_zone(n) == 3);
+        !s.nodes.iter().any(|n| n.alive && named(n))
+    };
+    let took = sim.until(secs(60), gone);
+    println!("a zone of 40 of 320: no longer named after {took:?}");
+    assert!(took.is_some_and(|t| t < secs(30)), "{took:?}");
+    sim.run(secs(30));
+    let alive: Vec<_> = (0..320).filter(|i| i % 8 != 3).collect();
+    assert!(alive.iter().all(|&i| sim.all_hold(i, PeerState::Live)));
+}
+
+fn index_zone(name: &ident::Name) -> usize {
+    name.as_str()[6..].parse::<usize>().unwrap() % 8
+}
--- a/crates/wire/examples/slopes/memory.rs
+++ b/crates/wire/examples/slopes/memory.rs
@@ -23,8 +23,8 @@
 }
 
 pub fn series() -> Vec<Series> {
-    // The first readings count the program's own pages.
-    bytes(|| (view(500), contexts(500), members(100)));
+    // The first reading counts the program's own pages.
+    bytes(|| (view(500), contexts(500), members(100), gate(100), pool(10), log(10)));
     let points = |sizes: &[usize], f: fn(usize) -> f64| -> Vec<_> {
         sizes.iter().map(|&n| (n as f64, f(n))).collect()
     };
@@ -32,44 +32,48 @@
         Series {
             what: "memory of the configuration, by teams",
             unit: "KB",
-            points: points(&[4500, 9000, 13_500, 18_000], |n| bytes(|| view(n)) / 1e3),
+            points: points(&[4500, 9000, 13_500, 18_000], |n| bytes(move || view(n)) / 1e3),
             target: 18_000.0,
         },
         Series {
             what: "memory of contexts, by contexts remembered",
             unit: "KB",
-            points: points(&[5000, 10_000, 20_000, 40_000], |n| bytes(|| contexts(n)) / 1e3),
+            points: points(&[5000, 10_000, 20_000, 40_000], |n| bytes(move || contexts(n)) / 1e3),
             target: 5000.0,
         },
         Series {
             what: "memory of replicas, by replicas watched",
             unit: "KB",
-            points: points(&[75, 150, 300, 600], |n| many(|| pool(n)) / 1e3),
+            points: points(&[75, 150, 300, 600], |n| many(move || pool(n)) / 1e3),
             target: 600.0,
         },
         Series {
             what: "memory of membership, by instances",
             unit: "KB",
-            points: points(&[40, 80, 160, 320], |n| many(|| members(n)) / 1e3),
+            points: points(&[40, 80, 160, 320], |n| many(move || members(n)) / 1e3),
             target: 320.0,
         },
         Series {
             what: "memory of the time line, by events kept",
             unit: "KB",
-            points: points(&[4096, 8192, 16_384, 32_768], |n| bytes(|| log(n)) / 1e3),
+            points: points(&[4096, 8192, 16_384, 32_768], |n| bytes(move || log(n)) / 1e3),
             target: 8192.0,
         },
         Series {
             what: "memory of admission, by teams seen",
             unit: "KB",
-            points: points(&[2000, 4500, 9000, 18_000], |n| bytes(|| gate(n)) / 1e3),
+            points: points(&[2000, 4500, 9000, 18_000], |n| bytes(move || gate(n)) / 1e3),
             target: 18_000.0,
         },
     ]
 }
 
-fn many<T>(f: impl Fn() -> T) -> f64 {
-    bytes(|| (0..COPIES).map(|_| f()).collect::<Vec<_>>()) / COPIES as f64
+fn many<T, F>(f: F) -> f64
+where
+    T: 'static,
+    F: Fn() -> T + Send + 'static,
+{
+    bytes(move || (0..COPIES).map(|_| f()).collect::<Vec<_>>()) / COPIES as f64
 }
 
 fn contexts(count: usize) -> Contexts {
--- a/crates/wire/examples/slopes/peers.rs
+++ b/crates/wire/examples/slopes/peers.rs
@@ -32,6 +32,18 @@
             points: [0, 1, 2, 4, 8].map(|n| (n as f64, with_deaths(n))).into(),
             target: 1.0,
         },
+        Series {
+            what: "time until a change is in force everywhere, all read the log, by instances",
+            unit: "s, the longest of 6",
+            points: [20, 40, 80, 160, 320].map(|n| (n as f64, spread(n, |_| true))).into(),
+            target: 320.0,
+        },
+        Series {
+            what: "the same, one instance reads the log, by instances",
+            unit: "s, the longest of 6",
+            points: [20, 40, 80, 160, 320].map(|n| (n as f64, spread(n, |i| i == 3))).into(),
+            target: 320.0,
+        },
         Series {
             what: "page of changes, by changes",
             unit: "B",
@@ -79,6 +91,22 @@
     mean(&sim)
 }
 
+/// The longest time that one of six changes took to be in force everywhere.
+fn spread(count: usize, reads: fn(usize) -> bool) -> f64 {
+    let mut sim = started(count);
+    for (i, node) in sim.nodes.iter_mut().enumerate() {
+        node.table = reads(i);
+    }
+    let mut longest = Duration::ZERO;
+    for turn in 0..6 {
+        sim.run(Duration::from_millis(4000 + 730 * turn));
+        sim.rev = sim.rev.next();
+        let took = sim.until(Duration::from_secs(60), Sim::up_to_date);
+        longest = longest.max(took.expect("everybody gets the change"));
+    }
+    longest.as_secs_f64()
+}
+
 fn page(count: usize) -> f64 {
     let list = changes(count);
     let own = Identity { name: name("entry", 0), boot: Boot(1), secret: Secret::derive("p", b"") };
--- a/crates/wire/examples/slopes/platform.rs
+++ b/crates/wire/examples/slopes/platform.rs
@@ -13,9 +13,9 @@
 
 use blob::MemoryBlob;
 use conf::Store;
-use fakes::{App, Control, Faults, Instance, TableConfig};
+use fakes::{App, Control, EngineConfig, Faults, Instance, TableConfig};
 use ident::Rev;
-use outbound::{Client, Deadlines, Instances, ListClient};
+use outbound::{Client, Deadlines, Engine, EngineClient, Instances, ListClient};
 use table::Dynamo;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -27,6 +27,7 @@
 
 pub fn series() -> Vec<Series> {
     let polls = [100, 200, 400, 800].map(|n| (n as f64, poll(n)));
+    let loads = [100, 200, 400, 800].map(|n| (n as f64, read_loads(n)));
     let lists = [115, 230, 460, 920].map(|n| (n as f64, read_list(n)));
     vec![
         Series {
@@ -41,6 +42,18 @@
             points: polls.map(|(n, r)| (n, r.1)).into(),
             target: 1.0,
         },
+        Series {
+            what: "reads of a replica's load, by reads",
+            unit: "us",
+            points: loads.map(|(n, r)| (n, r.0)).into(),
+            target: 64.0,
+        },
+        Series {
+            what: "bytes of those reads, without TCP and IP headers, by reads",
+            unit: "B sent and received",
+            points: loads.map(|(n, r)| (n, r.1)).into(),
+            target: 64.0,
+        },
         Series {
             what: "one read of the platform's list, by entries",
             unit: "us",
@@ -120,6 +133,35 @@
     })
 }
 
+/// Processor time and bytes of `count` reads of a replica's load.
+fn read_loads(count: usize) -> (f64, f64) {
+    let config = EngineConfig {
+        model: "model".into(),
+        weights: "v1".into(),
+        name: "replica-1".into(),
+        prefill: 10_000,
+        decode: Duration::from_millis(20),
+        slots: 8,
+        queue: 8,
+        cache: 100,
+        block: 1024,
+        source: None,
+        fenced: true,
+    };
+    let far = behind(move || fakes::engine(config, Control::new(Faults::default())));
+    runtime().block_on(async {
+        let deadlines = Deadlines { call: Duration::from_secs(60), ..Deadlines::default() };
+        let engine = EngineClient::new(Client::new(deadlines));
+        engine.load(far.addr).await.expect("a load");
+        let (start, before) = (thread_micros(), far.bytes.load(Ordering::Relaxed));
+        for _ in 0..count {
+            engine.load(far.addr).await.expect("a load");
+        }
+        let bytes = far.bytes.load(Ordering::Relaxed) - before;
+        (thread_micros() - start, bytes as f64)
+    })
+}
+
 /// Processor time and bytes of one read of a list with `count` entries.
 fn read_list(count: usize) -> (f64, f64) {
     const READS: u32 = 40;
--- a/crates/wire/examples/slopes/probe.rs
+++ b/crates/wire/examples/slopes/probe.rs
@@ -1,6 +1,6 @@
 //! Readings of the kernel's accounts.
 
-use std::fs;
+use std::{fs, sync::mpsc, thread};
 
 /// Processor time of this thread so far, in microseconds.
 pub fn thread_micros() -> f64 {
@@ -27,13 +27,22 @@
     kib.expect("VmRSS in kB") * 1024.0
 }
 
-/// Resident bytes that what `f` makes takes. It is never freed, so that no later reading gets its
-/// memory for nothing.
+/// Resident bytes that what `f` makes takes, with what making it left behind. It is made in a
+/// thread that never ends, so that no memory freed before is counted for nothing.
 pub fn bytes<T, F>(f: F) -> f64
 where
-    F: FnOnce() -> T,
+    T: 'static,
+    F: FnOnce() -> T + Send + 'static,
 {
-    let start = resident();
-    std::mem::forget(f());
-    resident() - start
+    let (send, receive) = mpsc::channel();
+    thread::spawn(move || {
+        let start = resident();
+        let kept = f();
+        send.send(resident() - start).expect("the caller waits");
+        loop {
+            thread::park();
+            std::hint::black_box(&kept);
+        }
+    });
+    receive.recv().expect("the thread measures")
 }
--- a/crates/wire/examples/slopes/work.rs
+++ b/crates/wire/examples/slopes/work.rs
@@ -1,23 +1,33 @@
 //! Processor time of decisions.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
-use blob::MemoryBlob;
+use async_trait::async_trait;
+use blob::{Blob, BlobError, MemoryBlob};
+use bytes::Bytes;
 use conf::Store;
 use events::{EventKind, Log};
-use ident::{Boot, Name, Secret, Time};
+use ident::{Boot, Digest, Name, Secret, Time};
 use member::{News, PeerState, Ping};
 use table::Memory;
+use tokio::runtime::Builder;
 use wire::{Message, decode, encode, seal::Identity};
 
 use crate::{
     fit::Series,
-    probe::micros,
+    probe::{micros, thread_micros},
     samples::{changes, name, view},
     sim::{self, Sim},
 };
 
 pub fn series() -> Vec<Series> {
+    let starts = [4500, 9000, 13_500, 18_000].map(|n| (n as f64, load(n)));
     vec![
         Series {
             what: "membership, peers' messages and list, by instances",
@@ -37,6 +47,18 @@
             points: [4500, 9000, 13_500, 18_000].map(|n| (n as f64, learn(n))).into(),
             target: 18_000.0,
         },
+        Series {
+            what: "loading the configuration at a start, by teams",
+            unit: "ms",
+            points: starts.map(|(n, r)| (n, r.0)).into(),
+            target: 18_000.0,
+        },
+        Series {
+            what: "size of the snapshot read at a start, by teams",
+            unit: "KB",
+            points: starts.map(|(n, r)| (n, r.1)).into(),
+            target: 18_000.0,
+        },
         Series {
             what: "one address answer, by instances",
             unit: "us per answer",
@@ -129,6 +151,41 @@
     time / CHANGES as f64
 }
 
+/// A blob store that counts the bytes read.
+#[derive(Default)]
+struct Counting {
+    inner: MemoryBlob,
+    read: AtomicU64,
+}
+
+#[async_trait]
+impl Blob for Counting {
+    async fn put(&self, prefix: &str, body: Bytes) -> Result<Digest, BlobError> {
+        self.inner.put(prefix, body).await
+    }
+
+    async fn get(&self, prefix: &str, digest: Digest) -> Result<Bytes, BlobError> {
+        let body = self.inner.get(prefix, digest).await?;
+        self.read.fetch_add(body.len() as u64, Ordering::Relaxed);
+        Ok(body)
+    }
+}
+
+/// Processor time in milliseconds and kilobytes read of a start from a snapshot.
+fn load(teams: usize) -> (f64, f64) {
+    let blob = Arc::new(Counting::default());
+    let store = Store::new(Arc::new(Memory::new()), blob.clone());
+    let runtime = Builder::new_current_thread().build().expect("a runtime");
+    runtime.block_on(async {
+        store.snapshot(&view(teams)).await.expect("a snapshot");
+        let start = thread_micros();
+        let loaded = store.load().await.expect("the configuration");
+        let time = thread_micros() - start;
+        assert_eq!(loaded.teams().count(), teams);
+        (time / 1e3, blob.read.load(Ordering::Relaxed) as f64 / 1e3)
+    })
+}
+
 fn settled(count: usize) -> Sim {
     let mut sim = Sim::new(count, 8, 4);
     sim.run(Duration::from_secs(5));
--- a/crates/wire/tests/sealed_frames.rs
+++ b/crates/wire/tests/sealed_frames.rs
@@ -2,7 +2,7 @@
 
 use conf::{Change, Doc, DocKey, Kind, Model};
 use ident::{Boot, Name, RequestId, Rev, Secret};
-use member::{News, PeerState, Ping, Pong, Status};
+use member::{MAX_NEWS, News, PeerState, Ping, Pong, Status};
 use wire::{MAX_FRAME, MAX_PAGE, Message, decode, encode, fit, seal::Identity};
 
 fn name(text: &str) -> Name {
@@ -101,7 +101,7 @@
 
 #[test]
 fn too_much_news_is_refused() {
-    let news = vec![News { name: name("x"), incarnation: 1, state: PeerState::Live }; 7];
+    let news = vec![News { name: name("x"), incarnation: 1, state: PeerState::Live }; MAX_NEWS + 1];
     let bytes = encode(&Message::Ping(Ping { status: status(1), news })).unwrap();
     assert!(decode(&bytes, Boot(3)).is_err());
 }
