Follow events over restarts of an instance

Each page now begins with the last event known: another one in its place means that the process was restarted.

--- a/crates/admin/src/memory.rs
+++ b/crates/admin/src/memory.rs
@@ -18,6 +18,7 @@
 /// The change log all instances share.
 #[derive(Debug, Default)]
 struct Shared {
+    boots: u128,
     changes: Vec<Change>,
     view: View,
 }
@@ -40,6 +41,7 @@
     name: Name,
     zone: Name,
     token: Arc<str>,
+    boot: Boot,
     /// The instance's events.
     pub log: Log,
     shared: Arc<Mutex<Shared>>,
@@ -67,8 +69,9 @@
             replicas: Vec::new(),
             rollout: None,
         };
-        let log = Log::new(name.clone(), Boot(1), EVENTS);
-        Self { name, zone, token, log, shared, own: Mutex::new(own) }
+        let boot = shared.lock().boot();
+        let log = Log::new(name.clone(), boot, EVENTS);
+        Self { name, zone, token, boot, log, shared, own: Mutex::new(own) }
     }
 
     /// Keeps this instance at its present revision for the next `reads` reads.
@@ -114,6 +117,12 @@
 }
 
 impl Shared {
+    /// The next life of a process.
+    fn boot(&mut self) -> Boot {
+        self.boots += 1;
+        Boot(self.boots)
+    }
+
     fn accept(&mut self, change: Change, expect: Option<Rev>) -> Result<Change, ControlError> {
         if let Some(stored) = self.changes.iter().find(|c| c.id == change.id) {
             return Ok(stored.clone());
@@ -175,7 +184,7 @@
         InstanceStatus {
             name: self.name.clone(),
             zone: self.zone.clone(),
-            boot: Boot(1),
+            boot: self.boot,
             phase: own.phase,
             rev,
             freshness: Freshness { fresh: own.lag == 0, confirmed: Time(0) },
--- a/crates/lentilctl/src/cli.rs
+++ b/crates/lentilctl/src/cli.rs
@@ -24,16 +24,28 @@
 #[derive(Debug, Args)]
 pub struct Global {
     /// Administration address of an instance, such as http://10.1.0.1:8081; may be repeated
-    #[arg(long = "admin", global = true, env = "LENTIL_ADMIN", value_delimiter = ',')]
+    #[arg(
+        long = "admin",
+        global = true,
+        value_name = "URL",
+        env = "LENTIL_ADMIN",
+        value_delimiter = ','
+    )]
     pub admins: Vec<String>,
     /// File that holds the operator's key
-    #[arg(long, global = true, env = "LENTIL_KEY_FILE")]
+    #[arg(long, global = true, value_name = "FILE", env = "LENTIL_KEY_FILE")]
     pub key_file: Option<PathBuf>,
     /// Print JSON
     #[arg(long, global = true)]
     pub json: bool,
     /// Longest wait for one answer
-    #[arg(long, global = true, default_value = "10s", value_parser = parse_span)]
+    #[arg(
+        long,
+        global = true,
+        value_name = "TIME",
+        default_value = "10s",
+        value_parser = parse_span
+    )]
     pub timeout: Duration,
 }
 
@@ -78,7 +90,7 @@
         #[arg(value_parser = parse_rev)]
         rev: Rev,
         /// Longest wait
-        #[arg(long, default_value = "30s", value_parser = parse_span)]
+        #[arg(long, value_name = "TIME", default_value = "30s", value_parser = parse_span)]
         within: Duration,
     },
     /// Start the planned stop of the one instance named by --admin
@@ -142,7 +154,7 @@
 #[derive(Debug, Clone, Copy, Args)]
 pub struct ChangeArgs {
     /// Change only if the document was made by this revision
-    #[arg(long, value_parser = parse_rev)]
+    #[arg(long, value_name = "REV", value_parser = parse_rev)]
     pub expect: Option<Rev>,
     /// Repeat a change whose outcome is unknown
     #[arg(long, value_name = "ID")]
@@ -220,7 +232,7 @@
         #[arg(long)]
         wait: bool,
         /// Longest wait
-        #[arg(long, default_value = "30m", value_parser = parse_span)]
+        #[arg(long, value_name = "TIME", default_value = "30m", value_parser = parse_span)]
         within: Duration,
     },
 }
--- a/crates/lentilctl/src/commands.rs
+++ b/crates/lentilctl/src/commands.rs
@@ -10,8 +10,11 @@
 mod status;
 mod withdraw;
 
+use std::io::Write;
+
 use admin::StatusWire;
 use clap::CommandFactory;
+use clap_complete::Shell;
 use conf::Kind;
 use hyper::Method;
 
@@ -36,11 +39,7 @@
 pub async fn run(cli: Cli) -> Result<Exit, Failure> {
     let out = Output { json: cli.global.json };
     match cli.command {
-        Command::Completions { shell } => {
-            let name = "lentilctl";
-            clap_complete::generate(shell, &mut Cli::command(), name, &mut std::io::stdout());
-            return Ok(Exit::Done);
-        }
+        Command::Completions { shell } => return completions(shell),
         Command::Key => return keys::random(out),
         _ => {}
     }
@@ -74,6 +73,13 @@
     }
 }
 
+fn completions(shell: Shell) -> Result<Exit, Failure> {
+    let mut script = Vec::new();
+    clap_complete::generate(shell, &mut Cli::command(), "lentilctl", &mut script);
+    std::io::stdout().write_all(&script)?;
+    Ok(Exit::Done)
+}
+
 async fn doc(cx: &Context, kind: Kind, command: DocCommand) -> Result<Exit, Failure> {
     match command {
         DocCommand::List => docs::list(cx, kind).await,
--- a/crates/lentilctl/src/commands/events.rs
+++ b/crates/lentilctl/src/commands/events.rs
@@ -24,8 +24,12 @@
 /// How far an instance's log was read.
 struct Cursor {
     admin: String,
+    /// Position of the last event known; 0 when none is.
     after: u64,
+    /// The life of the process that recorded it.
     boot: Option<Boot>,
+    /// Whether the last try to read failed.
+    down: bool,
 }
 
 /// Shows the merged time line, goes on with `follow`, or writes it to `file` as a trace.
@@ -33,19 +37,12 @@
 /// With `follow` events are ordered within each look; a later look may show earlier events of an
 /// instance that answered late.
 pub async fn run(cx: &Context, follow: bool, file: Option<PathBuf>) -> Result<Exit, Failure> {
-    let start = |a: &String| Cursor { admin: a.clone(), after: 0, boot: None };
+    let start = |a: &String| Cursor { admin: a.clone(), after: 0, boot: None, down: false };
     let mut cursors: Vec<_> = cx.client.admins().iter().map(start).collect();
     loop {
         let mut pages = Vec::new();
-        let mut failed = 0;
         for cursor in &mut cursors {
-            match cursor.read(cx, &mut pages).await {
-                Err(Failure::Unreachable { reasons }) => {
-                    failed += 1;
-                    eprintln!("{}", reasons.join("\n"));
-                }
-                done => done?,
-            }
+            cursor.look(cx, &mut pages).await?;
         }
         let line = merge(pages);
         match &file {
@@ -53,33 +50,54 @@
             None => line.iter().try_for_each(|event| show(cx.out, event))?,
         }
         if !follow {
-            return Ok(if failed == 0 { Exit::Done } else { Exit::Failed });
+            let failed = cursors.iter().any(|c| c.down);
+            return Ok(if failed { Exit::Failed } else { Exit::Done });
         }
         sleep(PAUSE).await;
     }
 }
 
 impl Cursor {
-    /// Reads all pages there are. A new life of the process is read from its start.
+    /// Reads what is new. An instance that does not answer is told once.
+    async fn look(&mut self, cx: &Context, pages: &mut Vec<Page>) -> Result<(), Failure> {
+        match self.read(cx, pages).await {
+            Err(error @ Failure::Unreachable { .. }) => {
+                if !self.down {
+                    eprintln!("{error}");
+                }
+                self.down = true;
+            }
+            done => {
+                done?;
+                self.down = false;
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads all pages there are. Each begins with the last event known: where another one stands
+    /// in its place the process was restarted, and its log is read from the start.
     async fn read(&mut self, cx: &Context, pages: &mut Vec<Page>) -> Result<(), Failure> {
         loop {
-            let path = format!("/admin/v1/events?after={}&limit={LIMIT}", self.after);
-            let page: Page = cx.client.one(&self.admin, Method::GET, &path).await?;
-            let boot = page.events.first().map(|e| e.boot);
-            let restarted = boot.is_some() && self.boot.is_some() && boot != self.boot;
-            if (restarted || page.next < self.after) && self.after > 0 {
-                (self.after, self.boot) = (0, None);
-                continue;
+            let known = self.after.saturating_sub(1);
+            let path = format!("/admin/v1/events?after={known}&limit={LIMIT}");
+            let mut page: Page = cx.client.one(&self.admin, Method::GET, &path).await?;
+            let more = page.events.len() == LIMIT;
+            if self.after > 0 {
+                if page.events.first().map(|e| e.boot) != self.boot {
+                    (self.after, self.boot) = (0, None);
+                    continue;
+                }
+                page.events.retain(|e| e.seq > self.after);
+                page.lost = page.lost.saturating_sub(1);
             }
             if page.lost > 0 {
-                eprintln!(
-                    "{}: {} events were overwritten before they were read",
-                    self.admin, page.lost
-                );
+                let (admin, lost) = (&self.admin, page.lost);
+                eprintln!("{admin}: {lost} events were overwritten before they were read");
+            }
+            if let Some(last) = page.events.last() {
+                (self.after, self.boot) = (last.seq, Some(last.boot));
             }
-            self.after = page.next;
-            self.boot = boot.or(self.boot);
-            let more = page.events.len() == LIMIT;
             pages.push(page);
             if !more {
                 return Ok(());
--- a/crates/lentilctl/tests/golden_sessions.rs
+++ b/crates/lentilctl/tests/golden_sessions.rs
@@ -10,49 +10,37 @@
 //! A file below `samples/` is the repository's. Addresses are shown as `http://1` to `http://3`, keys as KEY, ids and digests as ID. With
 //! `GOLDEN_UPDATE=1` the files are rewritten with the output seen, for review.
 
-use std::{fmt::Write, fs, path::Path, process::Command, sync::Arc, time::Duration};
+mod common;
 
-use admin::{Control, ControlError, Memory, ReplicaState, ReplicaStatus, RolloutStatus};
+use std::{fmt::Write, fs, path::Path, process::Command, time::Duration};
+
+use admin::{ControlError, Memory, ReplicaState, ReplicaStatus, RolloutStatus};
+use common::{Instance, KEY, name};
 use events::EventKind;
-use ident::{Name, Rev, Time};
-use tokio::{net::TcpListener, runtime::Runtime, task::JoinHandle};
+use ident::{Rev, Time};
 
-const KEY: &str = "operator-key";
 const REPOSITORY: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../..");
 
-fn name(text: &str) -> Name {
-    Name::new(text).unwrap()
-}
-
-struct Instance {
-    memory: Arc<Memory>,
-    url: String,
-    task: JoinHandle<()>,
-}
-
 struct Rig {
     dir: tempfile::TempDir,
     instances: Vec<Instance>,
-    _runtime: Runtime,
 }
 
 impl Rig {
     fn new() -> Self {
-        let runtime = Runtime::new().unwrap();
         let first = Memory::new(name("inkline-1"), name("regina"), KEY);
         let second = first.join(name("inkline-2"), name("saskatoon"));
         let third = first.join(name("inkline-3"), name("winnipeg"));
-        let all = [first, second, third].map(Arc::new);
-        let instances = all.into_iter().map(|m| runtime.block_on(serve(m))).collect();
+        let instances = [first, second, third].map(|m| Instance::serve(m, 0)).into();
         let dir = tempfile::tempdir().unwrap();
         fs::write(dir.path().join("key"), KEY).unwrap();
-        Self { dir, instances, _runtime: runtime }
+        Self { dir, instances }
     }
 
     /// Does what a `!` line says to the instance it names.
-    fn act(&self, line: &str) {
+    fn act(&mut self, line: &str) {
         let words: Vec<_> = line.split(' ').collect();
-        let instance = &self.instances[words[1].parse::<usize>().unwrap() - 1];
+        let instance = &mut self.instances[words[1].parse::<usize>().unwrap() - 1];
         let memory = &instance.memory;
         match words[0] {
             "lag" => memory.lag(words[2].parse().unwrap()),
@@ -63,10 +51,7 @@
             }
             "recover" => memory.fail(None),
             "stop" => {
-                instance.task.abort();
-                while !instance.task.is_finished() {
-                    std::thread::yield_now();
-                }
+                instance.stop();
             }
             "watch" => memory.set_replicas(vec![ReplicaStatus {
                 name: name(words[2]),
@@ -141,7 +126,7 @@
     }
 
     /// Runs a session and returns it with the output seen.
-    fn run(&self, session: &str) -> String {
+    fn run(&mut self, session: &str) -> String {
         let mut seen = String::new();
         let mut lines = session.lines().peekable();
         while let Some(line) = lines.next() {
@@ -161,25 +146,10 @@
     }
 }
 
-impl Drop for Rig {
-    fn drop(&mut self) {
-        self.instances.iter().for_each(|i| i.task.abort());
-    }
-}
-
-async fn serve(memory: Arc<Memory>) -> Instance {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let url = format!("http://{}", listener.local_addr().unwrap());
-    let control: Arc<dyn Control> = memory.clone();
-    let serving = axum::serve(listener, admin::router(control));
-    let task = tokio::spawn(async move { serving.await.unwrap() });
-    Instance { memory, url, task }
-}
-
 fn check(file: &str) {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/sessions").join(file);
     let session = fs::read_to_string(&path).unwrap();
-    let rig = Rig::new();
+    let mut rig = Rig::new();
     let seen = rig.run(&session);
     if std::env::var_os("GOLDEN_UPDATE").is_some() {
         fs::write(&path, &seen).unwrap();
