--- a/crates/lentilctl/src/client/change.rs
+++ b/crates/lentilctl/src/client/change.rs
@@ -78,38 +78,14 @@
                 return None;
             }
         };
-        let verdict = match parse(admin, &answer) {
-            Err(Failure::Refused(problem)) => problem,
+        match parse(admin, &answer) {
+            Err(Failure::Refused(problem)) => tries.judge(admin, wanted, problem).map(Err),
             Err(e) => {
                 tries.maybe |= answer.status < 300 || answer.status >= 500;
                 tries.reasons.push(e.to_string());
-                return None;
-            }
-            done => return Some(done),
-        };
-        match verdict {
-            Problem::Unavailable { .. } => {
-                tries.reasons.push(format!("{admin}: {verdict}"));
-                tries.unavailable = Some(verdict);
-                None
-            }
-            Problem::Unknown { .. } => {
-                tries.maybe = true;
-                tries.reasons.push(format!("{admin}: its answer from the table was lost"));
                 None
             }
-            Problem::Stale { .. } | Problem::Exists { .. } | Problem::IdReused { .. } => {
-                Some(Err(wanted.lost_race(verdict)))
-            }
-            _ if tries.maybe => {
-                tries.reasons.push(format!("{admin}: {verdict}"));
-                None
-            }
-            Problem::NotFound => {
-                let (kind, name) = (wanted.key.kind, wanted.key.name.clone());
-                Some(Err(Failure::Missing { kind, name }))
-            }
-            _ => Some(Err(Failure::Refused(verdict))),
+            done => Some(done),
         }
     }
 }
@@ -134,6 +110,30 @@
 }
 
 impl Tries {
+    /// What a refusal means for the change; `None` when another instance is to be asked.
+    fn judge(&mut self, admin: &str, wanted: &Wanted, problem: Problem) -> Option<Failure> {
+        let mut reason = problem.to_string();
+        match problem {
+            // The log was read before this refusal, so no earlier try can take effect any more.
+            Problem::Stale { .. } | Problem::Exists { .. } | Problem::IdReused { .. } => {
+                return Some(wanted.lost_race(problem));
+            }
+            Problem::Unknown { .. } => {
+                self.maybe = true;
+                reason = "its answer from the table was lost".into();
+            }
+            Problem::Unavailable { .. } => self.unavailable = Some(problem),
+            _ if self.maybe => {}
+            Problem::NotFound => {
+                let (kind, name) = (wanted.key.kind, wanted.key.name.clone());
+                return Some(Failure::Missing { kind, name });
+            }
+            _ => return Some(Failure::Refused(problem)),
+        }
+        self.reasons.push(format!("{admin}: {reason}"));
+        None
+    }
+
     fn verdict(self, wanted: &Wanted) -> Failure {
         if self.maybe {
             let reason = self.reasons.last().cloned().unwrap_or_default();
