--- a/crates/entry/src/pools.rs
+++ b/crates/entry/src/pools.rs
@@ -185,7 +185,7 @@
         let mut guard = shard.lock();
         let Shard { pool, policy } = &mut *guard;
         let choice = policy.choose(pool, &links.lock(), ask, draw, now)?;
-        let ticket = pool.started(&choice.replica, choice.tokens, now);
+        let ticket = pool.started(&choice.replica, choice.tokens, ask.class, now);
         Ok((choice, ticket))
     }
 
