--- a/crates/node/src/rollout.rs
+++ b/crates/node/src/rollout.rs
@@ -19,7 +19,8 @@
 const ROUND: Duration = Duration::from_secs(1);
 /// Loads over all targets at once; loading slows down beyond.
 const MAX_LOADS: usize = 3;
-/// Percentage of a target's capacity that keeps serving.
+/// Percentage of a target's capacity that keeps serving, where one replica is not more than the
+/// rest.
 const FLOOR: u8 = 60;
 /// Share of capacity, in percent, that keeps serving the version before.
 const PREVIOUS_SHARE: u8 = 0;
@@ -137,7 +138,7 @@
         let core = &self.rollouts.core;
         let wanted = Wanted { weights: self.version.clone(), role: mixed() };
         let quiet = Rollout::quiet_until(core.now(), TERM);
-        let bounds = Bounds { floor: FLOOR, loads: MAX_LOADS };
+        let bounds = Bounds { floor: floor(self.replicas().len()), loads: MAX_LOADS };
         let mut rollout = Rollout::new(wanted, held.fence(), self.fenced, quiet, bounds);
         let mut readings: Vec<Replica> = Vec::new();
         loop {
@@ -171,11 +172,15 @@
         core.view().model(model).is_some_and(|m| m.version == *self.version)
     }
 
+    fn replicas(&self) -> Vec<ReplicaRef> {
+        let all = self.rollouts.core.pools.replicas();
+        all.into_iter().filter(|r| r.target == self.target.name).collect()
+    }
+
     /// Reads all replicas back; one that does not answer keeps its last reading.
     async fn read(&self, readings: &mut Vec<Replica>) {
         let core = &self.rollouts.core;
-        let replicas: Vec<ReplicaRef> =
-            core.pools.replicas().into_iter().filter(|r| r.target == self.target.name).collect();
+        let replicas = self.replicas();
         readings.retain(|r| replicas.iter().any(|known| known.name == r.name));
         for replica in replicas {
             let asked = core.now();
@@ -216,6 +221,13 @@
     }
 }
 
+/// The part of the capacity, in percent, that keeps serving. With few replicas less, so that one
+/// may always load.
+fn floor(replicas: usize) -> u8 {
+    let spared = 100 * replicas.saturating_sub(1) / replicas.max(1);
+    FLOOR.min(u8::try_from(spared).unwrap_or(FLOOR))
+}
+
 fn reading(replica: &ReplicaRef, orders: Orders, read: Time) -> Replica {
     let state = |w: outbound::Wanted| Wanted { weights: w.weights, role: w.role };
     Replica {
