--- a/crates/lentilctl/src/client/change.rs
+++ b/crates/lentilctl/src/client/change.rs
@@ -25,6 +25,8 @@
 pub struct Wanted {
     /// Its id, the same for every try.
     pub id: RequestId,
+    /// Whether an earlier command used the id, so that it may have taken effect already.
+    pub repeated: bool,
     /// The document.
     pub key: DocKey,
     /// Its fields from now on; `None` to remove it.
@@ -46,7 +48,7 @@
     /// Makes a change. An instance that can't be reached or can't tell the outcome is followed by
     /// the next one with the same change id, so that the change is accepted at most once.
     pub async fn change(&self, wanted: &Wanted) -> Result<ChangeWire, Failure> {
-        let mut tries = Tries::default();
+        let mut tries = Tries { maybe: wanted.repeated, ..Tries::default() };
         for round in 0..ROUNDS {
             if round > 0 {
                 tokio::time::sleep(PAUSE).await;
@@ -122,7 +124,10 @@
                 self.maybe = true;
                 reason = "its answer from the table was lost".into();
             }
-            Problem::Unavailable { .. } => self.unavailable = Some(problem),
+            Problem::Unavailable { .. } => {
+                self.unavailable = Some(problem);
+                reason = "it can't reach the table service".into();
+            }
             _ if self.maybe => {}
             Problem::NotFound => {
                 let (kind, name) = (wanted.key.kind, wanted.key.name.clone());
--- a/crates/lentilctl/src/commands/apply.rs
+++ b/crates/lentilctl/src/commands/apply.rs
@@ -56,7 +56,8 @@
         return cx.out.unchanged(&key, *rev, "unchanged");
     }
     let id = args.change_id.unwrap_or_else(random::change_id);
-    let change = cx.client.change(&Wanted { id, key, value: Some(value), expect }).await?;
+    let wanted = Wanted { id, repeated: args.change_id.is_some(), key, value: Some(value), expect };
+    let change = cx.client.change(&wanted).await?;
     cx.out.change(&change, what)
 }
 
--- a/crates/lentilctl/src/commands/docs.rs
+++ b/crates/lentilctl/src/commands/docs.rs
@@ -42,7 +42,8 @@
         }
     };
     let id = args.change_id.unwrap_or_else(random::change_id);
-    let wanted = Wanted { id, key, value: None, expect: Some(expect) };
+    let repeated = args.change_id.is_some();
+    let wanted = Wanted { id, repeated, key, value: None, expect: Some(expect) };
     let change = cx.client.change(&wanted).await?;
     cx.out.change(&change, "removed")?;
     Ok(Exit::Done)
--- a/crates/lentilctl/src/edit.rs
+++ b/crates/lentilctl/src/edit.rs
@@ -61,7 +61,8 @@
         }
         let id = rules.id.unwrap_or_else(random::change_id);
         let expect = Some(rules.expect.unwrap_or(rev));
-        let wanted = Wanted { id, key: key.clone(), value: Some(value), expect };
+        let repeated = rules.id.is_some();
+        let wanted = Wanted { id, repeated, key: key.clone(), value: Some(value), expect };
         match client.change(&wanted).await {
             Ok(change) => return Ok(Edit::Changed(change)),
             Err(Failure::Conflict { current: Some(_), .. })
