--- a/crates/admin/src/wire.rs
+++ b/crates/admin/src/wire.rs
@@ -181,13 +181,18 @@
 
 /// A [`ReplicaStatus`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[expect(missing_docs, reason = "the members are those of ReplicaStatus")]
 pub struct ReplicaWire {
+    /// Its name in the platform's list.
     pub name: Name,
+    /// The target it belongs to.
     pub target: Name,
+    /// Its availability zone.
     pub zone: Name,
+    /// Whether it takes work.
     pub state: ReplicaState,
+    /// The weight version it serves; null when not known.
     pub weights: Option<Name>,
+    /// Requests of this instance running there.
     pub running: u32,
 }
 
@@ -207,13 +212,16 @@
 
 /// A [`PeerStatus`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[expect(missing_docs, reason = "the members are those of PeerStatus")]
 pub struct PeerWire {
+    /// Its name.
     pub name: Name,
+    /// Its availability zone.
     pub zone: Name,
+    /// Whether its heartbeats arrive.
     pub state: PeerState,
+    /// The configuration revision it reported last.
     pub rev: Rev,
-    /// Milliseconds since the Unix epoch.
+    /// When it was last heard, in milliseconds since the Unix epoch.
     pub heard: Time,
 }
 
@@ -233,19 +241,26 @@
 
 /// An [`InstanceStatus`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[expect(missing_docs, reason = "the members are those of InstanceStatus")]
 pub struct StatusWire {
+    /// The instance's name.
     pub name: Name,
+    /// Its availability zone.
     pub zone: Name,
+    /// This life of its process.
     pub boot: Boot,
+    /// What it is doing.
     pub phase: Phase,
+    /// The configuration revision in force.
     pub rev: Rev,
     /// Whether the revision was confirmed recently enough to admit new work.
     pub fresh: bool,
-    /// Milliseconds since the Unix epoch.
+    /// When the revision was last confirmed, in milliseconds since the Unix epoch.
     pub confirmed: Time,
+    /// Requests running.
     pub running: u64,
+    /// The replicas it watches, by name.
     pub replicas: Vec<ReplicaWire>,
+    /// The instances it hears, by name.
     pub peers: Vec<PeerWire>,
 }
 
@@ -284,13 +299,18 @@
 
 /// A [`RolloutStatus`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[expect(missing_docs, reason = "the members are those of RolloutStatus")]
 pub struct RolloutWire {
+    /// The model.
     pub model: Name,
+    /// The version being rolled out.
     pub version: Name,
+    /// The instance that leads the rollout; null when not known.
     pub leader: Option<Name>,
+    /// Replicas that are not leaving.
     pub total: u32,
+    /// Replicas that serve the version.
     pub ready: u32,
+    /// Replicas loading it.
     pub loading: u32,
 }
 
