--- /dev/null
+++ b/crates/node/tests/deployed_config.rs
@@ -0,0 +1,153 @@
+//! An accepted change is in force everywhere within seconds and never reverts, seen through
+//! requests: each change moves the team's prompt limit, and the refusal names it.
+
+use std::time::{Duration, Instant};
+
+use hyper::Method;
+use rig::{Deployment, Entry, STATE_LIMIT, Signal, Spec, wait_for};
+use serde_json::{Value, json};
+
+/// Longest time from acceptance to being in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(12);
+
+/// The limit an instance applies, read off its refusal of a prompt above all limits; `None` when
+/// it takes no work.
+async fn limit(d: &Deployment, entry: &Entry) -> Option<u64> {
+    let prompt = "x".repeat(3_000_000);
+    let body = json!({"model": "writer", "prompt": prompt, "max_tokens": 1, "stream": true});
+    let headers = [("authorization", "Bearer weddings-key")];
+    let url = format!("{}/v1/completions", entry.instance.url());
+    let bytes = bytes::Bytes::from(body.to_string());
+    let reply = d.platform.http.send(Method::POST, &url, &headers, bytes).await.ok()?;
+    let problem: Value = reply.json().ok()?;
+    let detail = problem["detail"].as_str()?;
+    detail.rsplit("limit is ").next()?.parse().ok()
+}
+
+async fn set_limit(d: &Deployment, entry: &Entry, limit: u64) -> Result<(), rig::RigError> {
+    let edit = |doc: &mut Value| doc["params"]["limits"]["prompt"] = json!(limit);
+    d.change(entry, "templates/inkline", edit).await
+}
+
+/// Waits until every entry applies `wanted`, checking that no limit goes back on the way.
+async fn wait_in_force(d: &Deployment, wanted: u64, since: Instant) {
+    let mut seen = vec![0; d.entries.len()];
+    loop {
+        for (entry, seen) in d.entries.iter().zip(&mut seen) {
+            if let Some(limit) = limit(d, entry).await {
+                assert!(limit >= *seen, "{}: {limit} after {seen}", entry.name);
+                *seen = limit;
+            }
+        }
+        if seen.iter().all(|s| *s == wanted) {
+            return;
+        }
+        assert!(since.elapsed() < STATE_LIMIT, "{seen:?} in place of {wanted}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn racing_operators_lose_no_accepted_change() {
+    let d = Deployment::start(&Spec::default()).await.unwrap();
+    let mut accepted = Vec::new();
+    for round in 0..6 {
+        let base = 1000 + round * 10;
+        let results = tokio::join!(
+            set_limit(&d, &d.entries[0], base + 1),
+            set_limit(&d, &d.entries[1], base + 2),
+            set_limit(&d, &d.entries[2], base + 3),
+        );
+        let results = [(1, results.0), (2, results.1), (3, results.2)];
+        let won: Vec<u64> =
+            results.iter().filter(|(_, r)| r.is_ok()).map(|(i, _)| base + i).collect();
+        assert!(!won.is_empty(), "somebody wins each round");
+        for (_, lost) in results.iter().filter(|(_, r)| r.is_err()) {
+            let text = lost.as_ref().unwrap_err().to_string();
+            assert!(text.contains("412") || text.contains("409"), "{text}");
+        }
+        accepted.push(won.len());
+        let revision = d.wait_same_revision().await.unwrap();
+        let now = limit(&d, &d.entries[0]).await.unwrap();
+        assert!(won.contains(&now), "{now} was not accepted last ({won:?}, r{revision})");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_are_in_force_everywhere_in_seconds() {
+    let d = Deployment::start(&Spec::default()).await.unwrap();
+    for i in 1..=5 {
+        set_limit(&d, &d.entries[i % 3], 1_001_000 + i as u64).await.unwrap();
+        let accepted = Instant::now();
+        wait_in_force(&d, 1_001_000 + i as u64, accepted).await;
+        assert!(accepted.elapsed() < IN_FORCE, "change {i} took {:?}", accepted.elapsed());
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_thawed_instance_never_serves_by_an_old_revision() {
+    let d = Deployment::start(&Spec::default()).await.unwrap();
+    set_limit(&d, &d.entries[0], 1_001_000).await.unwrap();
+    wait_in_force(&d, 1_001_000, Instant::now()).await;
+    let frozen = &d.entries[2];
+    frozen.instance.signal(Signal::Stop).unwrap();
+    set_limit(&d, &d.entries[0], 1_002_000).await.unwrap();
+    tokio::time::sleep(IN_FORCE).await;
+    frozen.instance.signal(Signal::Cont).unwrap();
+    // Twelve seconds on, it may refuse, but it may not serve by the old limit.
+    for _ in 0..20 {
+        if let Some(limit) = limit(&d, frozen).await {
+            assert_eq!(limit, 1_002_000, "served by an old revision");
+        }
+    }
+    wait_in_force(&d, 1_002_000, Instant::now()).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_outage_of_the_table_stops_no_work_and_reverts_nothing() {
+    let mut d = Deployment::start(&Spec::default()).await.unwrap();
+    set_limit(&d, &d.entries[0], 1_001_500).await.unwrap();
+    wait_in_force(&d, 1_001_500, Instant::now()).await;
+    d.platform.faults(&d.platform.table, json!({"outage": true})).await.unwrap();
+    // Longer than a confirmation lasts.
+    tokio::time::sleep(IN_FORCE).await;
+    for entry in &d.entries {
+        assert_eq!(limit(&d, entry).await, Some(1_001_500), "{} serves on", entry.name);
+    }
+    set_limit(&d, &d.entries[0], 1_001_600).await.unwrap_err();
+    // One that starts in the outage knows nothing and takes no work.
+    d.add_instance("entry-late", "regina").await.unwrap();
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let late = d.entries.last().unwrap();
+    let ready = d.platform.http.get(&format!("{}/readyz", late.instance.url())).await.unwrap();
+    assert_eq!(ready.status.as_u16(), 503);
+    d.platform.faults(&d.platform.table, json!({})).await.unwrap();
+    d.wait_ready().await.unwrap();
+    for entry in &d.entries {
+        assert_eq!(limit(&d, entry).await, Some(1_001_500), "nothing was accepted in the outage");
+    }
+    set_limit(&d, &d.entries[0], 1_001_700).await.unwrap();
+    wait_in_force(&d, 1_001_700, Instant::now()).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_outlives_all_instances() {
+    let mut d = Deployment::start(&Spec::default()).await.unwrap();
+    set_limit(&d, &d.entries[0], 1234).await.unwrap();
+    let accepted = d.wait_same_revision().await.unwrap();
+    // Killed at once, the last one as well.
+    let gone: Vec<_> = d.entries.drain(..).collect();
+    for entry in &gone {
+        d.platform.delist(&entry.name).await.unwrap();
+    }
+    drop(gone);
+    for i in 0..3 {
+        d.add_instance(&format!("entry-new-{i}"), "regina").await.unwrap();
+    }
+    d.wait_ready().await.unwrap();
+    assert_eq!(d.wait_same_revision().await.unwrap(), accepted);
+    wait_for("the limit to be applied", STATE_LIMIT, || async {
+        (limit(&d, &d.entries[1]).await? == 1234).then_some(())
+    })
+    .await
+    .unwrap();
+}
