--- a/crates/bench/src/decide.rs
+++ b/crates/bench/src/decide.rs
@@ -189,7 +189,7 @@
         let cached = self.cached_guess(&request, now, job);
         let home = self.flights[job].home;
         let instance = &mut self.instances[home.instance];
-        match instance.offer(job, &self.spec, &request, home, cached, now) {
+        match instance.offer(job, (&self.spec, &self.names), &request, home, cached, now) {
             Verdict::Run => self.launch(job, now),
             Verdict::Wait => {}
             Verdict::Refuse(refusal) => self.refused(job, refusal.retry_at),
@@ -350,14 +350,13 @@
     /// Gives back the request's place at its gate.
     fn release(&mut self, job: usize, now: Time) {
         let at = self.flights[job].home.instance;
-        self.instances[at].gate.done(ident::RequestId(job as u128), now);
+        let request = &self.trace.requests[job];
+        self.instances[at].done(&self.spec, request, job, now);
         self.tick(at, now);
     }
 
     fn tick(&mut self, at: usize, now: Time) {
-        let draw = self.instances[at].draw();
-        self.instances[at].set_room(now);
-        for released in self.instances[at].gate.tick(draw, now) {
+        for released in self.instances[at].tick(&self.names, now) {
             let job = released.id.0 as usize;
             match released.outcome {
                 Outcome::Run => self.launch(job, now),
--- a/crates/bench/src/instance.rs
+++ b/crates/bench/src/instance.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use admit::{Gate, Limits, Offer, RetryBudget, Verdict, share};
+use admit::{Gate, Limits, Offer, Released, RetryBudget, Verdict, share};
 use ident::{Digest, Name, RequestId, Time};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use route::{Ask, Choice, Contexts, Entry, Hot, Kept, Links, Load, NoRoute, Policy, Pool, Used};
@@ -53,7 +53,9 @@
     pub(crate) pool: Pool,
     pub(crate) links: Links,
     pub(crate) contexts: Contexts,
-    pub(crate) gate: Gate,
+    /// One gate for each part of the organisation, so that neither holds places of the other's
+    /// replicas.
+    gates: Vec<Gate>,
     pub(crate) budget: RetryBudget,
     policy: Box<dyn Policy>,
     zone: Name,
@@ -66,8 +68,7 @@
 impl Instance {
     pub(crate) fn new(spec: &Spec, names: &Names, options: &Options, rank: usize) -> Self {
         let members = spec.instances;
-        let replicas: usize = spec.replicas.iter().sum();
-        let places = replicas * Engine::slots() / members;
+        let places = |replicas| (replicas * Engine::slots() / members) as u32;
         let limits: Vec<_> =
             names.stores.iter().map(|s| (s.clone(), spec.link / members as u64)).collect();
         let mut links = Links::default();
@@ -76,7 +77,7 @@
             pool: pool(spec, names),
             links,
             contexts: Contexts::new(CONTEXTS),
-            gate: Gate::new(places as u32),
+            gates: spec.replicas.iter().map(|count| Gate::new(places(*count))).collect(),
             budget: RetryBudget::default(),
             policy: options.policy.build(),
             zone: spec.zones[rank % spec.zones.len()].clone(),
@@ -95,17 +96,36 @@
         self.contexts.hot(&key(request.context), &names.weights, now)
     }
 
-    /// Tells the gate how much the replicas can take.
-    pub(crate) fn set_room(&mut self, now: Time) {
-        let rate = self.pool.rate(now) / self.members as u64;
-        self.gate.set_room(self.pool.room(QUEUE_LIMIT, now), rate);
+    /// Tells a gate how much its replicas can take.
+    fn set_room(&mut self, names: &Names, org: usize, now: Time) {
+        let targets = &names.targets[org..=org];
+        let rate = self.pool.rate(targets, now) / self.members as u64;
+        let room = self.pool.room(targets, QUEUE_LIMIT, now);
+        self.gates[org].set_room(room, rate);
+    }
+
+    /// Looks at the queues of all gates.
+    pub(crate) fn tick(&mut self, names: &Names, now: Time) -> Vec<Released> {
+        let mut out = Vec::new();
+        for org in 0..self.gates.len() {
+            let draw = self.draw();
+            self.set_room(names, org, now);
+            out.extend(self.gates[org].tick(draw, now));
+        }
+        out
+    }
+
+    /// A request gives back its place.
+    pub(crate) fn done(&mut self, spec: &Spec, request: &Request, job: usize, now: Time) {
+        let org = spec.teams[request.team].org;
+        self.gates[org].done(RequestId(job as u128), now);
     }
 
     /// Asks the gate.
     pub(crate) fn offer(
         &mut self,
         job: usize,
-        spec: &Spec,
+        (spec, names): (&Spec, &Names),
         request: &Request,
         home: Home,
         cached: u32,
@@ -128,8 +148,8 @@
             service: Duration::from_secs_f64(f64::from(rest) / f64::from(spec.prefill)),
         };
         let draw = self.draw();
-        self.set_room(now);
-        self.gate.offer(offer, draw, now)
+        self.set_room(names, team.org, now);
+        self.gates[team.org].offer(offer, draw, now)
     }
 
     /// Asks the policy.
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -69,30 +69,27 @@
         Usual { tokens: self.mean as u32, others, urgent: self.urgent }
     }
 
-    /// Prompt tokens that could be sent now until the expected queue of an average replica is
-    /// `limit`. Replicas that get no new work do not count.
-    pub fn room(&self, limit: Duration, now: Time) -> u64 {
-        let usual = self.usual(self.replicas.iter());
+    /// Prompt tokens that could be sent to `targets` now until the expected queue of an average
+    /// replica is `limit`. Replicas that get no new work do not count.
+    pub fn room(&self, targets: &[Name], limit: Duration, now: Time) -> u64 {
+        let usual = self.usual(self.open(targets, now));
         let one = |r: &Replica| {
             let queue = r.queue(Class::Batch, &usual, now);
             (limit.as_secs_f64() - queue.as_secs_f64()) * f64::from(r.load.prefill_rate)
         };
-        self.open(now).map(one).sum::<f64>().max(0.0) as u64
+        self.open(targets, now).map(one).sum::<f64>().max(0.0) as u64
     }
 
-    /// Prompt tokens of this instance's requests that wait for their first token.
-    pub fn computing(&self) -> u64 {
-        self.replicas.iter().map(Replica::computing).sum()
+    /// Prompt tokens per second that those replicas of `targets` compute that take new work.
+    pub fn rate(&self, targets: &[Name], now: Time) -> u64 {
+        self.open(targets, now).map(|r| u64::from(r.load.prefill_rate)).sum()
     }
 
-    /// Prompt tokens per second that the replicas which take new work compute.
-    pub fn rate(&self, now: Time) -> u64 {
-        self.open(now).map(|r| u64::from(r.load.prefill_rate)).sum()
-    }
-
-    fn open(&self, now: Time) -> impl Iterator<Item = &Replica> {
-        let is_open =
-            move |r: &&Replica| !r.is_leaving() && !matches!(r.standing(now), Standing::Paused(_));
+    fn open(&self, targets: &[Name], now: Time) -> impl Iterator<Item = &Replica> {
+        let is_open = move |r: &&Replica| {
+            let is_paused = matches!(r.standing(now), Standing::Paused(_));
+            targets.contains(&r.target) && !r.is_leaving() && !is_paused
+        };
         self.replicas.iter().filter(is_open)
     }
 
--- a/crates/route/src/replica.rs
+++ b/crates/route/src/replica.rs
@@ -153,12 +153,6 @@
         self.flights.iter().filter(|f| f.first.is_none()).count()
     }
 
-    /// Prompt tokens of those requests.
-    pub(crate) fn computing(&self) -> u64 {
-        let waiting = self.flights.iter().filter(|f| f.first.is_none());
-        waiting.map(|f| u64::from(f.tokens)).sum()
-    }
-
     /// Time to compute `tokens` prompt tokens.
     pub fn prefill(&self, tokens: u32) -> Duration {
         let rate = u64::from(self.load.prefill_rate.max(1));
--- a/crates/route/tests/pool_state.rs
+++ b/crates/route/tests/pool_state.rs
@@ -182,6 +182,24 @@
     pool.ended(batch, End::Done, Time(2));
 }
 
+#[test]
+fn room_counts_replicas_that_take_work() {
+    let mut pool = pool(3);
+    for i in 0..3 {
+        let load = Load { running: 0, waiting: 0, prefill_rate: 1000, at: Time(0) };
+        pool.report(&name(&format!("w-{i}")), load, Time(0));
+    }
+    let (writer, other) = ([name("writer")], [name("other")]);
+    let limit = Duration::from_secs(2);
+    assert_eq!((pool.rate(&writer, Time(0)), pool.room(&writer, limit, Time(0))), (3000, 6000));
+    assert_eq!((pool.rate(&other, Time(0)), pool.room(&other, limit, Time(0))), (0, 0));
+    let ticket = pool.started(&name("w-0"), 5000, Class::Batch, Time(0)).unwrap();
+    assert_eq!(pool.room(&writer, limit, Time(0)), 1000, "one long queue fills the others' room");
+    pool.withdraw(&[name("w-0")]);
+    assert_eq!((pool.rate(&writer, Time(0)), pool.room(&writer, limit, Time(0))), (2000, 4000));
+    pool.ended(ticket, End::Done, Time(1));
+}
+
 #[test]
 fn random_histories_keep_the_pool_sound() {
     bolero::check!().with_iterations(400).with_type::<Vec<(u8, u8)>>().for_each(|steps| {
