--- a/crates/bench/src/figures.rs
+++ b/crates/bench/src/figures.rs
@@ -169,55 +169,64 @@
     part as f64 / whole.max(1) as f64
 }
 
+/// Heads of the columns of [`table`].
+const HEADS: [&str; 19] = [
+    "policy",
+    "seed",
+    "int p50",
+    "p95",
+    "p99 ms",
+    "batch p50",
+    "p95",
+    "p99 ms",
+    "recomputed",
+    "hot",
+    "lru bound",
+    "bound",
+    "link GB",
+    "use",
+    "peak",
+    "goodput/s",
+    "in time",
+    "refused",
+    "tries",
+];
+
 /// The figures side by side, as text.
 pub fn table(all: &[Figures]) -> String {
     let mut table = Table::new();
     table.load_preset(comfy_table::presets::ASCII_MARKDOWN);
-    table.set_header([
-        "policy",
-        "seed",
-        "int p50",
-        "p95",
-        "p99 ms",
-        "batch p50",
-        "p95",
-        "p99 ms",
-        "recomputed",
-        "hot",
-        "lru bound",
-        "bound",
-        "link GB",
-        "use",
-        "peak",
-        "goodput/s",
-        "in time",
-        "refused",
-        "tries",
-    ]);
-    for f in all {
-        let (i, b) = (&f.interactive, &f.batch);
-        let in_time = ratio(i.in_time + b.in_time, i.offered + b.offered);
-        table.add_row([
-            f.policy.clone(),
-            f.seed.to_string(),
-            i.p50.to_string(),
-            i.p95.to_string(),
-            i.p99.to_string(),
-            b.p50.to_string(),
-            b.p95.to_string(),
-            b.p99.to_string(),
-            format!("{:.3}", f.recomputed),
-            format!("{:.3}", f.hot),
-            format!("{:.3}", f.lru_bound),
-            format!("{:.3}", f.bound),
-            format!("{:.0}", f.link_bytes as f64 / 1e9),
-            format!("{:.2}", f.link_use),
-            format!("{:.2}", f.link_peak),
-            format!("{:.2}", f.goodput),
-            format!("{in_time:.3}"),
-            format!("{:.3}", f.refused),
-            format!("{:.3}", f.tries),
-        ]);
+    table.set_header(HEADS);
+    for figures in all {
+        table.add_row(row(figures));
     }
     table.to_string()
 }
+
+fn row(f: &Figures) -> [String; HEADS.len()] {
+    let (i, b) = (&f.interactive, &f.batch);
+    let in_time = ratio(i.in_time + b.in_time, i.offered + b.offered);
+    let whole = |n: u64| n.to_string();
+    let share = |x: f64| format!("{x:.3}");
+    [
+        f.policy.clone(),
+        whole(f.seed),
+        whole(i.p50),
+        whole(i.p95),
+        whole(i.p99),
+        whole(b.p50),
+        whole(b.p95),
+        whole(b.p99),
+        share(f.recomputed),
+        share(f.hot),
+        share(f.lru_bound),
+        share(f.bound),
+        format!("{:.0}", f.link_bytes as f64 / 1e9),
+        format!("{:.2}", f.link_use),
+        format!("{:.2}", f.link_peak),
+        format!("{:.2}", f.goodput),
+        share(in_time),
+        share(f.refused),
+        share(f.tries),
+    ]
+}
