--- a/crates/wire/examples/slopes/main.rs
+++ b/crates/wire/examples/slopes/main.rs
@@ -9,6 +9,7 @@
 mod peers;
 mod platform;
 mod probe;
+mod relay;
 mod samples;
 mod work;
 
--- a/crates/wire/examples/slopes/platform.rs
+++ b/crates/wire/examples/slopes/platform.rs
@@ -13,17 +13,13 @@
 
 use blob::MemoryBlob;
 use conf::Store;
-use fakes::{App, Control, EngineConfig, Faults, Instance, TableConfig};
+use fakes::{App, Control, EngineConfig, Faults, TableConfig};
 use ident::Rev;
 use outbound::{Client, Deadlines, Engine, EngineClient, Instances, ListClient};
 use table::Dynamo;
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream, tcp},
-    runtime::{Builder, Runtime},
-};
+use tokio::runtime::{Builder, Runtime};
 
-use crate::{fit::Series, probe::thread_micros, samples::name};
+use crate::{fit::Series, probe::thread_micros, relay::Relay, samples::listed};
 
 pub fn series() -> Vec<Series> {
     let polls = [100, 200, 400, 800].map(|n| (n as f64, poll(n)));
@@ -85,33 +81,14 @@
     thread::spawn(move || {
         runtime().block_on(async {
             let far = fakes::spawn(app()).await.expect("a free port");
-            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-            send.send(listener.local_addr().expect("bound")).expect("the caller waits");
-            loop {
-                let (near, _) = listener.accept().await.expect("accepts");
-                let far = TcpStream::connect(far).await.expect("the stand-in listens");
-                near.set_nodelay(true).expect("a TCP option");
-                far.set_nodelay(true).expect("a TCP option");
-                let ((near_in, near_out), (far_in, far_out)) =
-                    (near.into_split(), far.into_split());
-                tokio::spawn(relay(near_in, far_out, counter.clone()));
-                tokio::spawn(relay(far_in, near_out, counter.clone()));
-            }
+            let relay = Relay::start(far, counter).await;
+            send.send(relay.addr).expect("the caller waits");
+            std::future::pending::<()>().await;
         });
     });
     Behind { addr: receive.recv().expect("the thread starts"), bytes }
 }
 
-async fn relay(mut from: tcp::OwnedReadHalf, mut to: tcp::OwnedWriteHalf, count: Arc<AtomicU64>) {
-    let mut buf = vec![0; 16 * 1024];
-    while let Ok(len) = from.read(&mut buf).await {
-        if len == 0 || to.write_all(&buf[..len]).await.is_err() {
-            return;
-        }
-        count.fetch_add(len as u64, Ordering::Relaxed);
-    }
-}
-
 fn runtime() -> Runtime {
     Builder::new_current_thread().enable_all().build().expect("a runtime")
 }
@@ -165,7 +142,7 @@
 /// Processor time and bytes of one read of a list with `count` entries.
 fn read_list(count: usize) -> (f64, f64) {
     const READS: u32 = 40;
-    let entries = (0..count).map(listed).collect();
+    let entries = (0..count).map(|i| listed(i, "10.100.100.100:7000")).collect();
     let far = behind(move || fakes::instances(entries, Control::new(Faults::default())));
     runtime().block_on(async {
         let deadlines = Deadlines { call: Duration::from_secs(60), ..Deadlines::default() };
@@ -181,21 +158,3 @@
         ((thread_micros() - start) / reads, bytes as f64 / reads)
     })
 }
-
-/// An entry: of 920, 320 are instances and 600 replicas.
-fn listed(i: usize) -> Instance {
-    let replica = i % 23 >= 8;
-    let mut labels = serde_json::json!({
-        "role": if replica { "engine" } else { "entry" },
-        "name": name(if replica { "replica" } else { "entry" }, i),
-        "zone": name("zone", i % 8),
-        "state": "live",
-    });
-    if replica {
-        labels["target"] = name("target", i % 11).as_str().into();
-    } else {
-        labels["peer"] = "10.100.100.100:7001".into();
-    }
-    let labels = labels.as_object().expect("made as an object").clone();
-    Instance { targets: vec![format!("10.100.100.{}:7000", i % 250)], labels }
-}
--- a/crates/wire/examples/slopes/samples.rs
+++ b/crates/wire/examples/slopes/samples.rs
@@ -1,6 +1,10 @@
 //! Documents and names of a large deployment.
 
-use conf::{Change, Doc, Item, Limits, Params, Patch, Team, Template, View, Weights};
+use conf::{
+    Change, Doc, Item, Limits, Model, Params, Patch, State, Target, TargetKind, Team, Template,
+    View, Weights,
+};
+use fakes::Instance;
 use ident::{Digest, Name, RequestId, Rev};
 
 pub fn name(kind: &str, i: usize) -> Name {
@@ -31,9 +35,20 @@
     Doc::Team(Team { name: name("team", i), template: name("template", i % 40), org, keys, patch })
 }
 
+fn model(i: usize) -> Doc {
+    Doc::Model(Model { name: name("model", i), version: name("version", 1), previous: None })
+}
+
+fn target(i: usize) -> Doc {
+    let kind = TargetKind::Engine { model: name("model", i), fenced: true };
+    let (name, org) = (name("target", i), name("org", i % 2));
+    Doc::Target(Target { name, org, kind, state: State::Active, withdrawn: Vec::new() })
+}
+
 /// A view with that many teams.
 pub fn view(teams: usize) -> View {
     let docs = (0..40).map(template).chain((0..teams).map(|i| team(i, 0)));
+    let docs = docs.chain((0..11).flat_map(|i| [model(i), target(i)]));
     View::from_items(Rev(1), docs.map(|doc| Item { rev: Rev(1), doc }).collect())
 }
 
@@ -47,3 +62,21 @@
         })
         .collect()
 }
+
+/// An entry of the platform's list: of 23, 8 are instances and 15 replicas at `addr`.
+pub fn listed(i: usize, addr: &str) -> Instance {
+    let replica = i % 23 >= 8;
+    let mut labels = serde_json::json!({
+        "role": if replica { "engine" } else { "entry" },
+        "name": name(if replica { "replica" } else { "entry" }, i),
+        "zone": name("zone", i % 8),
+        "state": "live",
+    });
+    if replica {
+        labels["target"] = name("target", i % 11).as_str().into();
+    } else {
+        labels["peer"] = "10.100.100.100:7001".into();
+    }
+    let labels = labels.as_object().expect("made as an object").clone();
+    Instance { targets: vec![addr.to_owned()], labels }
+}
