Keep a gate for each organisation and feed it the replicas' room

Requests waiting for one organisation's replicas held places of the other.

Also: a replica that once said it leaves never came back, even if it said otherwise for minutes; its word now holds 30 s against later reports, which lag (test leaving_word). Ruled out: longer waits in the test.

--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -160,6 +160,11 @@
         self.rate = rate.max(1);
     }
 
+    /// Requests that may run at once.
+    pub fn capacity(&self) -> u32 {
+        self.capacity
+    }
+
     /// Requests running.
     pub fn running(&self) -> usize {
         self.running.len()
--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -3,8 +3,8 @@
 use std::{sync::Arc, time::Duration};
 
 use admit::{Gate, Limits, Offer, Outcome, Reason, Refusal, Released, RetryBudget, Share, Verdict};
-use ident::{RequestId, Time};
-use parking_lot::Mutex;
+use ident::{Name, RequestId, Time};
+use parking_lot::{Mutex, RwLock};
 use tokio::sync::oneshot;
 
 use crate::{
@@ -13,45 +13,88 @@
     problem::{Fault, Problem},
 };
 
+/// Longest expected queue at an average replica; while it is longer, teams above their part of the
+/// rate are held.
+const QUEUE_LIMIT: Duration = Duration::from_millis(1500);
+/// Requests a replica runs or queues at once.
+const REPLICA_SLOTS: u32 = 16;
+/// Least capacity of a gate.
+const LEAST_CAPACITY: u32 = 8;
+
 /// Requests waiting for a verdict. Invariant: sorted by id.
 type Waiting = Vec<(RequestId, oneshot::Sender<Outcome>)>;
 
+/// One organisation's gate: what waits for one organisation's replicas holds no place of another.
 #[derive(Clone)]
-struct Shared {
+struct Lock {
     gate: Arc<Mutex<Gate>>,
     waiting: Arc<Mutex<Waiting>>,
 }
 
 /// Admission to one instance.
 pub struct Admission {
-    shared: Shared,
+    /// The gates by organisation. Invariant: sorted.
+    gates: RwLock<Vec<(Name, Lock)>>,
     budget: Mutex<RetryBudget>,
+    /// Most requests that run at once for one organisation.
+    most: u32,
 }
 
 /// An admitted request's place; given back when dropped.
 pub struct Permit {
-    shared: Shared,
+    lock: Lock,
     id: RequestId,
     core: Arc<Core>,
 }
 
 impl Admission {
-    /// Admission of `capacity` requests at once.
-    pub fn new(capacity: u32) -> Self {
-        let gate = Arc::new(Mutex::new(Gate::new(capacity)));
-        let shared = Shared { gate, waiting: Arc::default() };
-        Self { shared, budget: Mutex::default() }
+    /// Admission of at most `most` requests at once for each organisation.
+    pub fn new(most: u32) -> Self {
+        let most = most.max(LEAST_CAPACITY);
+        Self { gates: RwLock::default(), budget: Mutex::default(), most }
     }
 
-    /// Sets how many requests may run at once.
-    pub fn set_capacity(&self, capacity: u32) {
-        self.shared.gate.lock().set_capacity(capacity);
+    /// Adapts all gates to the replicas there are, shared by `instances` instances.
+    pub fn adapt(&self, core: &Core, instances: usize) {
+        let instances = u32::try_from(instances.max(1)).unwrap_or(u32::MAX);
+        for (org, lock) in self.gates.read().iter() {
+            let places = core.pools.capacity(&core.engines(org), REPLICA_SLOTS);
+            // Callers do not spread evenly, so an instance takes up to twice its even part.
+            let capacity = places.saturating_mul(2) / instances;
+            lock.gate.lock().set_capacity(capacity.clamp(LEAST_CAPACITY, self.most));
+        }
     }
 
     /// Requests running and queued.
     pub fn load(&self) -> (usize, usize) {
-        let gate = self.shared.gate.lock();
-        (gate.running(), gate.queued())
+        let gates = self.gates.read();
+        let loads = gates.iter().map(|(_, lock)| {
+            let gate = lock.gate.lock();
+            (gate.running(), gate.queued())
+        });
+        loads.fold((0, 0), |sum, load| (sum.0 + load.0, sum.1 + load.1))
+    }
+
+    /// Requests that may run at once.
+    pub fn capacity(&self) -> usize {
+        let gates = self.gates.read();
+        gates.iter().map(|(_, lock)| lock.gate.lock().capacity() as usize).sum()
+    }
+
+    fn lock(&self, org: &Name) -> Lock {
+        if let Ok(at) = self.gates.read().binary_search_by(|(o, _)| o.cmp(org)) {
+            return self.gates.read()[at].1.clone();
+        }
+        let mut gates = self.gates.write();
+        match gates.binary_search_by(|(o, _)| o.cmp(org)) {
+            Ok(at) => gates[at].1.clone(),
+            Err(at) => {
+                let gate = Arc::new(Mutex::new(Gate::new(self.most)));
+                let lock = Lock { gate, waiting: Arc::default() };
+                gates.insert(at, (org.clone(), lock.clone()));
+                lock
+            }
+        }
     }
 
     /// Takes one retry from the budget.
@@ -72,15 +115,17 @@
         let (send, verdict) = oneshot::channel();
         let (draw, now) = (core.draws.draw(), core.now());
         // The place in `waiting` comes first, so that a release cannot miss it.
-        self.shared.wait(id, send);
-        let answer = self.shared.gate.lock().offer(offer, draw, now);
-        let permit = Permit { shared: self.shared.clone(), id, core: core.clone() };
+        let lock = self.lock(&job.asked.grant.org);
+        lock.wait(id, send);
+        lock.set_room(core, &job.asked.grant.org, now);
+        let answer = lock.gate.lock().offer(offer, draw, now);
+        let permit = Permit { lock: lock.clone(), id, core: core.clone() };
         let outcome = match answer {
             Verdict::Run => Outcome::Run,
             Verdict::Refuse(refusal) => Outcome::Refuse(refusal),
             Verdict::Wait => verdict.await.unwrap_or(Outcome::Refuse(lost(now))),
         };
-        self.shared.forget(id);
+        lock.forget(id);
         match outcome {
             Outcome::Run => {
                 self.budget.lock().earn();
@@ -91,12 +136,25 @@
     }
 
     /// Releases what may start, and gives up what is late.
-    pub fn tick(&self, draw: u64, now: Time) {
-        self.shared.tick(draw, now);
+    pub fn tick(&self, core: &Core) {
+        let gates = self.gates.read().clone();
+        for (org, lock) in gates {
+            lock.set_room(core, &org, core.now());
+            lock.tick(core.draws.draw(), core.now());
+        }
     }
 }
 
-impl Shared {
+impl Lock {
+    /// Tells the gate how much the organisation's replicas can take.
+    fn set_room(&self, core: &Core, org: &Name, now: Time) {
+        let targets = core.engines(org);
+        let room = core.pools.room(&targets, QUEUE_LIMIT, now);
+        let instances = core.instances();
+        let rate = core.pools.rate(&targets, now) / instances as u64;
+        self.gate.lock().set_room(room, rate);
+    }
+
     fn wait(&self, id: RequestId, send: oneshot::Sender<Outcome>) {
         let mut waiting = self.waiting.lock();
         let at = waiting.partition_point(|(w, _)| *w < id);
@@ -123,9 +181,9 @@
 impl Drop for Permit {
     fn drop(&mut self) {
         let (draw, now) = (self.core.draws.draw(), self.core.now());
-        self.shared.forget(self.id);
-        self.shared.gate.lock().cancel(self.id, now);
-        self.shared.tick(draw, now);
+        self.lock.forget(self.id);
+        self.lock.gate.lock().cancel(self.id, now);
+        self.lock.tick(draw, now);
     }
 }
 
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -1,8 +1,14 @@
 //! What the handlers of one instance share.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
-use conf::{Grant, View};
+use conf::{Grant, Target, TargetKind, View};
 use events::{EventKind, Log};
 use ident::{Clock, Digest, Name, RequestId, Secret, Time};
 use ledger::Ledger;
@@ -72,6 +78,8 @@
     pub view: RwLock<Arc<View>>,
     /// The instances of the deployment as this one knows them.
     pub members: Mutex<Members>,
+    /// How many instances take work, as last counted.
+    pub serving: AtomicUsize,
     /// Replicas, a shard for each target.
     pub pools: Pools,
     /// Store instances and their links.
@@ -126,6 +134,19 @@
         self.pools.sync_withdrawn(&self.view());
     }
 
+    /// The model deployments of an organisation.
+    pub fn engines(&self, org: &Name) -> Vec<Name> {
+        let view = self.view();
+        let is_engine = |t: &&Arc<Target>| matches!(t.kind, TargetKind::Engine { .. });
+        let own = view.targets().filter(is_engine).filter(|t| t.org == *org);
+        own.map(|t| t.name.clone()).collect()
+    }
+
+    /// How many instances take work, this one included.
+    pub fn instances(&self) -> usize {
+        self.serving.load(Ordering::Relaxed).max(1)
+    }
+
     /// Refuses new work where the configuration in force cannot be confirmed.
     pub fn taking(&self) -> Result<(), Problem> {
         let now = self.now();
--- a/crates/entry/src/pools.rs
+++ b/crates/entry/src/pools.rs
@@ -1,6 +1,6 @@
 //! Replicas behind an instance: a shard for each target, each under its own lock.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use conf::{State, View};
 use ident::{Name, Time};
@@ -131,6 +131,8 @@
         shard.pool.serves(&replica.name, load.weights.clone());
         if load.leaving {
             shard.pool.left(&replica.name, now);
+        } else {
+            shard.pool.stays(&replica.name, now);
         }
     }
 
@@ -164,14 +166,32 @@
         Some(target.clone())
     }
 
-    /// Requests that the known replicas can run at once, `slots` for each.
-    pub fn capacity(&self, slots: u32) -> u32 {
-        let engines = self.engines.read();
+    /// Requests that the replicas of `targets` can run at once, `slots` for each.
+    pub fn capacity(&self, targets: &[Name], slots: u32) -> u32 {
         let live = |pool: &Pool| pool.replicas().iter().filter(|r| !r.is_leaving()).count();
-        let replicas: usize = engines.iter().map(|(_, s)| live(&s.lock().pool)).sum();
+        let replicas: usize = self.sum(targets, |pool, _| live(pool));
         u32::try_from(replicas).unwrap_or(u32::MAX).saturating_mul(slots)
     }
 
+    /// Prompt tokens that `targets` can take until their expected queue is `limit`.
+    pub fn room(&self, targets: &[Name], limit: Duration, now: Time) -> u64 {
+        self.sum(targets, |pool, target| pool.room(std::slice::from_ref(target), limit, now))
+    }
+
+    /// Prompt tokens per second that `targets` compute.
+    pub fn rate(&self, targets: &[Name], now: Time) -> u64 {
+        self.sum(targets, |pool, target| pool.rate(std::slice::from_ref(target), now))
+    }
+
+    fn sum<F, T>(&self, targets: &[Name], f: F) -> T
+    where
+        F: Fn(&Pool, &Name) -> T,
+        T: std::iter::Sum,
+    {
+        let shards = targets.iter().filter_map(|t| Some((t, self.shard(t)?)));
+        shards.map(|(target, shard)| f(&shard.lock().pool, target)).sum()
+    }
+
     /// Chooses a replica of `target` and counts the request there.
     pub fn choose(
         &self,
--- a/crates/lentilfake/src/main.rs
+++ b/crates/lentilfake/src/main.rs
@@ -5,6 +5,7 @@
 use std::{
     io::{self, Write},
     net::SocketAddr,
+    process::ExitCode,
 };
 
 use clap::Parser;
@@ -14,7 +15,17 @@
 use crate::cli::Cli;
 
 #[tokio::main]
-async fn main() -> eyre::Result<()> {
+async fn main() -> ExitCode {
+    match run().await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("[lentilfake error]: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run() -> eyre::Result<()> {
     let cli = Cli::parse();
     let listen = cli.command.common().listen;
     let app = cli.command.app()?;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -177,6 +177,7 @@
         sizes: Sizes { body: settings.limits.body_bytes },
         view: RwLock::new(Arc::new(View::default())),
         members: Mutex::new(Members::new(me, Config::default())),
+        serving: Default::default(),
         pools: Pools::new(Box::new(|| Box::new(route::Cost))),
         stores: Stores::default(),
         contexts: ContextShards::new(CONTEXTS),
@@ -224,13 +225,12 @@
     let addr = addr.ok_or_else(|| NodeError::List(list.clone()))?;
     let path = list.path_and_query().map_or("/", |p| p.as_str());
     let instances = Arc::new(ListClient::new(Client::new(Deadlines::default()), addr, path));
-    let most = u32::try_from(settings.limits.running).unwrap_or(u32::MAX);
     tokio::spawn(follower.clone().run());
     tokio::spawn(gossip::run(core.clone(), follower, hub));
     tokio::spawn(watching::list(core.clone(), instances));
     tokio::spawn(watching::loads(core.clone()));
     tokio::spawn(upkeep::queue(core.clone()));
-    tokio::spawn(upkeep::rounds(core.clone(), most));
+    tokio::spawn(upkeep::rounds(core.clone()));
     tokio::spawn(rollout::run(rollouts));
     Ok(())
 }
--- a/crates/node/src/upkeep.rs
+++ b/crates/node/src/upkeep.rs
@@ -1,6 +1,9 @@
 //! Small things an instance does all the time.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use entry::Core;
 use events::EventKind;
@@ -11,10 +14,6 @@
 const QUEUE_TICK: Duration = Duration::from_millis(20);
 /// Time between two rounds of the rest.
 const ROUND: Duration = Duration::from_millis(500);
-/// Requests a replica runs or queues at once.
-const REPLICA_SLOTS: u32 = 16;
-/// Least capacity of an instance.
-const LEAST_CAPACITY: u32 = 8;
 
 /// Releases and gives up queued requests, until the process ends.
 pub async fn queue(core: Arc<Core>) {
@@ -22,19 +21,19 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        core.admission.tick(core.draws.draw(), core.now());
+        core.admission.tick(&core);
     }
 }
 
 /// Adapts capacity and link shares to the instances there are, repeats ledger writes and notes
 /// changes of freshness, until the process ends.
-pub async fn rounds(core: Arc<Core>, most: u32) {
+pub async fn rounds(core: Arc<Core>) {
     let mut ticks = interval(ROUND);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut last = Freshness::Stale;
     loop {
         ticks.tick().await;
-        adapt(&core, most);
+        adapt(&core);
         last = note(&core, last);
         if core.ledger.pending() > 0 {
             core.ledger.sweep().await;
@@ -42,16 +41,14 @@
     }
 }
 
-fn adapt(core: &Core, most: u32) {
+fn adapt(core: &Core) {
     let now = core.now();
     let instances = core.members.lock().serving(now).len().max(1);
-    let part = core.pools.capacity(REPLICA_SLOTS) / u32::try_from(instances).unwrap_or(u32::MAX);
-    // Callers do not spread evenly, so an instance takes up to twice its even part.
-    let capacity = part.saturating_mul(2).clamp(LEAST_CAPACITY, most.max(LEAST_CAPACITY));
-    core.admission.set_capacity(capacity);
+    core.serving.store(instances, Ordering::Relaxed);
+    core.admission.adapt(core, instances);
     core.stores.share(instances, now);
     let (running, queued) = core.admission.load();
-    let load = (running + queued) * 1000 / capacity as usize;
+    let load = (running + queued) * 1000 / core.admission.capacity().max(1);
     core.members.lock().set_load(u16::try_from(load).unwrap_or(u16::MAX));
 }
 
--- a/crates/rig/src/proc.rs
+++ b/crates/rig/src/proc.rs
@@ -9,7 +9,8 @@
     path::{Path, PathBuf},
     process::{Child, ChildStdout, Command, ExitStatus, Stdio},
     sync::atomic::{AtomicU32, Ordering},
-    time::Duration,
+    thread,
+    time::{Duration, Instant},
 };
 
 use serde_json::Value;
@@ -19,6 +20,10 @@
 
 /// Longest wait for a process to say that it listens.
 const START_LIMIT: Duration = Duration::from_secs(30);
+/// Longest wait for a process to stand still, and the pause between two looks.
+const STOP_LIMIT: Duration = Duration::from_secs(5);
+/// See [`STOP_LIMIT`].
+const STOP_LOOK: Duration = Duration::from_millis(1);
 /// Bytes of a process's log shown when its test fails.
 const TAIL_BYTES: usize = 4000;
 
@@ -181,9 +186,33 @@
         let pid = self.child.id();
         let status = Command::new("kill").arg(signal.flag()).arg(pid.to_string()).status();
         match status {
-            Ok(status) if status.success() => Ok(()),
-            _ => Err(RigError::Signal(signal, pid)),
+            Ok(status) if status.success() => {}
+            _ => return Err(RigError::Signal(signal, pid)),
         }
+        if signal == Signal::Stop {
+            self.stand_still();
+        }
+        Ok(())
+    }
+
+    /// Waits until a process that was told to stop stands still: its threads stop one by one.
+    fn stand_still(&self) {
+        let stopped = || self.thread_states().iter().all(|state| *state == "T");
+        let limit = Instant::now() + STOP_LIMIT;
+        while !stopped() && Instant::now() < limit {
+            thread::sleep(STOP_LOOK);
+        }
+    }
+
+    /// The state letter of each thread, by the kernel's word.
+    fn thread_states(&self) -> Vec<String> {
+        let tasks = fs::read_dir(format!("/proc/{}/task", self.pid()));
+        let stats = tasks.into_iter().flatten().flatten().map(|task| task.path().join("stat"));
+        let state = |text: String| {
+            let (_, rest) = text.rsplit_once(") ")?;
+            Some(rest.chars().take(1).collect())
+        };
+        stats.filter_map(|path| state(fs::read_to_string(path).ok()?)).collect()
     }
 
     /// Its exit status, once it has ended.
@@ -207,7 +236,7 @@
 
 impl Drop for Proc {
     fn drop(&mut self) {
-        if std::thread::panicking() {
+        if thread::panicking() {
             eprintln!("--- {} {} ended its log with:\n{}", self.name, self.addr, self.log_tail());
         }
         // Both fail only when the child has been waited for already.
@@ -220,7 +249,7 @@
 /// where it listens.
 fn read_stdout(stdout: ChildStdout) -> oneshot::Receiver<Value> {
     let (sender, receiver) = oneshot::channel();
-    std::thread::spawn(move || {
+    thread::spawn(move || {
         let mut sender = Some(sender);
         for line in BufReader::new(stdout).lines().map_while(Result::ok) {
             let value = serde_json::from_str::<Value>(&line).unwrap_or_default();
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -10,6 +10,8 @@
 const FIRST_MEAN: f64 = 2_000.0;
 /// Share of interactive requests before any was sent.
 const FIRST_URGENT: f64 = 0.5;
+/// How long a replica's word that it leaves holds against later reports that it does not.
+const LEAVE_TERM: Duration = Duration::from_secs(30);
 /// Weight of a new request in the mean.
 const MEAN_GAIN: f64 = 0.02;
 
@@ -129,9 +131,18 @@
     }
 
     /// The replica itself said that it leaves.
-    pub fn left(&mut self, name: &Name, _now: Time) {
+    pub fn left(&mut self, name: &Name, now: Time) {
         if let Some(at) = self.at(name) {
-            self.replicas[at].leave.said = true;
+            self.replicas[at].leave.said = Some(now);
+        }
+    }
+
+    /// The replica says that it does not leave. Believed once it has said nothing else for
+    /// [`LEAVE_TERM`]: reports lag, and may be older than its word that it leaves.
+    pub fn stays(&mut self, name: &Name, now: Time) {
+        if let Some(at) = self.at(name) {
+            let said = &mut self.replicas[at].leave.said;
+            *said = said.filter(|at| !at.after(LEAVE_TERM).passed(now));
         }
     }
 
--- a/crates/route/src/replica.rs
+++ b/crates/route/src/replica.rs
@@ -76,8 +76,9 @@
 pub(crate) struct Leave {
     /// The platform's list says so.
     pub(crate) listed: bool,
-    /// The replica said so itself; holds until the list names it at another address or drops it.
-    pub(crate) said: bool,
+    /// The replica said so itself, last at this time; holds until the list names it at another
+    /// address or drops it, or the replica has long said otherwise.
+    pub(crate) said: Option<Time>,
     /// An operator withdrew it.
     pub(crate) withdrawn: bool,
 }
--- /dev/null
+++ b/crates/route/tests/leaving_word.rs
@@ -0,0 +1,50 @@
+//! A replica's word that it leaves, and its word that it does not.
+
+use std::time::Duration;
+
+use ident::{Name, Time};
+use route::{Entry, Pool};
+
+fn name(text: &str) -> Name {
+    Name::new(text).unwrap()
+}
+
+fn pool() -> Pool {
+    let entry = Entry {
+        name: name("w1"),
+        target: name("writer"),
+        zone: name("regina"),
+        addr: "127.0.0.1:1".parse().unwrap(),
+        leaving: false,
+    };
+    let mut pool = Pool::default();
+    pool.sync_list(vec![entry], Time(0));
+    pool
+}
+
+fn leaves(pool: &Pool) -> bool {
+    pool.find(&name("w1")).unwrap().is_leaving()
+}
+
+#[test]
+fn a_late_report_does_not_call_it_back() {
+    let mut pool = pool();
+    let said = Time(100_000);
+    pool.left(&name("w1"), said);
+    for seconds in [0, 1, 20, 29] {
+        pool.stays(&name("w1"), said.after(Duration::from_secs(seconds)));
+        assert!(leaves(&pool), "after {seconds} s");
+    }
+}
+
+#[test]
+fn it_comes_back_once_it_has_long_said_so() {
+    let mut pool = pool();
+    let said = Time(100_000);
+    pool.left(&name("w1"), said);
+    pool.left(&name("w1"), said.after(Duration::from_secs(20)));
+    pool.stays(&name("w1"), said.after(Duration::from_secs(40)));
+    assert!(leaves(&pool), "its last word is 20 s old");
+    pool.stays(&name("w1"), said.after(Duration::from_secs(50)));
+    assert!(!leaves(&pool));
+}
