Soak a deployment under random faults

Judging a call by the refusal of its last try was ruled out: earlier tries may have run; calls tried once are judged strictly.

--- /dev/null
+++ b/crates/lentildemo/src/cli.rs
@@ -0,0 +1,30 @@
+//! Command line options.
+
+use clap::{Parser, Subcommand};
+
+/// Runs the main job on a small deployment of processes, and ends them all.
+#[derive(Debug, Parser)]
+#[command(name = "lentildemo", version)]
+pub struct Opts {
+    /// What to do in place of the main job.
+    #[command(subcommand)]
+    pub command: Option<Command>,
+}
+
+/// What to do in place of the main job.
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Work under random faults, often two at once, and check what must always hold
+    ///
+    /// Faults are drawn by the seed: processes killed, frozen and replaced, stand-ins that refuse,
+    /// delay, lose answers, go silent or damage blocks, changes of configuration and weights. Each
+    /// answer is compared with the model's, each call with the service's own log.
+    Soak {
+        /// Seed of the faults and the work
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How long, in seconds
+        #[arg(long, default_value_t = 60)]
+        seconds: u64,
+    },
+}
--- a/crates/lentildemo/src/main.rs
+++ b/crates/lentildemo/src/main.rs
@@ -1,12 +1,25 @@
-//! Brings up a small deployment, runs the main job step by step, and leaves nothing running.
+//! Brings up a small deployment, runs the main job step by step or soaks it under random faults,
+//! and leaves nothing running.
 
+mod cli;
+mod faults;
+mod judge;
+mod soak;
 mod steps;
 
 use std::process::ExitCode;
 
+use clap::Parser;
+
+use crate::cli::{Command, Opts};
+
 #[tokio::main]
 async fn main() -> ExitCode {
-    match steps::run().await {
+    let result = match Opts::parse().command {
+        None => steps::run().await,
+        Some(Command::Soak { seed, seconds }) => soak::run(seed, seconds).await,
+    };
+    match result {
         Ok(()) => {
             println!("all steps did what they should");
             ExitCode::SUCCESS
