--- a/crates/route/src/cost.rs
+++ b/crates/route/src/cost.rs
@@ -33,7 +33,7 @@
         let found = candidates(pool, ask, draw, now)?;
         let usual = pool.usual(found.iter().copied());
         let view = View { links, ask, usual, now };
-        let mut best: Option<Offer> = None;
+        let mut best: Option<Candidate> = None;
         for replica in shortlist(&found, ask, draw) {
             for option in view.options(replica) {
                 if best.as_ref().is_none_or(|b| option.beats(b)) {
@@ -75,7 +75,7 @@
 }
 
 /// A replica with a plan and its cost.
-struct Offer<'p> {
+struct Candidate<'p> {
     replica: &'p Replica,
     plan: Plan,
     tokens: u32,
@@ -85,7 +85,7 @@
     cost: f64,
 }
 
-impl Offer<'_> {
+impl Candidate<'_> {
     /// An option safely before the deadline goes before one that is not; else the cheaper one, or
     /// without any safe one the earlier one.
     fn beats(&self, other: &Self) -> bool {
@@ -116,14 +116,14 @@
 }
 
 impl View<'_> {
-    fn options<'p>(&self, replica: &'p Replica) -> Vec<Offer<'p>> {
+    fn options<'p>(&self, replica: &'p Replica) -> Vec<Candidate<'p>> {
         let mut out = vec![self.option(replica, Plan::Recompute, f64::from(self.ask.tokens), None)];
         out.extend(self.hot(replica));
         out.extend(self.import(replica));
         out
     }
 
-    fn hot<'p>(&self, replica: &'p Replica) -> Option<Offer<'p>> {
+    fn hot<'p>(&self, replica: &'p Replica) -> Option<Candidate<'p>> {
         let hot = self.ask.hot.as_ref().filter(|h| h.replica == replica.name && h.pieces > 0)?;
         let all = f64::from(self.ask.tokens);
         let saved = all - f64::from(self.ask.rest(hot.pieces));
@@ -131,7 +131,7 @@
         Some(self.option(replica, Plan::Hot { pieces: hot.pieces }, tokens, None))
     }
 
-    fn import<'p>(&self, replica: &'p Replica) -> Option<Offer<'p>> {
+    fn import<'p>(&self, replica: &'p Replica) -> Option<Candidate<'p>> {
         let kept = self.ask.kept.as_ref().filter(|k| k.pieces > 0)?;
         let window = self.links.window(&kept.store, kept.bytes, self.ask.class, self.now)?;
         let (store, pieces, bytes): (Name, _, _) = (kept.store.clone(), kept.pieces, kept.bytes);
@@ -147,7 +147,7 @@
         plan: Plan,
         tokens: f64,
         import: Option<Time>,
-    ) -> Offer<'p> {
+    ) -> Candidate<'p> {
         let tokens = tokens.ceil() as u32;
         let mut wait = replica.queue(self.ask.class, &self.usual, self.now);
         if replica.zone != *self.ask.zone {
@@ -161,6 +161,6 @@
             + f64::from(value.recompute) * share;
         let slack = first.since(self.now).mul_f64(SLACK);
         let is_safe = first.after(slack) <= self.ask.deadline;
-        Offer { replica, plan, tokens, first, is_safe, cost }
+        Candidate { replica, plan, tokens, first, is_safe, cost }
     }
 }
