Refuse reused change ids with 409 and name the field at fault

The instance mapped what the change log refuses by its own function, which put every fault at the whole document and answered a reused change id with 422. It now uses ControlError::refused, as the administration API's own tests do. The list's address comes from the settings, which check it when read, so an instance no longer fails late on it.

A test over processes asks for the path of a dangling target and for 409 on a change id that was used for another document.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -1,24 +1,20 @@
 //! The instance as its operators see it.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use admin::{
     Control, ControlError, Freshness, InstanceStatus, PeerState, PeerStatus, Phase, ReplicaState,
     ReplicaStatus, RolloutStatus,
 };
 use async_trait::async_trait;
-use conf::{AcceptError, Change, Doc, DocKey, Kind, Store};
+use conf::{Change, Doc, DocKey, Kind, Store};
 use entry::Core;
 use events::Page;
-use fields::Faults;
 use ident::{Boot, Digest, Name, RequestId, Rev, Time};
 use tokio::sync::watch;
 
 use crate::{drain::Stage, follow::Follower, rollout::Rollouts};
 
-/// Advice to an operator while the table service does not answer.
-const TABLE_ADVICE: Duration = Duration::from_secs(2);
-
 /// [`Control`] over a running instance.
 pub struct Operator {
     core: Arc<Core>,
@@ -82,7 +78,8 @@
         doc: Option<Doc>,
         expect: Option<Rev>,
     ) -> Result<Change, ControlError> {
-        let change = self.store.accept(id, key, doc, expect).await.map_err(|e| refusal(id, e))?;
+        let accepted = self.store.accept(id, key.clone(), doc, expect).await;
+        let change = accepted.map_err(|e| ControlError::refused(id, &key, e))?;
         self.follower.apply(std::slice::from_ref(&change));
         self.follower.install();
         if Store::snapshot_due(&change) {
@@ -151,18 +148,3 @@
         weights: replica.weights,
     }
 }
-
-fn refusal(id: RequestId, error: AcceptError) -> ControlError {
-    match error {
-        AcceptError::Stale { current } => ControlError::Stale { current },
-        AcceptError::Invalid(list) => ControlError::Invalid(faults(list)),
-        AcceptError::Unavailable(_) => ControlError::Unavailable { retry_after: TABLE_ADVICE },
-        AcceptError::Unknown(_) => ControlError::Unknown { id },
-    }
-}
-
-fn faults(list: Vec<conf::Fault>) -> Faults {
-    let mut faults = Faults::default();
-    list.iter().for_each(|f| faults.add("", &f.to_string(), "the document as sent"));
-    faults
-}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -6,7 +6,6 @@
 use conf::{Store, View};
 use entry::{Admission, Backends, ContextShards, Core, Metrics, Pools, Secrets, Sizes, Stores};
 use events::{EventKind, Log};
-use hyper::Uri;
 use ident::{Boot, Clock, Secret};
 use ledger::Ledger;
 use member::{Config, Me, Members};
@@ -47,9 +46,6 @@
     /// The object store client could not be made.
     #[error("platform.objects: {0}")]
     Objects(#[from] BlobError),
-    /// The list's address is not an IP number with a port.
-    #[error("platform.list: wanted http://IP:PORT/PATH, found {0}")]
-    List(Uri),
     /// An address could not be served.
     #[error(transparent)]
     Serve(#[from] ServeError),
@@ -104,7 +100,7 @@
         );
         let (stop, stopped) = watch::channel(false);
         let servers = listen(settings, &core, Arc::new(operator), &stopped).await?;
-        spawn_tasks(settings, &core, follower, hub, rollouts)?;
+        spawn_tasks(settings, &core, follower, hub, rollouts);
         let most = settings.drain.most;
         Ok(Self { core, stage, stop, servers, most, addr: settings.listen.callers })
     }
@@ -218,10 +214,9 @@
     follower: Arc<Follower>,
     hub: Arc<Hub>,
     rollouts: Arc<Rollouts>,
-) -> Result<(), NodeError> {
+) {
     let list = &settings.platform.list;
-    let addr = list.authority().and_then(|a| a.as_str().parse().ok());
-    let addr = addr.ok_or_else(|| NodeError::List(list.clone()))?;
+    let addr = settings.platform.list_addr();
     let path = list.path_and_query().map_or("/", |p| p.as_str());
     let instances = Arc::new(ListClient::new(Client::new(Deadlines::default()), addr, path));
     let most = u32::try_from(settings.limits.running).unwrap_or(u32::MAX);
@@ -232,5 +227,4 @@
     tokio::spawn(upkeep::queue(core.clone()));
     tokio::spawn(upkeep::rounds(core.clone(), most));
     tokio::spawn(rollout::run(rollouts));
-    Ok(())
 }
--- a/crates/node/tests/deployed_config.rs
+++ b/crates/node/tests/deployed_config.rs
@@ -151,3 +151,28 @@
     .await
     .unwrap();
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn refusals_name_the_field_and_the_reused_id() {
+    let d = Deployment::start(&Spec::default()).await.unwrap();
+    let entry = &d.entries[0];
+    let doc = |targets: Value| {
+        let patch = json!({"targets": targets});
+        json!({"name": "galas", "template": "inkline", "org": "inkline", "keys": [], "patch": patch})
+    };
+    let id = "00000000000000000000000000000001";
+    let headers = [("if-none-match", "*"), ("change-id", id)];
+    let put = async |name: &str, doc: Value| {
+        let path = format!("teams/{name}");
+        d.admin(entry, Method::PUT, &path, &headers, Some(&doc)).await.unwrap()
+    };
+    let refused = put("galas", doc(json!(["nowhere"]))).await;
+    assert_eq!(refused.status.as_u16(), 422);
+    assert!(refused.text().contains("\"patch.targets"), "{}", refused.text());
+    assert_eq!(put("galas", doc(json!([]))).await.status.as_u16(), 201);
+    let mut other = doc(json!([]));
+    other["name"] = json!("balls");
+    let reused = put("balls", other).await;
+    assert_eq!(reused.status.as_u16(), 409, "{}", reused.text());
+    assert!(reused.text().contains("id-reused"), "{}", reused.text());
+}
