Answer unstreamed chats in OpenAI's form

An unstreamed chat was answered with chat.completion.chunk and a delta, which clients that expect chat.completion with a message don't read. The first event of a streamed chat now names the role; later ones stay as they were.

Before: object chat.completion.chunk, choices[0].delta without a role. After: object chat.completion, choices[0].message {role: assistant, content}.

--- a/crates/entry/src/respond.rs
+++ b/crates/entry/src/respond.rs
@@ -25,6 +25,20 @@
 /// Longest silence on a stream to a caller.
 const KEEP_ALIVE: Duration = Duration::from_secs(1);
 
+/// Author of a chat's answers.
+const ROLE: &str = "assistant";
+
+/// How much of an answer a document holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Part {
+    /// All of it.
+    Whole,
+    /// The first token of a stream.
+    First,
+    /// A later token of a stream.
+    Later,
+}
+
 /// The shape of an answer.
 #[derive(Debug, Clone)]
 struct Shape {
@@ -57,7 +71,8 @@
             Item::Token(token) => {
                 text.push_str(&token.text);
                 if token.finish.is_some() {
-                    return Ok(Json(shape.document(&token, &text)).into_response());
+                    let document = shape.document(&token, &text, Part::Whole);
+                    return Ok(Json(document).into_response());
                 }
             }
         }
@@ -104,7 +119,8 @@
     fn event(&self, item: &Item) -> Event {
         match item {
             Item::Token(token) => {
-                let data = self.document(token, &token.text);
+                let part = if token.mark.tokens == 1 { Part::First } else { Part::Later };
+                let data = self.document(token, &token.text, part);
                 json(Event::default().id(format!("{}.{}", token.sealed, token.mark)), &data)
             }
             Item::Restart => Event::default().event("restart").data("{}"),
@@ -112,16 +128,17 @@
         }
     }
 
-    fn document(&self, token: &Delivered, text: &str) -> AnswerWire {
-        let object = match self.api {
-            Api::Text => "text_completion",
-            Api::Chat => "chat.completion.chunk",
+    fn document(&self, token: &Delivered, text: &str, part: Part) -> AnswerWire {
+        let object = match (self.api, part) {
+            (Api::Text, _) => "text_completion",
+            (Api::Chat, Part::Whole) => "chat.completion",
+            (Api::Chat, _) => "chat.completion.chunk",
         };
         AnswerWire {
             id: self.request,
             object,
             model: self.model.clone(),
-            choices: [ChoiceWire::new(self.api, token.finish, text)],
+            choices: [ChoiceWire::new(self.api, token.finish, text, part)],
             system_fingerprint: token.weights.clone(),
             usage: token.usage.map(UsageWire::from),
             lentil: MarkWire { request: self.request, offset: token.mark.tokens - 1 },
@@ -161,27 +178,33 @@
     #[serde(skip_serializing_if = "Option::is_none")]
     text: Option<Arc<str>>,
     #[serde(skip_serializing_if = "Option::is_none")]
-    delta: Option<DeltaWire>,
+    delta: Option<MessageWire>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    message: Option<MessageWire>,
     finish_reason: Option<&'static str>,
 }
 
 #[derive(Serialize)]
-struct DeltaWire {
+struct MessageWire {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    role: Option<&'static str>,
     content: Arc<str>,
 }
 
 impl ChoiceWire {
-    fn new(api: Api, finish: Option<Finish>, text: &str) -> Self {
+    fn new(api: Api, finish: Option<Finish>, text: &str, part: Part) -> Self {
         let content: Arc<str> = text.into();
-        let (text, delta) = match api {
-            Api::Text => (Some(content), None),
-            Api::Chat => (None, Some(DeltaWire { content })),
+        let role = (part != Part::Later).then_some(ROLE);
+        let (text, delta, message) = match (api, part) {
+            (Api::Text, _) => (Some(content), None, None),
+            (Api::Chat, Part::Whole) => (None, None, Some(MessageWire { role, content })),
+            (Api::Chat, _) => (None, Some(MessageWire { role, content }), None),
         };
         let finish_reason = finish.map(|f| match f {
             Finish::Stop => "stop",
             Finish::Length => "length",
         });
-        Self { index: 0, text, delta, finish_reason }
+        Self { index: 0, text, delta, message, finish_reason }
     }
 }
 
