Put the limits of queue and connections in force, and check certificates early

Both limits were read and used nowhere. The gate now takes limits.queue below its own limit of four times the capacity; the callers' listener holds a place for each open connection, handshakes included, and accepts no more than limits.connections. SIGHUP applies running and queue; body_bytes and connections are listed with the settings that need a restart.

A certificate that can't be used was told without its path. Certificate and key are now read with the settings, so lentild check tells as well, and each error names its file.

That SIGHUP reaches the gate is not tested over a process.

--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -115,6 +115,8 @@
 #[derive(Debug)]
 pub struct Gate {
     capacity: u32,
+    /// Requests queued at most, whatever the capacity.
+    queue: usize,
     running: Vec<Running>,
     batch_running: u32,
     interactive: Lane,
@@ -135,6 +137,7 @@
     pub fn new(capacity: u32) -> Self {
         Self {
             capacity,
+            queue: usize::MAX,
             running: Vec::new(),
             batch_running: 0,
             interactive: Lane::default(),
@@ -152,6 +155,12 @@
         self.capacity = capacity;
     }
 
+    /// Sets how many requests may be queued at most, below the multiple of the capacity that is
+    /// always the limit; queued ones stay.
+    pub fn set_queue(&mut self, queue: usize) {
+        self.queue = queue;
+    }
+
     /// Sets how many prompt tokens the replicas can take now, and how many per second this instance
     /// can expect to be computed. Without a call there is no such limit. While there is no room,
     /// only teams below their part of the rate start requests: a team's part goes by its limit.
@@ -219,7 +228,7 @@
     /// Whether the queue is full for `team`. Beyond the limit a team may still queue its even part,
     /// so that no team can fill the queue for the others.
     fn is_full(&self, team: &Name) -> bool {
-        let limit = self.capacity as usize * QUEUE_FACTOR;
+        let limit = (self.capacity as usize * QUEUE_FACTOR).min(self.queue);
         let teams = self.interactive.teams().max(self.batch.teams()).max(1);
         let own = self.interactive.len_of(team) + self.batch.len_of(team);
         self.queued() >= limit && own >= limit / teams
--- a/crates/admit/tests/gate_limits.rs
+++ b/crates/admit/tests/gate_limits.rs
@@ -52,6 +52,20 @@
     assert_eq!(gate.queued(), 0);
 }
 
+#[test]
+fn the_queue_limit_holds() {
+    let mut gate = Gate::new(1);
+    gate.set_queue(2);
+    let mut give = |id| gate.offer(offer(id, "a", Class::Interactive), 0, Time(0));
+    assert_eq!(give(1), Verdict::Run);
+    assert_eq!((give(2), give(3)), (Verdict::Wait, Verdict::Wait));
+    assert_eq!(reason(give(4)), Some(Reason::Full));
+    gate.set_queue(3);
+    assert_eq!(gate.offer(offer(4, "a", Class::Interactive), 0, Time(0)), Verdict::Wait);
+    gate.set_queue(1);
+    assert_eq!(gate.queued(), 3, "queued requests stay");
+}
+
 #[test]
 fn advice_is_spread() {
     let mut gate = Gate::new(1);
--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -48,6 +48,11 @@
         self.shared.gate.lock().set_capacity(capacity);
     }
 
+    /// Sets how many requests may be queued at most.
+    pub fn set_queue(&self, queue: usize) {
+        self.shared.gate.lock().set_queue(queue);
+    }
+
     /// Requests running and queued.
     pub fn load(&self) -> (usize, usize) {
         let gate = self.shared.gate.lock();
--- a/crates/lentild/src/run.rs
+++ b/crates/lentild/src/run.rs
@@ -2,7 +2,7 @@
 
 use std::{path::Path, process::ExitCode};
 
-use node::{Drained, LogControl, Node, settings::Settings, start_logs};
+use node::{Drained, LogControl, Node, NodeHandle, settings::Settings, start_logs};
 
 use crate::signals::{Order, Signals};
 
@@ -37,14 +37,14 @@
             drained = &mut drained => return Ok(drained),
             order = signals.next() => match order {
                 Order::Drain => handle.drain(),
-                Order::Reload => reload(path, &mut settings, logs),
+                Order::Reload => reload(path, &mut settings, logs, &handle),
             },
         }
     }
 }
 
 /// Takes over what may change while running; a faulty file changes nothing.
-fn reload(path: &Path, settings: &mut Settings, logs: &LogControl) {
+fn reload(path: &Path, settings: &mut Settings, logs: &LogControl, handle: &NodeHandle) {
     let new = match Settings::read(path) {
         Ok(new) => new,
         Err(error) => return tracing::error!(%error, "settings not reloaded"),
@@ -56,6 +56,9 @@
             {
                 tracing::error!(%error, "log level not changed");
             }
+            if let Some(limits) = change.limits {
+                handle.limit(limits);
+            }
             *settings = new;
             tracing::info!("settings reloaded");
         }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -22,8 +22,8 @@
     follow::Follower,
     gossip::{self, PeerHandler},
     rollout::{self, Rollouts},
-    serve::{self, ServeError},
-    settings::{KeyError, Settings},
+    serve::{self, Limited, ServeError},
+    settings::{KeyError, Limits, Settings},
     upkeep, watch as watching,
 };
 
@@ -62,6 +62,7 @@
     core: Arc<Core>,
     stage: watch::Sender<Stage>,
     stop: watch::Sender<bool>,
+    limits: watch::Sender<Limits>,
     servers: Vec<tokio::task::JoinHandle<()>>,
     most: Duration,
     addr: SocketAddr,
@@ -100,9 +101,10 @@
         );
         let (stop, stopped) = watch::channel(false);
         let servers = listen(settings, &core, Arc::new(operator), &stopped).await?;
-        spawn_tasks(settings, &core, follower, hub, rollouts);
+        let (limits, changes) = watch::channel(settings.limits);
+        spawn_tasks(settings, &core, follower, hub, rollouts, changes);
         let most = settings.drain.most;
-        Ok(Self { core, stage, stop, servers, most, addr: settings.listen.callers })
+        Ok(Self { core, stage, stop, limits, servers, most, addr: settings.listen.callers })
     }
 
     /// Where callers connect.
@@ -112,7 +114,7 @@
 
     /// Orders the instance to stop.
     pub fn handle(&self) -> NodeHandle {
-        NodeHandle(self.stage.clone())
+        NodeHandle { stage: self.stage.clone(), limits: self.limits.clone() }
     }
 
     /// Waits until the instance was ordered to stop and is drained, then ends its servers.
@@ -130,12 +132,20 @@
 
 /// Orders a running instance.
 #[derive(Clone)]
-pub struct NodeHandle(watch::Sender<Stage>);
+pub struct NodeHandle {
+    stage: watch::Sender<Stage>,
+    limits: watch::Sender<Limits>,
+}
 
 impl NodeHandle {
     /// Starts the planned stop.
     pub fn drain(&self) {
-        self.0.send_replace(Stage::Draining);
+        self.stage.send_replace(Stage::Draining);
+    }
+
+    /// Applies other limits, those of [`Settings::reload`]: `running` and `queue`.
+    pub fn limit(&self, limits: Limits) {
+        self.limits.send_replace(limits);
     }
 }
 
@@ -194,6 +204,7 @@
     stopped: &watch::Receiver<bool>,
 ) -> Result<Vec<tokio::task::JoinHandle<()>>, NodeError> {
     let callers = serve::bind(settings.listen.callers).await?;
+    let callers = Limited::new(callers, settings.limits.connections);
     let admins = serve::bind(settings.listen.admin).await?;
     let router = entry::router(core.clone());
     let callers = match &settings.tls {
@@ -214,17 +225,17 @@
     follower: Arc<Follower>,
     hub: Arc<Hub>,
     rollouts: Arc<Rollouts>,
+    limits: watch::Receiver<Limits>,
 ) {
     let list = &settings.platform.list;
     let addr = settings.platform.list_addr();
     let path = list.path_and_query().map_or("/", |p| p.as_str());
     let instances = Arc::new(ListClient::new(Client::new(Deadlines::default()), addr, path));
-    let most = u32::try_from(settings.limits.running).unwrap_or(u32::MAX);
     tokio::spawn(follower.clone().run());
     tokio::spawn(gossip::run(core.clone(), follower, hub));
     tokio::spawn(watching::list(core.clone(), instances));
     tokio::spawn(watching::loads(core.clone()));
     tokio::spawn(upkeep::queue(core.clone()));
-    tokio::spawn(upkeep::rounds(core.clone(), most));
+    tokio::spawn(upkeep::rounds(core.clone(), limits));
     tokio::spawn(rollout::run(rollouts));
 }
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -1,18 +1,32 @@
 //! HTTP listeners, plain or TLS.
 
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+mod limited;
+
+use std::{
+    fmt::Debug,
+    io,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    sync::Arc,
+    time::Duration,
+};
 
 use axum::{Router, serve::Listener};
 use rustls::ServerConfig;
-use rustls_pki_types::{CertificateDer, PrivateKeyDer, pem::PemObject};
+use rustls_pki_types::{
+    CertificateDer, PrivateKeyDer,
+    pem::{self, PemObject},
+};
 use tokio::{
-    net::{TcpListener, TcpStream},
+    net::TcpListener,
     sync::{mpsc, watch},
     time::timeout,
 };
 use tokio_rustls::{TlsAcceptor, server::TlsStream};
 
 use crate::settings::Tls;
+use limited::Held;
+pub use limited::Limited;
 
 /// Longest TLS handshake.
 const HANDSHAKE_TERM: Duration = Duration::from_secs(5);
@@ -30,12 +44,32 @@
         /// What the system said.
         source: io::Error,
     },
-    /// The certificate or key could not be read.
-    #[error("can't read the TLS certificate or key: {0}; both must be PEM files")]
-    Pem(#[from] rustls_pki_types::pem::Error),
+    /// The certificate could not be read.
+    #[error("can't read a certificate from {}: {source}; it must be a PEM file", path.display())]
+    Cert {
+        /// The file.
+        path: PathBuf,
+        /// What is wrong.
+        source: pem::Error,
+    },
+    /// The key could not be read.
+    #[error("can't read a private key from {}: {source}; it must be a PEM file", path.display())]
+    Key {
+        /// The file.
+        path: PathBuf,
+        /// What is wrong.
+        source: pem::Error,
+    },
     /// Certificate and key do not fit.
-    #[error("the TLS certificate and key can't be used: {0}")]
-    Tls(#[from] rustls::Error),
+    #[error("can't use {} with {}: {source}; give a certificate and its own key", cert.display(), key.display())]
+    Tls {
+        /// The certificate's file.
+        cert: PathBuf,
+        /// The key's file.
+        key: PathBuf,
+        /// What is wrong.
+        source: rustls::Error,
+    },
 }
 
 /// Binds an address.
@@ -44,14 +78,18 @@
 }
 
 /// Serves plain HTTP until `stop` is true and the requests in progress have ended.
-pub async fn plain(listener: TcpListener, router: Router, stop: watch::Receiver<bool>) {
+pub async fn plain<L>(listener: L, router: Router, stop: watch::Receiver<bool>)
+where
+    L: Listener,
+    L::Addr: Debug,
+{
     // `axum::serve` handles accept errors itself and never fails.
     let _ = axum::serve(listener, router).with_graceful_shutdown(stopped(stop)).await;
 }
 
 /// Serves HTTP over TLS until `stop` is true and the requests in progress have ended.
 pub async fn tls(
-    listener: TcpListener,
+    listener: Limited,
     config: Arc<ServerConfig>,
     router: Router,
     stop: watch::Receiver<bool>,
@@ -67,40 +105,49 @@
 
 /// Reads certificate and key.
 pub fn tls_config(tls: &Tls) -> Result<Arc<ServerConfig>, ServeError> {
-    let certs = CertificateDer::pem_file_iter(&tls.cert_file)?.collect::<Result<Vec<_>, _>>()?;
-    let key = PrivateKeyDer::from_pem_file(&tls.key_file)?;
+    let Tls { cert_file, key_file } = tls;
+    let certs =
+        certs(cert_file).map_err(|source| ServeError::Cert { path: cert_file.clone(), source })?;
+    let key = PrivateKeyDer::from_pem_file(key_file)
+        .map_err(|source| ServeError::Key { path: key_file.clone(), source })?;
     let provider = Arc::new(rustls::crypto::ring::default_provider());
     let config = ServerConfig::builder_with_provider(provider)
-        .with_safe_default_protocol_versions()?
-        .with_no_client_auth()
-        .with_single_cert(certs, key)?;
-    Ok(Arc::new(config))
+        .with_safe_default_protocol_versions()
+        .and_then(|builder| builder.with_no_client_auth().with_single_cert(certs, key));
+    let (cert, key) = (cert_file.clone(), key_file.clone());
+    config.map(Arc::new).map_err(|source| ServeError::Tls { cert, key, source })
+}
+
+/// The certificates of a PEM file, at least one.
+fn certs(path: &Path) -> Result<Vec<CertificateDer<'static>>, pem::Error> {
+    let certs = CertificateDer::pem_file_iter(path)?.collect::<Result<Vec<_>, _>>()?;
+    if certs.is_empty() { Err(pem::Error::NoItemsFound) } else { Ok(certs) }
 }
 
 /// Accepts connections and finishes their handshakes side by side, so that a slow one delays no
 /// other.
 struct TlsListener {
-    ready: mpsc::Receiver<(TlsStream<TcpStream>, SocketAddr)>,
+    ready: mpsc::Receiver<(TlsStream<Held>, SocketAddr)>,
     addr: io::Result<SocketAddr>,
 }
 
 impl TlsListener {
-    fn spawn(listener: TcpListener, config: Arc<ServerConfig>) -> Self {
+    fn spawn(listener: Limited, config: Arc<ServerConfig>) -> Self {
         let (send, ready) = mpsc::channel(READY_CONNECTIONS);
-        let addr = listener.local_addr();
+        let addr = Listener::local_addr(&listener);
         tokio::spawn(accept(listener, TlsAcceptor::from(config), send));
         Self { ready, addr }
     }
 }
 
 async fn accept(
-    mut listener: TcpListener,
+    mut listener: Limited,
     acceptor: TlsAcceptor,
-    ready: mpsc::Sender<(TlsStream<TcpStream>, SocketAddr)>,
+    ready: mpsc::Sender<(TlsStream<Held>, SocketAddr)>,
 ) {
     loop {
         let accepted = tokio::select! {
-            accepted = Listener::accept(&mut listener) => accepted,
+            accepted = listener.accept() => accepted,
             () = ready.closed() => return,
         };
         let (stream, addr) = accepted;
@@ -115,7 +162,7 @@
 }
 
 impl Listener for TlsListener {
-    type Io = TlsStream<TcpStream>;
+    type Io = TlsStream<Held>;
     type Addr = SocketAddr;
 
     async fn accept(&mut self) -> (Self::Io, SocketAddr) {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -223,7 +223,7 @@
         SettingsWire::parse(text)?.try_into()
     }
 
-    /// Reads settings from a file and checks that the files they name can be read.
+    /// Reads settings from a file and checks the files they name.
     pub fn read(path: &Path) -> Result<Self, ReadError> {
         let text = std::fs::read_to_string(path)
             .map_err(|source| ReadError::File { path: path.into(), source })?;
@@ -241,6 +241,11 @@
         if let Some(tls) = &self.tls {
             check_file("tls.cert_file", &tls.cert_file, &mut faults);
             check_file("tls.key_file", &tls.key_file, &mut faults);
+            if faults.is_empty()
+                && let Err(error) = crate::serve::tls_config(tls)
+            {
+                faults.add("tls", "a certificate and its key", &error.to_string());
+            }
         }
         if faults.is_empty() { Ok(()) } else { Err(faults) }
     }
--- a/crates/node/src/settings/reload.rs
+++ b/crates/node/src/settings/reload.rs
@@ -7,7 +7,7 @@
 pub struct Reload {
     /// The new log level.
     pub level: Option<Level>,
-    /// The new limits.
+    /// The new limits; `running` and `queue` alone may differ.
     pub limits: Option<Limits>,
 }
 
@@ -30,6 +30,8 @@
             ("platform", self.platform == new.platform),
             ("keys", self.keys == new.keys),
             ("tls", self.tls == new.tls),
+            ("limits.body_bytes", self.limits.body_bytes == new.limits.body_bytes),
+            ("limits.connections", self.limits.connections == new.limits.connections),
             ("drain", self.drain == new.drain),
             ("log.format", self.log.format == new.log.format),
         ];
--- a/crates/node/src/upkeep.rs
+++ b/crates/node/src/upkeep.rs
@@ -5,7 +5,12 @@
 use entry::Core;
 use events::EventKind;
 use member::Freshness;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::{
+    sync::watch,
+    time::{MissedTickBehavior, interval},
+};
+
+use crate::settings::Limits;
 
 /// Time between two looks at the queue.
 const QUEUE_TICK: Duration = Duration::from_millis(20);
@@ -28,13 +33,14 @@
 
 /// Adapts capacity and link shares to the instances there are, repeats ledger writes and notes
 /// changes of freshness, until the process ends.
-pub async fn rounds(core: Arc<Core>, most: u32) {
+pub async fn rounds(core: Arc<Core>, limits: watch::Receiver<Limits>) {
     let mut ticks = interval(ROUND);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut last = Freshness::Stale;
     loop {
         ticks.tick().await;
-        adapt(&core, most);
+        let limits = *limits.borrow();
+        adapt(&core, limits);
         last = note(&core, last);
         if core.ledger.pending() > 0 {
             core.ledger.sweep().await;
@@ -42,13 +48,15 @@
     }
 }
 
-fn adapt(core: &Core, most: u32) {
+fn adapt(core: &Core, limits: Limits) {
+    let most = u32::try_from(limits.running).unwrap_or(u32::MAX);
     let now = core.now();
     let instances = core.members.lock().serving(now).len().max(1);
     let part = core.pools.capacity(REPLICA_SLOTS) / u32::try_from(instances).unwrap_or(u32::MAX);
     // Callers do not spread evenly, so an instance takes up to twice its even part.
     let capacity = part.saturating_mul(2).clamp(LEAST_CAPACITY, most.max(LEAST_CAPACITY));
     core.admission.set_capacity(capacity);
+    core.admission.set_queue(limits.queue);
     core.stores.share(instances, now);
     let (running, queued) = core.admission.load();
     let load = (running + queued) * 1000 / capacity as usize;
--- a/crates/node/tests/settings_faults.rs
+++ b/crates/node/tests/settings_faults.rs
@@ -162,6 +162,9 @@
         Reload { level: Some(Level::Warn), limits: Some(limits) }
     );
     assert_eq!(old.reload(&old).unwrap(), Reload::default());
+    let larger = text.replace("queue: 7", "queue: 7, body_bytes: 9, connections: 9");
+    let refused = old.reload(&Settings::parse(&larger).unwrap()).unwrap_err();
+    assert_eq!(refused.refused, ["limits.body_bytes", "limits.connections"]);
     let moved =
         Settings::parse(&text.replace("regina", "saskatoon").replace("json", "text")).unwrap();
     let refused = old.reload(&moved).unwrap_err();
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -14,6 +14,6 @@
     http::{EventReader, Http, HttpError, Reply, SseEvent},
     instance::{Instance, Place},
     platform::Platform,
-    proc::{Proc, RigError, Signal, free_port},
+    proc::{Proc, RigError, Signal, free_port, program},
     wait::{Timeout, wait_for},
 };
--- a/crates/rig/src/proc.rs
+++ b/crates/rig/src/proc.rs
@@ -117,7 +117,7 @@
         let io = |error| RigError::Io { name: name.to_owned(), error };
         let dir = tempfile::tempdir().map_err(io)?;
         let log = File::create(dir.path().join("stderr")).map_err(io)?;
-        let mut child = Command::new(find(name)?)
+        let mut child = Command::new(program(name)?)
             .args(args)
             .envs(envs.iter().copied())
             .stdin(Stdio::null())
@@ -236,7 +236,7 @@
 }
 
 /// The path of a program of the workspace.
-fn find(name: &str) -> Result<PathBuf, RigError> {
+pub fn program(name: &str) -> Result<PathBuf, RigError> {
     if let Some(path) = env::var_os(format!("CARGO_BIN_EXE_{name}")) {
         return Ok(path.into());
     }
