--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -32,12 +32,22 @@
 }
 
 /// Admission to one instance.
+#[derive(Default)]
 pub struct Admission {
     /// The gates by organisation. Invariant: sorted.
     gates: RwLock<Vec<(Name, Lock)>>,
     budget: Mutex<RetryBudget>,
-    /// Most requests that run at once for one organisation.
-    most: u32,
+}
+
+/// What an instance's gates are adapted to, each of them.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    /// Instances that share the replicas.
+    pub instances: usize,
+    /// Most requests running.
+    pub running: u32,
+    /// Most requests queued.
+    pub queue: usize,
 }
 
 /// An admitted request's place; given back when dropped.
@@ -48,20 +58,17 @@
 }
 
 impl Admission {
-    /// Admission of at most `most` requests at once for each organisation.
-    pub fn new(most: u32) -> Self {
-        let most = most.max(LEAST_CAPACITY);
-        Self { gates: RwLock::default(), budget: Mutex::default(), most }
-    }
-
-    /// Adapts all gates to the replicas there are, shared by `instances` instances.
-    pub fn adapt(&self, core: &Core, instances: usize) {
-        let instances = u32::try_from(instances.max(1)).unwrap_or(u32::MAX);
+    /// Adapts all gates to the replicas there are and to the instance's bounds.
+    pub fn adapt(&self, core: &Core, bounds: Bounds) {
+        let instances = u32::try_from(bounds.instances.max(1)).unwrap_or(u32::MAX);
+        let most = bounds.running.max(LEAST_CAPACITY);
         for (org, lock) in self.gates.read().iter() {
             let places = core.pools.capacity(&core.engines(org), REPLICA_SLOTS);
             // Callers do not spread evenly, so an instance takes up to twice its even part.
             let capacity = places.saturating_mul(2) / instances;
-            lock.gate.lock().set_capacity(capacity.clamp(LEAST_CAPACITY, self.most));
+            let mut gate = lock.gate.lock();
+            gate.set_capacity(capacity.clamp(LEAST_CAPACITY, most));
+            gate.set_queue(bounds.queue);
         }
     }
 
@@ -89,7 +96,7 @@
         match gates.binary_search_by(|(o, _)| o.cmp(org)) {
             Ok(at) => gates[at].1.clone(),
             Err(at) => {
-                let gate = Arc::new(Mutex::new(Gate::new(self.most)));
+                let gate = Arc::new(Mutex::new(Gate::new(LEAST_CAPACITY)));
                 let lock = Lock { gate, waiting: Arc::default() };
                 gates.insert(at, (org.clone(), lock.clone()));
                 lock
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -24,7 +24,7 @@
 mod stores;
 
 pub use crate::{
-    admission::Admission,
+    admission::{Admission, Bounds},
     body::{Api, Prompt},
     contexts::ContextShards,
     core::{Backends, Core, Draw, Secrets, Sizes},
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -6,7 +6,6 @@
 use conf::{Store, View};
 use entry::{Admission, Backends, ContextShards, Core, Metrics, Pools, Secrets, Sizes, Stores};
 use events::{EventKind, Log};
-use hyper::Uri;
 use ident::{Boot, Clock, Secret};
 use ledger::Ledger;
 use member::{Config, Me, Members};
@@ -23,8 +22,8 @@
     follow::Follower,
     gossip::{self, PeerHandler},
     rollout::{self, Rollouts},
-    serve::{self, ServeError},
-    settings::{KeyError, Settings},
+    serve::{self, Limited, ServeError},
+    settings::{KeyError, Limits, Settings},
     upkeep, watch as watching,
 };
 
@@ -47,9 +46,6 @@
     /// The object store client could not be made.
     #[error("platform.objects: {0}")]
     Objects(#[from] BlobError),
-    /// The list's address is not an IP number with a port.
-    #[error("platform.list: wanted http://IP:PORT/PATH, found {0}")]
-    List(Uri),
     /// An address could not be served.
     #[error(transparent)]
     Serve(#[from] ServeError),
@@ -66,6 +62,7 @@
     core: Arc<Core>,
     stage: watch::Sender<Stage>,
     stop: watch::Sender<bool>,
+    limits: watch::Sender<Limits>,
     servers: Vec<tokio::task::JoinHandle<()>>,
     most: Duration,
     addr: SocketAddr,
@@ -104,9 +101,10 @@
         );
         let (stop, stopped) = watch::channel(false);
         let servers = listen(settings, &core, Arc::new(operator), &stopped).await?;
-        spawn_tasks(settings, &core, follower, hub, rollouts)?;
+        let (limits, changes) = watch::channel(settings.limits);
+        spawn_tasks(settings, &core, follower, hub, rollouts, changes);
         let most = settings.drain.most;
-        Ok(Self { core, stage, stop, servers, most, addr: settings.listen.callers })
+        Ok(Self { core, stage, stop, limits, servers, most, addr: settings.listen.callers })
     }
 
     /// Where callers connect.
@@ -116,7 +114,7 @@
 
     /// Orders the instance to stop.
     pub fn handle(&self) -> NodeHandle {
-        NodeHandle(self.stage.clone())
+        NodeHandle { stage: self.stage.clone(), limits: self.limits.clone() }
     }
 
     /// Waits until the instance was ordered to stop and is drained, then ends its servers.
@@ -134,12 +132,20 @@
 
 /// Orders a running instance.
 #[derive(Clone)]
-pub struct NodeHandle(watch::Sender<Stage>);
+pub struct NodeHandle {
+    stage: watch::Sender<Stage>,
+    limits: watch::Sender<Limits>,
+}
 
 impl NodeHandle {
     /// Starts the planned stop.
     pub fn drain(&self) {
-        self.0.send_replace(Stage::Draining);
+        self.stage.send_replace(Stage::Draining);
+    }
+
+    /// Applies other limits, those of [`Settings::reload`]: `running` and `queue`.
+    pub fn limit(&self, limits: Limits) {
+        self.limits.send_replace(limits);
     }
 }
 
@@ -162,7 +168,6 @@
         boot: parts.boot,
         started: clock.now(),
     };
-    let running = u32::try_from(settings.limits.running).unwrap_or(u32::MAX);
     Ok(Core {
         events: Log::new(name.clone(), parts.boot, EVENTS),
         ledger: Ledger::new(parts.table.clone(), parts.blob.clone(), clock.clone(), name.clone()),
@@ -181,7 +186,7 @@
         pools: Pools::new(Box::new(|| Box::new(route::Cost))),
         stores: Stores::default(),
         contexts: ContextShards::new(CONTEXTS),
-        admission: Admission::new(running),
+        admission: Admission::default(),
         backends: Backends {
             engine: Arc::new(EngineClient::new(client.clone())),
             store: Arc::new(StoreClient::new(client.clone())),
@@ -199,6 +204,7 @@
     stopped: &watch::Receiver<bool>,
 ) -> Result<Vec<tokio::task::JoinHandle<()>>, NodeError> {
     let callers = serve::bind(settings.listen.callers).await?;
+    let callers = Limited::new(callers, settings.limits.connections);
     let admins = serve::bind(settings.listen.admin).await?;
     let router = entry::router(core.clone());
     let callers = match &settings.tls {
@@ -219,10 +225,10 @@
     follower: Arc<Follower>,
     hub: Arc<Hub>,
     rollouts: Arc<Rollouts>,
-) -> Result<(), NodeError> {
+    limits: watch::Receiver<Limits>,
+) {
     let list = &settings.platform.list;
-    let addr = list.authority().and_then(|a| a.as_str().parse().ok());
-    let addr = addr.ok_or_else(|| NodeError::List(list.clone()))?;
+    let addr = settings.platform.list_addr();
     let path = list.path_and_query().map_or("/", |p| p.as_str());
     let instances = Arc::new(ListClient::new(Client::new(Deadlines::default()), addr, path));
     tokio::spawn(follower.clone().run());
@@ -230,7 +236,6 @@
     tokio::spawn(watching::list(core.clone(), instances));
     tokio::spawn(watching::loads(core.clone()));
     tokio::spawn(upkeep::queue(core.clone()));
-    tokio::spawn(upkeep::rounds(core.clone()));
+    tokio::spawn(upkeep::rounds(core.clone(), limits));
     tokio::spawn(rollout::run(rollouts));
-    Ok(())
 }
--- a/crates/node/src/upkeep.rs
+++ b/crates/node/src/upkeep.rs
@@ -5,10 +5,15 @@
     time::Duration,
 };
 
-use entry::Core;
+use entry::{Bounds, Core};
 use events::EventKind;
 use member::Freshness;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::{
+    sync::watch,
+    time::{MissedTickBehavior, interval},
+};
+
+use crate::settings::Limits;
 
 /// Time between two looks at the queue.
 const QUEUE_TICK: Duration = Duration::from_millis(20);
@@ -27,13 +32,14 @@
 
 /// Adapts capacity and link shares to the instances there are, repeats ledger writes and notes
 /// changes of freshness, until the process ends.
-pub async fn rounds(core: Arc<Core>) {
+pub async fn rounds(core: Arc<Core>, limits: watch::Receiver<Limits>) {
     let mut ticks = interval(ROUND);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut last = Freshness::Stale;
     loop {
         ticks.tick().await;
-        adapt(&core);
+        let limits = *limits.borrow();
+        adapt(&core, limits);
         last = note(&core, last);
         if core.ledger.pending() > 0 {
             core.ledger.sweep().await;
@@ -41,11 +47,12 @@
     }
 }
 
-fn adapt(core: &Core) {
+fn adapt(core: &Core, limits: Limits) {
     let now = core.now();
     let instances = core.members.lock().serving(now).len().max(1);
+    let running = u32::try_from(limits.running).unwrap_or(u32::MAX);
     core.serving.store(instances, Ordering::Relaxed);
-    core.admission.adapt(core, instances);
+    core.admission.adapt(core, Bounds { instances, running, queue: limits.queue });
     core.stores.share(instances, now);
     let (running, queued) = core.admission.load();
     let load = (running + queued) * 1000 / core.admission.capacity().max(1);
