Prove isolation of teams over whole processes

Nothing showed over whole processes that teams and organisations never see each other's data beyond one check of the cache. deployed_isolation asks for it with stream handles of others and forged ones, outcome look-ups and equal idempotency keys of all teams, API keys of nobody, names written into bodies and headers, models and targets of the other organisation, and a target that moves between organisations while requests run. Engines and services judge by their own logs: cache salts of two teams never meet, and what was refused did not run.

--- /dev/null
+++ b/crates/node/tests/deployed_isolation.rs
@@ -0,0 +1,364 @@
+//! Teams never see each other's data: handles, outcomes, idempotency keys, forged names, models,
+//! targets and cache of another team or organisation. The logs of the engines and services judge.
+
+use std::{sync::Arc, time::Duration};
+
+use base64::{Engine as _, engine::general_purpose::URL_SAFE_NO_PAD};
+use bytes::Bytes;
+use hyper::Method;
+use rig::{
+    Answer, CallError, Completion, Deployment, Entry, Ran, Reply, STATE_LIMIT, Spec, wait_for,
+};
+use serde_json::{Value, json};
+
+/// Team, model and engine of each team's organisation.
+const TEAMS: [(&str, &str, &str); 4] = [
+    ("weddings", "writer", "inkline-writer-1"),
+    ("fairs", "writer", "inkline-writer-1"),
+    ("parish-east", "assistant", "umthombo-assistant-1"),
+    ("parish-west", "assistant", "umthombo-assistant-1"),
+];
+/// "Seconds": the longest time from a change to its being in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(12);
+const BODY: &str = r#"{"artist":"7","amount":120}"#;
+
+/// One engine for each organisation, so that all its teams share an accelerator.
+async fn shared() -> Deployment {
+    Deployment::start(&Spec { engines: 1, ..Spec::default() }).await.unwrap()
+}
+
+fn ask(model: &str, question: &str) -> Completion {
+    let calendar: String = (0..300).map(|i| format!("Sunday {i}: font {}. ", i % 7)).collect();
+    Completion {
+        model: model.to_owned(),
+        prompt: format!("{calendar}{question}"),
+        tokens: 12,
+        context: "calendar".to_owned(),
+        batch: false,
+    }
+}
+
+async fn answer(d: &Deployment, team: &str, ask: &Completion) -> Answer {
+    let answer = d.caller(team, "regina").complete(ask).await.unwrap();
+    assert_eq!(answer.text, fakes::expected(&ask.model, "v1", &ask.prompt, ask.tokens), "{team}");
+    answer
+}
+
+/// Asks with an API key at one instance; streams, and returns the pairs of id and data.
+async fn stream(
+    d: &Deployment,
+    entry: &Entry,
+    headers: &[(&str, &str)],
+    body: &Value,
+) -> Result<Vec<(String, String)>, Reply> {
+    let url = format!("{}/v1/completions", entry.instance.url());
+    let body = Bytes::from(body.to_string());
+    let http = &d.platform.http;
+    match http.events(Method::POST, &url, headers, body).await.unwrap() {
+        Ok(events) => Ok(events.all(STATE_LIMIT).await.unwrap()),
+        Err(reply) => Err(reply),
+    }
+}
+
+fn problem(reply: &Reply) -> (u16, String, String) {
+    let doc: Value = reply.json().unwrap();
+    let kind = doc["type"].as_str().unwrap().rsplit(':').next().unwrap().to_owned();
+    (reply.status.as_u16(), kind, doc["ran"].as_str().unwrap().to_owned())
+}
+
+fn refused(status: u16, kind: &str) -> (u16, String, String) {
+    (status, kind.to_owned(), "no".to_owned())
+}
+
+/// The requests that an engine ran.
+async fn runs(d: &Deployment, engine: &str) -> Vec<Value> {
+    let log = d.platform.log(d.platform.proc(engine).unwrap()).await.unwrap();
+    log.into_iter().filter(|e| e["run"].is_string()).collect()
+}
+
+async fn get(d: &Deployment, entry: &Entry, path: &str, bearer: &str) -> Reply {
+    let url = format!("{}{path}", entry.instance.url());
+    let headers = [("authorization", bearer)];
+    d.platform.http.send(Method::GET, &url, &headers, Bytes::new()).await.unwrap()
+}
+
+/// Handles that nobody was given: altered in each part, and sealed over another team's name.
+fn forged(handle: &str, other: &str) -> Vec<String> {
+    let (sealed, rest) = handle.split_once('.').unwrap();
+    let text = String::from_utf8(URL_SAFE_NO_PAD.decode(sealed).unwrap()).unwrap();
+    let renamed = text.replace("\"weddings\"", "\"fairs\"");
+    assert_ne!(renamed, text, "the handle names its team");
+    let renamed = URL_SAFE_NO_PAD.encode(renamed);
+    let (other_sealed, _) = other.split_once('.').unwrap();
+    let mut out = vec![
+        format!("{renamed}.{rest}"),
+        format!("{other_sealed}.{rest}"),
+        format!("{sealed}.{}", &rest[1..]),
+        format!("{sealed}.{}.1.0", "0".repeat(32)),
+        sealed.to_owned(),
+        "1.0".to_owned(),
+        ".".to_owned(),
+    ];
+    let mac = sealed.len() + 1 + rest.split_once('.').unwrap().0.len();
+    out.extend((0..mac).step_by(23).map(|at| {
+        let swap = if &handle[at..=at] == "A" { "B" } else { "A" };
+        format!("{}{swap}{}", &handle[..at], &handle[at + 1..])
+    }));
+    out
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn handles_of_others_and_forged_ones_are_refused() {
+    let d = shared().await;
+    let body = json!({"model": "writer", "prompt": "Caption", "max_tokens": 8, "stream": true});
+    let own = [("authorization", "Bearer weddings-key")];
+    let events = stream(&d, &d.entries[0], &own, &body).await.unwrap();
+    let (third, whole) = (&events[2].0, events.len());
+    let second = stream(&d, &d.entries[1], &own, &body).await.unwrap();
+    let before = runs(&d, "inkline-writer-1").await.len();
+    for entry in &d.entries {
+        for (team, ..) in &TEAMS[1..] {
+            let bearer = format!("Bearer {team}-key");
+            let headers = [("authorization", &*bearer), ("last-event-id", third)];
+            let reply = stream(&d, entry, &headers, &body).await.unwrap_err();
+            assert_eq!(problem(&reply), refused(409, "bad-handle"), "{team} at {}", entry.name);
+        }
+        for handle in forged(third, &second[0].0) {
+            for key in ["Bearer weddings-key", "Bearer fairs-key"] {
+                let headers = [("authorization", key), ("last-event-id", &*handle)];
+                let reply = stream(&d, entry, &headers, &body).await.unwrap_err();
+                assert_eq!(problem(&reply), refused(409, "bad-handle"), "{key}: {handle}");
+            }
+        }
+        let mut other = body.clone();
+        other["prompt"] = json!("Another caption");
+        let headers = [own[0], ("last-event-id", third)];
+        let reply = stream(&d, entry, &headers, &other).await.unwrap_err();
+        assert_eq!(problem(&reply), refused(409, "bad-handle"), "another body");
+        // The team itself goes on at any instance, after the third event.
+        let rest = stream(&d, entry, &headers, &body).await.unwrap();
+        assert_eq!(rest.len(), whole - 3, "{}", entry.name);
+    }
+    assert_eq!(runs(&d, "inkline-writer-1").await.len(), before, "nothing was run anew");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn idempotency_keys_belong_to_one_team() {
+    let d = Deployment::start(&Spec::default()).await.unwrap();
+    let call = |entry, team, target| {
+        let d = &d;
+        async move { d.call(entry, team, target, "key", BODY).await.unwrap() }
+    };
+    let first = call(&d.entries[0], "weddings", "inkline-desk").await;
+    assert_eq!(first.status.as_u16(), 200);
+    for entry in &d.entries {
+        let own = get(&d, entry, "/v1/outcomes/key", "Bearer weddings-key").await;
+        assert_eq!((own.status.as_u16(), &own.body), (200, &first.body), "{}", entry.name);
+        for (team, ..) in &TEAMS[1..] {
+            let reply = get(&d, entry, "/v1/outcomes/key", &format!("Bearer {team}-key")).await;
+            assert_eq!(problem(&reply), refused(404, "no-outcome"), "{team}");
+        }
+        // A key that spells the name of another team's call.
+        for forged in ["weddings%2Fkey", "..%2Fweddings%2Fkey", "weddings:key"] {
+            let path = format!("/v1/outcomes/{forged}");
+            let reply = get(&d, entry, &path, "Bearer fairs-key").await;
+            assert_eq!(problem(&reply), refused(404, "no-outcome"), "{forged}");
+        }
+    }
+    let fairs = call(&d.entries[1], "fairs", "inkline-desk").await;
+    assert_eq!((fairs.status.as_u16(), fairs.header("idempotency-replayed")), (200, None));
+    assert_ne!(fairs.body, first.body, "a run of its own");
+    assert_eq!(d.runs("inkline-desk-1", "key").await.unwrap(), 2);
+    for (i, team) in ["parish-east", "parish-west"].into_iter().enumerate() {
+        let reply = call(&d.entries[2], team, "umthombo-bookings").await;
+        assert_eq!((reply.status.as_u16(), reply.header("idempotency-replayed")), (200, None));
+        assert_eq!(d.runs("umthombo-bookings-1", "key").await.unwrap(), i + 1, "{team}");
+    }
+    let again = call(&d.entries[2], "weddings", "inkline-desk").await;
+    assert_eq!((&again.body, again.header("idempotency-replayed")), (&first.body, Some("true")));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_of_nobody_gets_nothing() {
+    let d = Deployment::start(&Spec::default()).await.unwrap();
+    let digest = ident::Digest::of(b"weddings-key").to_string();
+    let body = json!({"model": "writer", "prompt": "Caption", "max_tokens": 2, "stream": true});
+    let keys = ["nobody", "weddings", "", "weddings-ke", "WEDDINGS-KEY", &digest];
+    for entry in &d.entries {
+        for key in keys {
+            let bearer = format!("Bearer {key}");
+            let reply = stream(&d, entry, &[("authorization", &bearer)], &body).await.unwrap_err();
+            let want = refused(401, "unauthorised");
+            assert_eq!(problem(&reply), want, "completion with {key:?}");
+            for path in ["/v1/where", "/v1/outcomes/key"] {
+                assert_eq!(problem(&get(&d, entry, path, &bearer).await), want, "{path}: {key:?}");
+            }
+        }
+        let reply = d.call(entry, "nobody", "inkline-desk", "key", BODY).await.unwrap();
+        assert_eq!(problem(&reply), refused(401, "unauthorised"));
+        let none = stream(&d, entry, &[], &body).await.unwrap_err();
+        assert_eq!(problem(&none), refused(401, "unauthorised"), "no header at all");
+    }
+    assert_eq!(d.runs("inkline-desk-1", "key").await.unwrap(), 0);
+    assert!(runs(&d, "inkline-writer-1").await.is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn another_organisation_is_unknown() {
+    let d = shared().await;
+    for (team, model, target, service) in [
+        ("weddings", "assistant", "umthombo-assistant", "umthombo-bookings"),
+        ("fairs", "assistant", "umthombo-assistant", "umthombo-bookings"),
+        ("parish-east", "writer", "inkline-writer", "inkline-desk"),
+        ("parish-west", "writer", "inkline-writer", "inkline-desk"),
+    ] {
+        let bearer = format!("Bearer {team}-key");
+        let body = json!({"model": model, "prompt": "Who?", "stream": true, "org": "umthombo"});
+        for entry in &d.entries {
+            let reply = stream(&d, entry, &[("authorization", &bearer)], &body).await.unwrap_err();
+            assert_eq!(problem(&reply), refused(404, "unknown-model"), "{team}");
+            for foreign in [service, target, "nothing"] {
+                let reply = d.call(entry, team, foreign, "key", BODY).await.unwrap();
+                assert_eq!(problem(&reply), refused(404, "unknown-target"), "{team}: {foreign}");
+            }
+        }
+    }
+    for service in ["inkline-desk-1", "umthombo-bookings-1"] {
+        assert_eq!(d.runs(service, "key").await.unwrap(), 0, "{service}");
+    }
+    for engine in ["inkline-writer-1", "umthombo-assistant-1"] {
+        assert!(runs(&d, engine).await.is_empty(), "{engine}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn names_in_the_body_change_nothing() {
+    let d = shared().await;
+    let plain = ask("writer", "Who is first?");
+    answer(&d, "weddings", &plain).await;
+    let salt = runs(&d, "inkline-writer-1").await[0]["salt"].clone();
+    let body = json!({
+        "model": "writer", "prompt": plain.prompt, "max_tokens": 4, "stream": true,
+        "prompt_cache_key": "calendar", "team": "weddings", "org": "inkline", "user": "weddings",
+        "cache_salt": salt, "kv_handle": "kv-1",
+    });
+    let headers = [
+        ("authorization", "Bearer fairs-key"),
+        ("x-team", "weddings"),
+        ("x-org", "inkline"),
+        ("cache-salt", salt.as_str().unwrap()),
+    ];
+    for entry in &d.entries {
+        let got = stream(&d, entry, &headers, &body).await;
+        assert!(got.is_ok(), "members the API does not know are passed over");
+    }
+    let log = runs(&d, "inkline-writer-1").await;
+    let own: Vec<_> = log[1..].iter().map(|e| &e["salt"]).collect();
+    assert!(own.iter().all(|s| **s == *own[0] && **s != salt), "{own:?}");
+    assert_eq!((&log[1]["cached_tokens"], &log[1]["imported"]), (&json!(0), &json!(0)));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn salts_of_teams_never_meet() {
+    let d = shared().await;
+    let mut salts = Vec::new();
+    for (i, (team, model, engine)) in TEAMS.into_iter().enumerate() {
+        // Hot in the same accelerator and kept in the same store by the team before.
+        let first = answer(&d, team, &ask(model, "Who is first?")).await;
+        assert_eq!(first.cached, 0, "{team} used another team's cache");
+        wait_for("the context to be kept", STATE_LIMIT, || async {
+            (d.events("kept").await.ok()?.len() > i).then_some(())
+        })
+        .await
+        .unwrap();
+        let run = runs(&d, engine).await.pop().unwrap();
+        assert_eq!(run["imported"], 0, "{team} imported another team's cache");
+        assert!(!salts.contains(&run["salt"]), "{team} has a salt of its own");
+        salts.push(run["salt"].clone());
+    }
+    for (i, (team, model, engine)) in TEAMS.into_iter().enumerate() {
+        let proc = d.platform.proc(engine).unwrap();
+        d.platform.faults(proc, json!({"evict_all": true})).await.unwrap();
+        d.platform.faults(proc, json!({})).await.unwrap();
+        let again = answer(&d, team, &ask(model, "Who is second?")).await;
+        assert!(again.cached > 0, "{team} uses its own kept cache");
+        let run = runs(&d, engine).await.pop().unwrap();
+        assert!(run["imported"].as_u64().unwrap() > 0, "{team}: {run}");
+        assert_eq!(run["salt"], salts[i], "{team} keeps its salt");
+    }
+}
+
+/// Asks on and on until refused; each answer before must be whole and right.
+async fn until_refused(d: &Deployment, me: usize) -> (usize, CallError) {
+    let caller = d.caller("weddings", "regina");
+    let mut done = 0;
+    loop {
+        let ask = ask("writer", &format!("Worker {me}, question {done}?"));
+        match caller.complete(&ask).await {
+            Ok(answer) => {
+                let wanted = fakes::expected("writer", "v1", &ask.prompt, ask.tokens);
+                assert_eq!(answer.text, wanted, "worker {me}, answer {done}");
+                done += 1;
+            }
+            Err(error) => return (done, error),
+        }
+    }
+}
+
+async fn grant_writer(d: &Deployment) {
+    let grant = |doc: &mut Value| {
+        doc["params"]["models"] = json!(["assistant", "writer"]);
+        doc["params"]["targets"] =
+            json!(["inkline-writer", "umthombo-assistant", "umthombo-bookings"]);
+    };
+    d.change(&d.entries[2], "templates/umthombo", grant).await.unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_moved_target_leaves_its_organisation() {
+    let d = Arc::new(shared().await);
+    let workers: Vec<_> = (0..3)
+        .map(|me| {
+            let d = d.clone();
+            tokio::spawn(async move { until_refused(&d, me).await })
+        })
+        .collect();
+    wait_for("requests to run", STATE_LIMIT, || async {
+        (runs(&d, "inkline-writer-1").await.len() > 10).then_some(())
+    })
+    .await
+    .unwrap();
+    let move_target = |doc: &mut Value| doc["org"] = json!("umthombo");
+    let early = d.change(&d.entries[0], "targets/inkline-writer", move_target).await;
+    let early = early.unwrap_err().to_string();
+    assert!(early.contains("would reach target inkline-writer"), "{early}");
+    let withdraw = |doc: &mut Value| doc["params"]["targets"] = json!(["inkline-desk"]);
+    d.change(&d.entries[0], "templates/inkline", withdraw).await.unwrap();
+    d.change(&d.entries[1], "targets/inkline-writer", move_target).await.unwrap();
+    for worker in workers {
+        let (done, error) = tokio::time::timeout(IN_FORCE, worker).await.unwrap().unwrap();
+        let CallError::Problem(problem) = error else { panic!("{error}") };
+        assert!(done > 0 && problem.is("unknown-model"), "{done}: {problem}");
+        assert_eq!((problem.status, problem.ran), (404, Ran::No));
+    }
+    d.wait_same_revision().await.unwrap();
+    let before = runs(&d, "inkline-writer-1").await;
+    grant_writer(&d).await;
+    d.wait_same_revision().await.unwrap();
+    // The prompt's beginning is still hot there and kept, for the old organisation's team.
+    for team in ["parish-east", "parish-west"] {
+        let first = answer(&d, team, &ask("writer", "Who is first?")).await;
+        assert_eq!(first.cached, 0, "{team} used the old organisation's cache");
+    }
+    for team in ["weddings", "fairs"] {
+        let error = d.caller(team, "regina").complete(&ask("writer", "Who?")).await.unwrap_err();
+        assert!(error.to_string().contains("unknown-model"), "{team}: {error}");
+    }
+    let log = runs(&d, "inkline-writer-1").await;
+    let (old, new) = log.split_at(before.len());
+    assert_eq!(new.len(), 2, "the new organisation's requests only");
+    for run in new {
+        assert!(old.iter().all(|o| o["salt"] != run["salt"]), "salts of two organisations meet");
+        assert_eq!((&run["cached_tokens"], &run["imported"]), (&json!(0), &json!(0)));
+    }
+}
