Confirm the configuration before anything is refused by it

An instance that had been paused for 12 s refused prompts by the limit that had been in force before: the check that the configuration is confirmed came after the caller's key and prompt had been judged by it. A caller could get a final 413, or 401 for a new key, from a revision long replaced.

The test of thawed instances did not see this, nor would it have seen the check taken out: it sent its requests after the instance had gone on, by when it had read the newer revision. They now wait in its sockets while it is paused, and the table service answers slowly. So written, it failed on the former order ('served by an old revision: Some(1000)'), and passes with the check made first, and once more before the work begins, in case the process is paused in between. The prompt and limits are smaller so that a request fits into a socket's buffer.

Outcome look-ups and address answers of a stale instance are as before.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -50,9 +50,12 @@
     target: Name,
     call: ServiceCall,
 ) -> Result<Response, Problem> {
-    let asked = Asked::read(&core, &headers)?;
+    // First of all: a stale configuration decides nothing, not even a refusal.
     core.taking()?;
+    let asked = Asked::read(&core, &headers)?;
     let repeatable = repeatable(&core, &asked, &target, &call)?;
+    // And again, in case the process was paused while it read that configuration.
+    core.taking()?;
     let call = Call { target, call };
     // The work goes on when the caller goes away: a claimed call must reach its outcome.
     let work = core.running.begin();
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -31,10 +31,13 @@
     headers: &HeaderMap,
     body: &[u8],
 ) -> Result<Response, Problem> {
+    // First of all: a stale configuration decides nothing, not even a refusal.
+    core.taking()?;
     let asked = Asked::read(&core, headers)?;
     let prompt = Prompt::parse(api, body)?;
     check(&asked.grant, &prompt)?;
     let resumed = handle(&core, headers, &asked, &prompt)?;
+    // And again, in case the process was paused while it read that configuration.
     core.taking()?;
     let job = Arc::new(Job { asked, prompt });
     let permit = core.admission.enter(&core, &job, FIRST_SERVICE).await?;
--- a/crates/node/tests/deployed_config.rs
+++ b/crates/node/tests/deployed_config.rs
@@ -1,7 +1,10 @@
 //! An accepted change is in force everywhere within seconds and never reverts, seen through
 //! requests: each change moves the team's prompt limit, and the refusal names it.
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use hyper::Method;
 use rig::{Deployment, Entry, STATE_LIMIT, Signal, Spec, wait_for};
@@ -13,7 +16,12 @@
 /// The limit an instance applies, read off its refusal of a prompt above all limits; `None` when
 /// it takes no work.
 async fn limit(d: &Deployment, entry: &Entry) -> Option<u64> {
-    let prompt = "x".repeat(3_000_000);
+    limit_under(d, entry, 3_000_000).await
+}
+
+/// [`limit`], read with a prompt of `len` bytes.
+async fn limit_under(d: &Deployment, entry: &Entry, len: usize) -> Option<u64> {
+    let prompt = "x".repeat(len);
     let body = json!({"model": "writer", "prompt": prompt, "max_tokens": 1, "stream": true});
     let headers = [("authorization", "Bearer weddings-key")];
     let url = format!("{}/v1/completions", entry.instance.url());
@@ -85,21 +93,36 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_thawed_instance_never_serves_by_an_old_revision() {
-    let d = Deployment::start(&Spec::default()).await.unwrap();
-    set_limit(&d, &d.entries[0], 1_001_000).await.unwrap();
-    wait_in_force(&d, 1_001_000, Instant::now()).await;
+    let d = Arc::new(Deployment::start(&Spec::default()).await.unwrap());
+    set_limit(&d, &d.entries[0], 1000).await.unwrap();
+    d.wait_same_revision().await.unwrap();
     let frozen = &d.entries[2];
     frozen.instance.signal(Signal::Stop).unwrap();
-    set_limit(&d, &d.entries[0], 1_002_000).await.unwrap();
+    set_limit(&d, &d.entries[0], 2000).await.unwrap();
     tokio::time::sleep(IN_FORCE).await;
+    // These wait in its sockets when it goes on, before it can have read or heard anything; the
+    // prompt fits into a socket's buffer.
+    let waiting: Vec<_> = (0..20)
+        .map(|_| {
+            let d = d.clone();
+            tokio::spawn(async move { limit_under(&d, &d.entries[2], 5000).await })
+        })
+        .collect();
+    d.platform.faults(&d.platform.table, json!({"delay_ms": 1000})).await.unwrap();
+    tokio::time::sleep(Duration::from_secs(1)).await;
     frozen.instance.signal(Signal::Cont).unwrap();
     // Twelve seconds on, it may refuse, but it may not serve by the old limit.
+    for waiting in waiting {
+        let limit = waiting.await.unwrap();
+        assert!(limit.is_none_or(|l| l == 2000), "served by an old revision: {limit:?}");
+    }
     for _ in 0..20 {
         if let Some(limit) = limit(&d, frozen).await {
-            assert_eq!(limit, 1_002_000, "served by an old revision");
+            assert_eq!(limit, 2000, "served by an old revision");
         }
     }
-    wait_in_force(&d, 1_002_000, Instant::now()).await;
+    d.platform.faults(&d.platform.table, json!({})).await.unwrap();
+    wait_in_force(&d, 2000, Instant::now()).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
