Remember withdrawn replicas that are not listed yet

Cause: the operators' word was kept with the replica, so one that left the list and came back, or came up after the word, got work until the word was set again. The pool now keeps the names and applies them with each list.

--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -35,6 +35,8 @@
 #[derive(Debug)]
 pub struct Pool {
     replicas: Vec<Replica>,
+    /// Replicas that operators have withdrawn, known or not. Sorted.
+    withdrawn: Vec<Name>,
     next: u64,
     /// Mean prompt tokens to compute of this instance's requests.
     mean: f64,
@@ -44,7 +46,13 @@
 
 impl Default for Pool {
     fn default() -> Self {
-        Self { replicas: Vec::new(), next: 0, mean: FIRST_MEAN, urgent: FIRST_URGENT }
+        Self {
+            replicas: Vec::new(),
+            withdrawn: Vec::new(),
+            next: 0,
+            mean: FIRST_MEAN,
+            urgent: FIRST_URGENT,
+        }
     }
 }
 
@@ -105,7 +113,8 @@
         for entry in entries {
             self.put(entry);
         }
-        self.replicas.retain(|r| !r.leave.listed || r.own() > 0 || r.leave.withdrawn);
+        self.replicas.retain(|r| !r.leave.listed || r.own() > 0);
+        self.mark_withdrawn();
     }
 
     fn put(&mut self, entry: Entry) {
@@ -121,10 +130,17 @@
         }
     }
 
-    /// Sets which replicas the operators have withdrawn; all others are not.
+    /// Sets which replicas the operators have withdrawn, whether known yet or not; all others are
+    /// not.
     pub fn withdraw(&mut self, names: &[Name]) {
+        self.withdrawn = names.to_vec();
+        self.withdrawn.sort_unstable();
+        self.mark_withdrawn();
+    }
+
+    fn mark_withdrawn(&mut self) {
         for replica in &mut self.replicas {
-            replica.leave.withdrawn = names.contains(&replica.name);
+            replica.leave.withdrawn = self.withdrawn.binary_search(&replica.name).is_ok();
         }
     }
 
@@ -181,7 +197,7 @@
         let Some(at) = self.at(&ticket.replica) else { return };
         self.replicas[at].end(&ticket, end, now);
         let replica = &self.replicas[at];
-        if replica.leave.listed && replica.own() == 0 && !replica.leave.withdrawn {
+        if replica.leave.listed && replica.own() == 0 {
             self.replicas.remove(at);
         }
     }
--- a/crates/route/tests/pool_state.rs
+++ b/crates/route/tests/pool_state.rs
@@ -78,6 +78,17 @@
     assert_eq!(chosen(&pool, Class::Batch, 9, Time(8)).unwrap().0, name("w-1"));
 }
 
+#[test]
+fn withdrawn_replicas_get_no_work_when_they_are_listed_again() {
+    let mut pool = pool(2);
+    pool.withdraw(&[name("w-1"), name("w-0")]);
+    pool.sync_list(vec![entry(1, false)], Time(1));
+    pool.sync_list(vec![entry(0, false), entry(1, false)], Time(2));
+    pool.serves(&name("w-0"), Some(name("v1")));
+    assert!(pool.replicas().iter().all(|r| r.is_leaving()));
+    assert_eq!(chosen(&pool, Class::Batch, 1, Time(3)).unwrap_err().reason, Reason::NoReplica);
+}
+
 #[test]
 fn an_empty_list_is_ignored() {
     let mut pool = pool(2);
