Drop what a former neighbour said of its freshness; ping whoever must be told

After a cut between two halves of 320 simulated instances, some were never named again: their last word heard by a former neighbour was that they are stale, and nobody but a neighbour hears a newer one. A peer whose life is unproved, or that must hear what is held about it, is pinged at once even when it is no neighbour. Neighbours are worked out once a tick in place of once a death.

--- a/crates/member/src/answer.rs
+++ b/crates/member/src/answer.rs
@@ -57,7 +57,7 @@
         let mut out: Vec<_> = self
             .peers
             .iter()
-            .filter(|p| p.serves())
+            .filter(|p| p.serves(now))
             .map(|p| Node { name: p.name.clone(), zone: p.zone.clone(), addr: p.addr })
             .collect();
         if self.leaving.is_none() && self.takes_work(now) {
--- a/crates/member/src/members.rs
+++ b/crates/member/src/members.rs
@@ -56,6 +56,8 @@
     pub(crate) leaving: Option<u64>,
     /// Invariant: sorted by name, without this instance.
     pub(crate) peers: Vec<Peer>,
+    /// A peer died or came back since `near` was worked out.
+    pub(crate) moved: bool,
     /// The names that `near` was worked out from.
     names: Vec<Name>,
     /// Invariant: sorted; peers that are pinged.
@@ -85,6 +87,7 @@
             incarnation: me.started.0.max(1),
             leaving: None,
             peers: Vec::new(),
+            moved: false,
             names: Vec::new(),
             near: Vec::new(),
             queue: Queue::default(),
@@ -159,7 +162,7 @@
             if peer.boot == Some(ping.status.boot) {
                 self.hear(at, ping.status, &ping.news, now);
             } else {
-                peer.due = now;
+                peer.hint = true;
             }
         }
         let (status, news) = self.message(from, now);
@@ -203,9 +206,7 @@
         }
         self.fetch(at, status.rev, now);
         let peer = &mut self.peers[at];
-        if peer.needs_word() {
-            peer.due = peer.sent.after(PING_GAP).max(now);
-        }
+        peer.hint |= peer.needs_word();
         self.check_quiet(now);
     }
 
@@ -295,9 +296,7 @@
         }
         self.queue.push(News { name, incarnation, state });
         self.hurry(now);
-        if ring {
-            self.refresh(now);
-        }
+        self.moved |= ring;
     }
 
     /// Pings neighbours early, so that news spreads within a second or two.
--- a/crates/member/src/peer.rs
+++ b/crates/member/src/peer.rs
@@ -4,7 +4,7 @@
 
 use ident::{Boot, Name, Rev, Time};
 
-use crate::message::Status;
+use crate::{HEARD_TERM, message::Status};
 
 /// This instance.
 #[derive(Debug, Clone)]
@@ -91,8 +91,10 @@
     pub leaving: bool,
     /// The instance said that it is leaving and was not started anew since.
     pub left: bool,
-    /// Next ping.
+    /// Next ping, for a neighbour.
     pub(crate) due: Time,
+    /// To be pinged once, neighbour or not.
+    pub(crate) hint: bool,
     /// When the unanswered ping was sent. Invariant: at most one ping is unanswered.
     pub(crate) asked: Option<Time>,
     /// When the last ping was sent.
@@ -119,6 +121,7 @@
             leaving: entry.leaving,
             left: false,
             due: now,
+            hint: false,
             asked: None,
             sent: Time::default(),
             misses: 0,
@@ -126,9 +129,12 @@
         }
     }
 
-    /// Whether callers may be sent there.
-    pub fn serves(&self) -> bool {
-        self.state == PeerState::Live && !self.leaving && self.status.is_none_or(|s| s.fresh)
+    /// Whether callers may be sent there. What a peer said about its freshness counts while it is
+    /// heard; one that is no longer a neighbour may be fresh again without saying so here.
+    pub fn serves(&self, now: Time) -> bool {
+        let heard = now.since(self.heard) < HEARD_TERM * 2;
+        let stale = heard && self.status.is_some_and(|s| !s.fresh);
+        self.state == PeerState::Live && !self.leaving && !stale
     }
 
     /// Revision of its configuration as it last said.
--- a/crates/member/src/probe.rs
+++ b/crates/member/src/probe.rs
@@ -13,6 +13,9 @@
     /// is a random number. Call it a few times a second.
     pub fn tick(&mut self, now: Time, draw: u64) -> Vec<Action> {
         self.expire(now);
+        if std::mem::take(&mut self.moved) {
+            self.refresh(now);
+        }
         self.check_quiet(now);
         if self.rev() > self.told {
             self.told = self.rev();
@@ -25,6 +28,12 @@
                 self.ping(at, now);
             }
         }
+        for at in 0..self.peers.len() {
+            let peer = &self.peers[at];
+            if peer.hint && peer.asked.is_none() && peer.sent.after(PING_GAP).passed(now) {
+                self.ping(at, now);
+            }
+        }
         self.probe_dead(now, draw);
         std::mem::take(&mut self.out)
     }
@@ -56,6 +65,7 @@
         let peer = &mut self.peers[at];
         assert!(peer.asked.is_none(), "one unanswered ping at most");
         peer.asked = Some(now);
+        peer.hint = false;
         peer.sent = now;
         self.out.push(Action::Ping { to, addr, ping: Ping { status, news } });
     }
--- a/crates/member/tests/fresh_cases.rs
+++ b/crates/member/tests/fresh_cases.rs
@@ -178,3 +178,29 @@
     }
     assert_eq!(count(&sim, Freshness::Outage), 3, "those that said they leave do not count");
 }
+
+#[test]
+fn region_without_table_stops() {
+    let mut sim = Sim::new(320, 8, 9);
+    sim.run(secs(8));
+    sim.cut = |a, b| (a % 8 < 4) != (b % 8 < 4);
+    tables(&mut sim, |i| i % 8 < 4);
+    let stopped =
+        |s: &Sim| (0..320).filter(|i| i % 8 >= 4).all(|i| fresh(s, i) == Freshness::Stale);
+    let took = sim.until(secs(60), stopped);
+    println!("a region of 160 of 320 cut off: all stale after {took:?}");
+    assert!(took.is_some());
+    sim.run(secs(30));
+    assert_eq!((count(&sim, Freshness::Fresh), count(&sim, Freshness::Stale)), (160, 160));
+    sim.cut = |_, _| false;
+    let back = sim.until(secs(120), |s| count(s, Freshness::Fresh) == 320);
+    println!("healed: all fresh after {back:?}");
+    assert!(back.is_some());
+    let known = |s: &Sim| s.nodes.iter().all(|n| n.members.serving(s.now).len() == 320);
+    let named = (0..150).find(|_| {
+        sim.run(secs(2));
+        known(&sim)
+    });
+    println!("all named by all after {:?} s more", named.map(|n| 2 * n + 2));
+    assert!(named.is_some());
+}
