--- a/crates/bench/src/instance.rs
+++ b/crates/bench/src/instance.rs
@@ -2,24 +2,24 @@
 
 use std::time::Duration;
 
-use admit::{Gate, Limits, Offer, RetryBudget, Verdict, share};
+use admit::{Gate, Limits, Offer, Released, RetryBudget, Verdict, share};
 use ident::{Digest, Name, RequestId, Time};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use route::{Ask, Choice, Contexts, Entry, Hot, Kept, Links, Load, NoRoute, Policy, Pool, Used};
 
 use crate::{
+    decide::Options,
     fake::Engine,
-    policies::PolicyKind,
     spec::{PIECE_KV_BYTES, Spec},
     trace::Request,
 };
 
 /// Contexts remembered.
 const CONTEXTS: usize = 10_000;
-/// Instances that are home to one team.
-const SPREAD: u8 = 8;
-/// Limits of every team.
-const LIMITS: Limits = Limits { rate: 1_000, inflight: 2_000 };
+/// Longest expected queue at a replica that a request is started for.
+const QUEUE_LIMIT: Duration = Duration::from_millis(1_500);
+/// Every team's limit on requests running or queued.
+const INFLIGHT: u32 = 2_000;
 
 /// Names that stand for indices.
 #[derive(Debug)]
@@ -39,31 +39,36 @@
     Digest::of(&context.to_le_bytes())
 }
 
+/// The home instance of a context.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Home {
+    /// Index of the instance.
+    pub(crate) instance: usize,
+    /// Its place among all instances in the ranking of the team.
+    pub(crate) place: usize,
+}
+
 /// One entry instance.
 pub(crate) struct Instance {
     pub(crate) pool: Pool,
     pub(crate) links: Links,
     pub(crate) contexts: Contexts,
-    pub(crate) gate: Gate,
+    /// One gate for each part of the organisation, so that neither holds places of the other's
+    /// replicas.
+    gates: Vec<Gate>,
     pub(crate) budget: RetryBudget,
     policy: Box<dyn Policy>,
     zone: Name,
-    rank: usize,
     members: usize,
+    /// Limit of a team on requests per second, as a multiple of its usual rate.
+    limit: f64,
     rng: SmallRng,
 }
 
 impl Instance {
-    pub(crate) fn new(
-        spec: &Spec,
-        names: &Names,
-        kind: PolicyKind,
-        rank: usize,
-        seed: u64,
-    ) -> Self {
+    pub(crate) fn new(spec: &Spec, names: &Names, options: &Options, rank: usize) -> Self {
         let members = spec.instances;
-        let replicas: usize = spec.replicas.iter().sum();
-        let places = replicas * Engine::slots() / members;
+        let places = |replicas| (replicas * Engine::slots() / members) as u32;
         let limits: Vec<_> =
             names.stores.iter().map(|s| (s.clone(), spec.link / members as u64)).collect();
         let mut links = Links::default();
@@ -72,13 +77,13 @@
             pool: pool(spec, names),
             links,
             contexts: Contexts::new(CONTEXTS),
-            gate: Gate::new(places as u32),
+            gates: spec.replicas.iter().map(|count| Gate::new(places(*count))).collect(),
             budget: RetryBudget::default(),
-            policy: kind.build(),
+            policy: options.policy.build(),
             zone: spec.zones[rank % spec.zones.len()].clone(),
-            rank,
             members,
-            rng: SmallRng::seed_from_u64(seed ^ (rank as u64) << 48),
+            limit: options.limit,
+            rng: SmallRng::seed_from_u64(options.seed ^ (rank as u64) << 48),
         }
     }
 
@@ -91,27 +96,60 @@
         self.contexts.hot(&key(request.context), &names.weights, now)
     }
 
+    /// Tells a gate how much its replicas can take.
+    fn set_room(&mut self, names: &Names, org: usize, now: Time) {
+        let targets = &names.targets[org..=org];
+        let rate = self.pool.rate(targets, now) / self.members as u64;
+        let room = self.pool.room(targets, QUEUE_LIMIT, now);
+        self.gates[org].set_room(room, rate);
+    }
+
+    /// Looks at the queues of all gates.
+    pub(crate) fn tick(&mut self, names: &Names, now: Time) -> Vec<Released> {
+        let mut out = Vec::new();
+        for org in 0..self.gates.len() {
+            let draw = self.draw();
+            self.set_room(names, org, now);
+            out.extend(self.gates[org].tick(draw, now));
+        }
+        out
+    }
+
+    /// A request gives back its place.
+    pub(crate) fn done(&mut self, spec: &Spec, request: &Request, job: usize, now: Time) {
+        let org = spec.teams[request.team].org;
+        self.gates[org].done(RequestId(job as u128), now);
+    }
+
     /// Asks the gate.
     pub(crate) fn offer(
         &mut self,
         job: usize,
-        spec: &Spec,
+        (spec, names): (&Spec, &Names),
         request: &Request,
+        home: Home,
         cached: u32,
         now: Time,
     ) -> Verdict {
         let rest = request.tokens.saturating_sub(cached);
+        let team = &spec.teams[request.team];
         let offer = Offer {
             id: RequestId(job as u128),
-            team: spec.teams[request.team].name.clone(),
-            limits: share(LIMITS, SPREAD, self.members, self.rank),
+            team: team.name.clone(),
+            limits: share(
+                limits(spec, request.team, self.limit),
+                team.spread,
+                self.members,
+                home.place,
+            ),
             class: request.class,
             deadline: now.after(Duration::from_millis(request.patience)),
-            cost: request.tokens + request.answer,
+            cost: rest,
             service: Duration::from_secs_f64(f64::from(rest) / f64::from(spec.prefill)),
         };
         let draw = self.draw();
-        self.gate.offer(offer, draw, now)
+        self.set_room(names, team.org, now);
+        self.gates[team.org].offer(offer, draw, now)
     }
 
     /// Asks the policy.
@@ -173,6 +211,13 @@
     pub(crate) deadline: Time,
 }
 
+/// A team's limits: `factor` times its usual rate.
+fn limits(spec: &Spec, team: usize, factor: f64) -> Limits {
+    let total: f64 = spec.teams.iter().map(|t| t.weight).sum();
+    let rate = spec.rate * factor * spec.teams[team].weight / total;
+    Limits { rate: rate.ceil() as u32, inflight: INFLIGHT }
+}
+
 fn pool(spec: &Spec, names: &Names) -> Pool {
     let mut pool = Pool::default();
     let orgs = spec.replicas.iter().enumerate();
--- a/crates/fakes/src/fault.rs
+++ b/crates/fakes/src/fault.rs
@@ -74,11 +74,15 @@
     pub leaving: bool,
     /// Engine: report this weight version in place of the one that is served.
     pub report_weights: Option<String>,
+    /// Engine: run new requests with this weight version in place of the one that is served and
+    /// asked for; their events name it.
+    pub compute_weights: Option<String>,
     /// Store: refuse pieces and records with 507.
     pub full: bool,
     /// Store: flip one bit of every piece that is read.
     pub flip_bits: bool,
-    /// Store: keep nothing, though writes are acknowledged.
+    /// Engine and store: drop everything kept, and keep nothing while set, though writes are
+    /// acknowledged.
     pub evict_all: bool,
     /// Store: keep the first half of every piece written and acknowledge the whole.
     pub partial_writes: bool,
--- a/crates/lentilctl/src/client/change.rs
+++ b/crates/lentilctl/src/client/change.rs
@@ -25,6 +25,8 @@
 pub struct Wanted {
     /// Its id, the same for every try.
     pub id: RequestId,
+    /// Whether an earlier command used the id, so that it may have taken effect already.
+    pub repeated: bool,
     /// The document.
     pub key: DocKey,
     /// Its fields from now on; `None` to remove it.
@@ -46,7 +48,7 @@
     /// Makes a change. An instance that can't be reached or can't tell the outcome is followed by
     /// the next one with the same change id, so that the change is accepted at most once.
     pub async fn change(&self, wanted: &Wanted) -> Result<ChangeWire, Failure> {
-        let mut tries = Tries::default();
+        let mut tries = Tries { maybe: wanted.repeated, ..Tries::default() };
         for round in 0..ROUNDS {
             if round > 0 {
                 tokio::time::sleep(PAUSE).await;
@@ -78,38 +80,14 @@
                 return None;
             }
         };
-        let verdict = match parse(admin, &answer) {
-            Err(Failure::Refused(problem)) => problem,
+        match parse(admin, &answer) {
+            Err(Failure::Refused(problem)) => tries.judge(admin, wanted, problem).map(Err),
             Err(e) => {
                 tries.maybe |= answer.status < 300 || answer.status >= 500;
                 tries.reasons.push(e.to_string());
-                return None;
-            }
-            done => return Some(done),
-        };
-        match verdict {
-            Problem::Unavailable { .. } => {
-                tries.reasons.push(format!("{admin}: {verdict}"));
-                tries.unavailable = Some(verdict);
-                None
-            }
-            Problem::Unknown { .. } => {
-                tries.maybe = true;
-                tries.reasons.push(format!("{admin}: its answer from the table was lost"));
                 None
             }
-            Problem::Stale { .. } | Problem::Exists { .. } | Problem::IdReused { .. } => {
-                Some(Err(wanted.lost_race(verdict)))
-            }
-            _ if tries.maybe => {
-                tries.reasons.push(format!("{admin}: {verdict}"));
-                None
-            }
-            Problem::NotFound => {
-                let (kind, name) = (wanted.key.kind, wanted.key.name.clone());
-                Some(Err(Failure::Missing { kind, name }))
-            }
-            _ => Some(Err(Failure::Refused(verdict))),
+            done => Some(done),
         }
     }
 }
@@ -134,6 +112,33 @@
 }
 
 impl Tries {
+    /// What a refusal means for the change; `None` when another instance is to be asked.
+    fn judge(&mut self, admin: &str, wanted: &Wanted, problem: Problem) -> Option<Failure> {
+        let mut reason = problem.to_string();
+        match problem {
+            // The log was read before this refusal, so no earlier try can take effect any more.
+            Problem::Stale { .. } | Problem::Exists { .. } | Problem::IdReused { .. } => {
+                return Some(wanted.lost_race(problem));
+            }
+            Problem::Unknown { .. } => {
+                self.maybe = true;
+                reason = "its answer from the table was lost".into();
+            }
+            Problem::Unavailable { .. } => {
+                self.unavailable = Some(problem);
+                reason = "it can't reach the table service".into();
+            }
+            _ if self.maybe => {}
+            Problem::NotFound => {
+                let (kind, name) = (wanted.key.kind, wanted.key.name.clone());
+                return Some(Failure::Missing { kind, name });
+            }
+            _ => return Some(Failure::Refused(problem)),
+        }
+        self.reasons.push(format!("{admin}: {reason}"));
+        None
+    }
+
     fn verdict(self, wanted: &Wanted) -> Failure {
         if self.maybe {
             let reason = self.reasons.last().cloned().unwrap_or_default();
