Show dates, requests and failures on the time line

Tried lentilctl events on a deployment whose replicas, store, service, table and instances failed in turn. Times were seconds since 1970, which nobody reads; a refused or failed request ended without a line, as the event was defined and never recorded; and the request stood in the middle of each line.

Times are now dates in UTC, the request is the first field, and each request of a known team that ends with a problem records it with its type.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -51,9 +51,19 @@
     call: ServiceCall,
 ) -> Result<Response, Problem> {
     let asked = Asked::read(&core, &headers)?;
+    let made = make(&core, asked.clone(), headers, Call { target, call }).await;
+    made.inspect_err(|problem| core.refuse(&asked, problem))
+}
+
+async fn make(
+    core: &Arc<Core>,
+    asked: Asked,
+    headers: HeaderMap,
+    call: Call,
+) -> Result<Response, Problem> {
     core.taking()?;
-    let repeatable = repeatable(&core, &asked, &target, &call)?;
-    let call = Call { target, call };
+    let repeatable = repeatable(core, &asked, &call.target, &call.call)?;
+    let core = core.clone();
     // The work goes on when the caller goes away: a claimed call must reach its outcome.
     let work = core.running.begin();
     let task = tokio::spawn(async move {
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -32,24 +32,37 @@
     body: &[u8],
 ) -> Result<Response, Problem> {
     let asked = Asked::read(&core, headers)?;
+    let begun = begin(&core, asked.clone(), api, headers, body).await;
+    let (job, start) = begun.inspect_err(|problem| core.refuse(&asked, problem))?;
+    let items = Relay::spawn(core, job.clone(), start);
+    answer(&job, items).await
+}
+
+/// Admits a request and sends it to a replica.
+async fn begin(
+    core: &Arc<Core>,
+    asked: Asked,
+    api: Api,
+    headers: &HeaderMap,
+    body: &[u8],
+) -> Result<(Arc<Job>, Start), Problem> {
     let prompt = Prompt::parse(api, body)?;
     check(&asked.grant, &prompt)?;
-    let resumed = handle(&core, headers, &asked, &prompt)?;
+    let resumed = handle(core, headers, &asked, &prompt)?;
     core.taking()?;
     let job = Arc::new(Job { asked, prompt });
-    let permit = core.admission.enter(&core, &job, FIRST_SERVICE).await?;
+    let permit = core.admission.enter(core, &job, FIRST_SERVICE).await?;
     let start = match resumed {
         None => {
-            let live = launch(&core, &job, &[], Pinned::No).await?;
+            let live = launch(core, &job, &[], Pinned::No).await?;
             Start { live, from: 0, catch_up: CatchUp::resumed(Default::default()), permit }
         }
         Some(handle) => {
-            let (live, from, catch_up) = resume(&core, &job, handle).await?;
+            let (live, from, catch_up) = resume(core, &job, handle).await?;
             Start { live, from, catch_up, permit }
         }
     };
-    let items = Relay::spawn(core, job.clone(), start);
-    answer(&job, items).await
+    Ok((job, start))
 }
 
 async fn answer(job: &Job, items: tokio::sync::mpsc::Receiver<Item>) -> Result<Response, Problem> {
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     admission::Admission,
+    asked::Asked,
     contexts::ContextShards,
     metrics::Metrics,
     pools::Pools,
@@ -108,6 +109,13 @@
         self.events.record(self.now(), kind);
     }
 
+    /// Records that a request ends with a problem.
+    pub fn refuse(&self, asked: &Asked, problem: &Problem) {
+        let reason = Name::new(problem.fault.label()).expect("labels of problems are names");
+        let (request, team) = (asked.id, asked.grant.team.clone());
+        self.record(EventKind::Refused { request, team, reason });
+    }
+
     /// The configuration in force.
     pub fn view(&self) -> Arc<View> {
         self.view.read().clone()
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -248,6 +248,7 @@
         match self.relaunch(cause).await {
             Ok(()) => Step::More,
             Err(problem) => {
+                self.core.refuse(&self.job.asked, &problem);
                 // A caller that is gone needs no answer.
                 let _ = self.out.send(Item::Failed(problem)).await;
                 Step::Done
--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -79,13 +79,13 @@
     Fresh,
     /// The instance serves on through an outage of the table service that most peers confirm.
     Outage,
-    /// A request was refused; it was not run.
+    /// A request ends with a problem: refused before it ran, or failed.
     Refused {
         /// The request.
         request: RequestId,
         /// Its team.
         team: Name,
-        /// Problem type of the refusal.
+        /// Type of the problem.
         reason: Name,
     },
     /// A request was sent to a replica.
--- a/crates/lentilctl/src/commands/events.rs
+++ b/crates/lentilctl/src/commands/events.rs
@@ -108,10 +108,15 @@
 
 fn show(out: Output, event: &Event) -> Result<(), Failure> {
     let value = serde_json::to_value(&event.kind).map_err(std::io::Error::from)?;
-    let mut text = format!("{} {} {}", event.at, event.instance, event.seq);
+    let at = output::time(event.at);
+    let mut text = format!("{at} {} {}", event.instance, event.seq);
     let kind = value.get("kind").and_then(Value::as_str).unwrap_or("unknown");
     text.extend([" ", kind]);
-    for (key, value) in value.as_object().into_iter().flatten().filter(|(k, _)| *k != "kind") {
+    let mut fields: Vec<_> = value.as_object().into_iter().flatten().collect();
+    fields.retain(|(key, _)| *key != "kind");
+    // The request comes first, so that lines of one stand under each other.
+    fields.sort_by_key(|(key, _)| *key != "request");
+    for (key, value) in fields {
         let value = value.as_str().map_or_else(|| value.to_string(), str::to_owned);
         text.extend([" ", key, "=", &value]);
     }
--- a/crates/lentilctl/src/output.rs
+++ b/crates/lentilctl/src/output.rs
@@ -5,7 +5,7 @@
 use admin::ChangeWire;
 use comfy_table::{Table, presets};
 use conf::DocKey;
-use ident::Rev;
+use ident::{Rev, Time};
 use serde::Serialize;
 use serde_json::json;
 
@@ -58,3 +58,27 @@
 pub fn line(text: &str) -> Result<(), Failure> {
     Ok(writeln!(io::stdout().lock(), "{text}")?)
 }
+
+/// A point in time as `2026-01-31T09:30:00.250Z`.
+pub fn time(at: Time) -> String {
+    let (days, ms) = (at.0 / DAY_MS, at.0 % DAY_MS);
+    let (hours, minutes) = (ms / 3_600_000, ms / 60_000 % 60);
+    let (seconds, ms) = (ms / 1000 % 60, ms % 1000);
+    let (year, month, day) = date(days);
+    format!("{year:04}-{month:02}-{day:02}T{hours:02}:{minutes:02}:{seconds:02}.{ms:03}Z")
+}
+
+/// Milliseconds of a day.
+const DAY_MS: u64 = 86_400_000;
+
+/// The date `days` after 1970-01-01, by 400-year cycles of years that begin in March.
+fn date(days: u64) -> (u64, u64, u64) {
+    let days = days + 719_468;
+    let (cycle, day) = (days / 146_097, days % 146_097);
+    let year = (day - day / 1_460 + day / 36_524 - day / 146_096) / 365;
+    let day = day - (365 * year + year / 4 - year / 100);
+    let month = (5 * day + 2) / 153;
+    let day = day - (153 * month + 2) / 5 + 1;
+    let month = if month < 10 { month + 3 } else { month - 9 };
+    (cycle * 400 + year + u64::from(month <= 2), month, day)
+}
--- a/crates/lentilctl/tests/follow_events.rs
+++ b/crates/lentilctl/tests/follow_events.rs
@@ -62,9 +62,12 @@
         record(&first, &[1000, 2000]);
         let mut instance = Instance::serve(first, 0);
         let mut follow = Follow::new(&instance.url);
-        follow.expect(&["1.000 inkline-1 1 ready", "2.000 inkline-1 2 ready"]);
+        follow.expect(&[
+            "1970-01-01T00:00:01.000Z inkline-1 1 ready",
+            "1970-01-01T00:00:02.000Z inkline-1 2 ready",
+        ]);
         record(&instance.memory, &[3000]);
-        follow.expect(&["3.000 inkline-1 3 ready"]);
+        follow.expect(&["1970-01-01T00:00:03.000Z inkline-1 3 ready"]);
 
         instance.stop();
         record(&next, second);
@@ -73,10 +76,10 @@
         let lines: Vec<_> = second
             .iter()
             .zip(1..)
-            .map(|(at, i)| format!("{}.000 inkline-1 {i} ready", at / 1000))
+            .map(|(at, i)| format!("1970-01-01T00:00:0{}.000Z inkline-1 {i} ready", at / 1000))
             .collect();
         record(&instance.memory, &[9500]);
         follow.expect(&lines.iter().map(String::as_str).collect::<Vec<_>>());
-        follow.expect(&[&format!("9.500 inkline-1 {} ready", second.len() + 1)]);
+        follow.expect(&[&format!("1970-01-01T00:00:09.500Z inkline-1 {} ready", second.len() + 1)]);
     }
 }
--- a/crates/node/tests/golden_sessions.rs
+++ b/crates/node/tests/golden_sessions.rs
@@ -134,5 +134,21 @@
     s.send(ask(&[KEY, JSON], body("writer", ""))).await;
     s.part("A handle that is none");
     s.send(ask(&[KEY, JSON, ("last-event-id", "none")], body("writer", "Who?"))).await;
+    // Those of a known team are on the time line.
+    let refused = s.deployment.events("refused").await.unwrap();
+    let reasons: Vec<_> = refused.iter().filter_map(|e| e["kind"]["reason"].as_str()).collect();
+    assert_eq!(
+        reasons,
+        [
+            "unknown-model",
+            "unknown-model",
+            "unknown-target",
+            "prompt-too-long",
+            "malformed",
+            "malformed",
+            "malformed",
+            "bad-handle"
+        ]
+    );
     s.check("refusals.txt");
 }
