--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -53,10 +53,20 @@
     // First of all: a stale configuration decides nothing, not even a refusal.
     core.taking()?;
     let asked = Asked::read(&core, &headers)?;
-    let repeatable = repeatable(&core, &asked, &target, &call)?;
+    let made = make(&core, asked.clone(), headers, Call { target, call }).await;
+    made.inspect_err(|problem| core.refuse(&asked, problem))
+}
+
+async fn make(
+    core: &Arc<Core>,
+    asked: Asked,
+    headers: HeaderMap,
+    call: Call,
+) -> Result<Response, Problem> {
+    let repeatable = repeatable(core, &asked, &call.target, &call.call)?;
     // And again, in case the process was paused while it read that configuration.
     core.taking()?;
-    let call = Call { target, call };
+    let core = core.clone();
     // The work goes on when the caller goes away: a claimed call must reach its outcome.
     let work = core.running.begin();
     let task = tokio::spawn(async move {
--- a/crates/lentildemo/src/judge.rs
+++ b/crates/lentildemo/src/judge.rs
@@ -6,7 +6,7 @@
 };
 
 use eyre::{Result, bail, ensure};
-use rig::{Answer, CallError, Completion, Deployment, HttpError, Reply};
+use rig::{Answer, Booked, CallError, Completion, Deployment, HttpError, Reply};
 use serde_json::Value;
 
 /// Counts of one soak.
@@ -34,10 +34,10 @@
 }
 
 /// What a caller was told of a call.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Told {
-    /// It ran, and this was its sequence number at the service.
-    Ran,
+    /// It ran, and this was the answer.
+    Ran(String),
     /// It did not run.
     NotRun,
     /// Anything else.
@@ -68,9 +68,9 @@
 
 /// What the caller of a call was told that was tried again and again. A refusal of the last try
 /// says nothing of the ones before.
-pub fn told_at_last<T>(result: &Result<T, CallError>) -> Told {
+pub fn told_at_last(result: &Result<Booked, CallError>) -> Told {
     match result {
-        Ok(_) => Told::Ran,
+        Ok(booked) => Told::Ran(shown(&booked.reply)),
         Err(_) => Told::Unknown,
     }
 }
@@ -79,7 +79,7 @@
 pub fn told_at_once(result: &Result<Reply, HttpError>) -> Told {
     let Ok(reply) = result else { return Told::Unknown };
     if reply.status.is_success() {
-        return Told::Ran;
+        return Told::Ran(shown(reply));
     }
     match reply.json::<Value>() {
         Ok(problem) if problem["ran"] == "no" => Told::NotRun,
@@ -87,6 +87,10 @@
     }
 }
 
+fn shown(reply: &Reply) -> String {
+    format!("{} {:?}", reply.status, reply.text())
+}
+
 /// Checks all calls against the service's own log: none ran twice, one that was said to have run
 /// did, and one whose only attempt was said not to have run did not.
 pub async fn calls(
@@ -100,8 +104,8 @@
         let runs = log.iter().filter(|call| call["key"] == **key).count();
         ensure!(runs <= 1, "call {key} ran {runs} times");
         match told {
-            Told::Ran => {
-                ensure!(runs == 1, "call {key} was answered and did not run");
+            Told::Ran(answer) => {
+                ensure!(runs == 1, "call {key} was answered with {answer} and did not run");
                 count(&counts.booked);
             }
             Told::NotRun => {
--- a/crates/node/tests/deployed_listeners.rs
+++ b/crates/node/tests/deployed_listeners.rs
@@ -3,7 +3,7 @@
 
 use std::{net::SocketAddr, path::Path, process::Command, sync::Arc, time::Duration};
 
-use rig::{Instance, Place, Platform, STATE_LIMIT, free_port};
+use rig::{Instance, Place, Platform, STATE_LIMIT, free_addr};
 use rustls::{ClientConfig, RootCertStore, pki_types::ServerName};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -18,7 +18,7 @@
 
 /// Settings of an instance, with further lines.
 fn settings(platform: &Platform, more: &str) -> (String, String) {
-    let [callers, admin, peers] = [(); 3].map(|()| format!("127.0.0.1:{}", free_port().unwrap()));
+    let [callers, admin, peers] = [(); 3].map(|()| free_addr().unwrap().to_string());
     let operator = ident::Digest::of(b"operator");
     let Platform { table, objects, list, .. } = platform;
     let text = format!(
--- a/crates/rig/src/deployment.rs
+++ b/crates/rig/src/deployment.rs
@@ -1,7 +1,7 @@
 //! A small deployment of both organisations: platform, replicas, stores, instances and
 //! configuration.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use hyper::Method;
@@ -9,7 +9,7 @@
 use tokio::time::timeout;
 
 use crate::{
-    Caller, CallerConfig, HttpError, Instance, Place, Platform, Reply, RigError, free_port,
+    Caller, CallerConfig, HttpError, Instance, Place, Platform, Reply, RigError, free_addr,
     wait_for,
 };
 
@@ -100,22 +100,28 @@
     }
 
     async fn start_instance(&self, name: &str, zone: &str) -> Result<Entry, RigError> {
-        let port = || free_port().map_err(|error| RigError::Io { name: name.to_owned(), error });
-        let (callers, admin, peers) = (port()?, port()?, port()?);
-        let peer = format!("127.0.0.1:{peers}");
+        let addr = || free_addr().map_err(|error| RigError::Io { name: name.to_owned(), error });
+        let (callers, admin, peer) = (addr()?, addr()?, addr()?.to_string());
         let settings = self.settings(name, zone, callers, admin, &peer);
         let place = Place { name, zone, peer: &peer };
         let instance = Instance::start(&self.platform, place, &settings).await?;
-        let admin = format!("http://127.0.0.1:{admin}");
+        let admin = format!("http://{admin}");
         Ok(Entry { instance, name: name.to_owned(), zone: zone.to_owned(), admin })
     }
 
-    fn settings(&self, name: &str, zone: &str, callers: u16, admin: u16, peer: &str) -> String {
+    fn settings(
+        &self,
+        name: &str,
+        zone: &str,
+        callers: SocketAddr,
+        admin: SocketAddr,
+        peer: &str,
+    ) -> String {
         let Platform { table, objects, list, .. } = &self.platform;
         let operator = ident::Digest::of(OPERATOR_KEY.as_bytes());
         format!(
             "name: {name}\nzone: {zone}\n\
-             listen: {{ callers: '127.0.0.1:{callers}', admin: '127.0.0.1:{admin}', peers: '{peer}' }}\n\
+             listen: {{ callers: '{callers}', admin: '{admin}', peers: '{peer}' }}\n\
              platform:\n  table: {{ url: '{}', name: lentilpitch }}\n  \
              objects: {{ url: '{}', bucket: lentilpitch }}\n  list: '{}/sd'\n\
              keys:\n  deployment: 000102030405060708090a0b0c0d0e0f\n  operators: ['{operator}']\n\
--- a/crates/rig/src/proc.rs
+++ b/crates/rig/src/proc.rs
@@ -5,10 +5,10 @@
     ffi::OsString,
     fs::{self, File},
     io::{self, BufRead, BufReader},
-    net::{SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, ChildStdout, Command, ExitStatus, Stdio},
-    sync::atomic::{AtomicU32, Ordering},
+    sync::atomic::{AtomicU16, Ordering},
     thread,
     time::{Duration, Instant},
 };
@@ -27,12 +27,12 @@
 /// Bytes of a process's log shown when its test fails.
 const TAIL_BYTES: usize = 4000;
 
-/// First of the ports for [`free_port`].
+/// First of the ports for [`free_addr`]; below those the system gives to outgoing connections.
 const FIRST_PORT: u16 = 12_000;
-/// Ports one process draws from.
-const BLOCK_PORTS: u32 = 50;
-/// Number of such blocks.
-const PORT_BLOCKS: u32 = 400;
+/// Number of such ports.
+const PORTS: u16 = 20_000;
+/// The stand-ins' program, which listens where it is told.
+const STAND_IN: &str = "lentilfake";
 
 /// Why a process of a test could not be used.
 #[derive(Debug, thiserror::Error)]
@@ -122,8 +122,11 @@
         let io = |error| RigError::Io { name: name.to_owned(), error };
         let dir = tempfile::tempdir().map_err(io)?;
         let log = File::create(dir.path().join("stderr")).map_err(io)?;
+        let listen = [String::from("--listen"), format!("{}:0", host())];
+        let listen: &[String] = if name == STAND_IN { &listen } else { &[] };
         let mut child = Command::new(program(name)?)
             .args(args)
+            .args(listen)
             .envs(envs.iter().copied())
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
@@ -276,18 +279,23 @@
     paths.find(|path| path.is_file()).ok_or_else(|| RigError::NotBuilt(name.to_owned()))
 }
 
-/// A loopback port that was free a moment ago, and that nobody is likely to take soon: it lies
-/// below the ports the system gives to outgoing connections, and processes that run at once draw
-/// from different blocks.
-pub fn free_port() -> io::Result<u16> {
-    static DRAWN: AtomicU32 = AtomicU32::new(0);
-    let block = std::process::id() % PORT_BLOCKS * BLOCK_PORTS;
+/// A loopback address of this process alone. Deployments of several test processes run at once; a
+/// caller that still knows the address of a killed instance must not meet another deployment's.
+pub fn host() -> Ipv4Addr {
+    let pid = std::process::id();
+    let octet = |n: u32| u8::try_from(1 + n % 250).unwrap_or(1);
+    Ipv4Addr::new(127, octet(pid / 250), octet(pid), 1)
+}
+
+/// An address of [`host`] that was free a moment ago. None is drawn twice before all ports were.
+pub fn free_addr() -> io::Result<SocketAddr> {
+    static DRAWN: AtomicU16 = AtomicU16::new(0);
     let mut error = io::ErrorKind::AddrInUse.into();
-    for _ in 0..BLOCK_PORTS {
-        let at = block + DRAWN.fetch_add(1, Ordering::Relaxed) % BLOCK_PORTS;
-        let port = FIRST_PORT + u16::try_from(at).unwrap_or_default();
-        match TcpListener::bind(("127.0.0.1", port)) {
-            Ok(_) => return Ok(port),
+    for _ in 0..PORTS {
+        let port = FIRST_PORT + DRAWN.fetch_add(1, Ordering::Relaxed) % PORTS;
+        let addr = SocketAddr::from((host(), port));
+        match TcpListener::bind(addr) {
+            Ok(_) => return Ok(addr),
             Err(e) => error = e,
         }
     }
--- a/crates/wire/examples/idle/main.rs
+++ b/crates/wire/examples/idle/main.rs
@@ -19,7 +19,7 @@
 use conf::Store;
 use fakes::Instance;
 use ident::Digest;
-use rig::{Place, Platform, Proc, free_port};
+use rig::{Place, Platform, Proc, free_addr};
 use serde_json::json;
 use table::Dynamo;
 use tokio::time::sleep;
@@ -144,11 +144,11 @@
 }
 
 async fn start(platform: &Platform, table: SocketAddr, list: SocketAddr) -> rig::Instance {
-    let port = || free_port().expect("a free port");
-    let (callers, admin, peer) = (port(), port(), format!("127.0.0.1:{}", port()));
+    let addr = || free_addr().expect("a free address");
+    let (callers, admin, peer) = (addr(), addr(), addr().to_string());
     let settings = format!(
         "name: alone\nzone: z\n\
-         listen: {{ callers: '127.0.0.1:{callers}', admin: '127.0.0.1:{admin}', peers: '{peer}' }}\n\
+         listen: {{ callers: '{callers}', admin: '{admin}', peers: '{peer}' }}\n\
          platform:\n  table: {{ url: 'http://{table}', name: lentilpitch }}\n  \
          objects: {{ url: '{}', bucket: lentilpitch }}\n  list: 'http://{list}/sd'\n\
          keys:\n  deployment: 000102030405060708090a0b0c0d0e0f\n  operators: ['{}']\n",
