--- a/crates/node/tests/deployed_config.rs
+++ b/crates/node/tests/deployed_config.rs
@@ -80,6 +80,42 @@
     }
 }
 
+/// Changes one limit of Inkline's template and leaves the others as they were read.
+async fn set_field(d: &Deployment, at: usize, field: &str, limit: u64) -> bool {
+    let edit = |doc: &mut Value| doc["params"]["limits"][field] = json!(limit);
+    d.change(&d.entries[at], "templates/inkline", edit).await.is_ok()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_operator_overwrites_what_another_was_told_is_accepted() {
+    let d = Deployment::start(&Spec::default()).await.unwrap();
+    let fields = ["rate", "inflight", "tokens"];
+    let mut wanted = [500, 200, 4096];
+    let mut lost = 0;
+    for round in 0..8 {
+        let limit = 1000 + round;
+        let accepted = tokio::join!(
+            set_field(&d, 0, fields[0], limit),
+            set_field(&d, 1, fields[1], limit),
+            set_field(&d, 2, fields[2], limit),
+        );
+        let accepted = [accepted.0, accepted.1, accepted.2];
+        lost += accepted.iter().filter(|a| !**a).count();
+        for (wanted, _) in wanted.iter_mut().zip(accepted).filter(|(_, a)| *a) {
+            *wanted = limit;
+        }
+        d.wait_same_revision().await.unwrap();
+        for entry in &d.entries {
+            let reply = d.admin(entry, Method::GET, "templates/inkline", &[], None).await.unwrap();
+            let doc: Value = reply.json().unwrap();
+            let limits = &doc["params"]["limits"];
+            let now = fields.map(|f| limits[f].as_u64().unwrap());
+            assert_eq!(now, wanted, "round {round} at {}", entry.name);
+        }
+    }
+    assert!(lost > 0, "changes raced each other");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn changes_are_in_force_everywhere_in_seconds() {
     let d = Deployment::start(&Spec::default()).await.unwrap();
--- a/crates/node/tests/deployed_leaving.rs
+++ b/crates/node/tests/deployed_leaving.rs
@@ -21,10 +21,13 @@
     }
 }
 
-/// Requests the replica was sent so far.
-async fn sent(d: &Deployment) -> usize {
+/// Requests the replica ran so far, and those that the instances chose it for, which it may have
+/// refused.
+async fn sent(d: &Deployment) -> (usize, usize) {
     let log = d.platform.log(d.platform.proc(REPLICA).unwrap()).await.unwrap();
-    log.iter().filter(|e| e["run"].is_string()).count()
+    let ran = log.iter().filter(|e| e["run"].is_string()).count();
+    let routed = d.events("routed").await.unwrap();
+    (ran, routed.iter().filter(|e| e["kind"]["replica"] == REPLICA).count())
 }
 
 /// Lets `tell` say that the replica leaves, waits a few seconds under load, and checks that no
@@ -37,7 +40,8 @@
     for i in 0..LATER {
         caller.complete(&ask(i)).await.unwrap();
     }
-    assert!(sent(d).await > 0, "the replica is in use");
+    let (ran, routed) = sent(d).await;
+    assert!(ran > 0 && routed >= ran, "the replica is in use: {ran} of {routed}");
     tell(d).await;
     let told = Instant::now();
     let mut i = 0;
--- a/crates/node/tests/deployed_stops.rs
+++ b/crates/node/tests/deployed_stops.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use rig::{Caller, Completion, Deployment, Spec};
+use rig::{Caller, Completion, Deployment, STATE_LIMIT, Spec, wait_for};
 
 /// Callers at work during the restart.
 const CALLERS: usize = 6;
@@ -46,7 +46,7 @@
     let mut d = Deployment::start(&spec).await.unwrap();
     let stop = Arc::new(AtomicBool::new(false));
     let done = Arc::new(AtomicUsize::new(0));
-    let workers: Vec<_> = (0..CALLERS)
+    let mut workers: Vec<_> = (0..CALLERS)
         .map(|me| {
             let caller = Arc::new(d.caller("weddings", "regina"));
             tokio::spawn(work(caller, me, stop.clone(), done.clone()))
@@ -61,7 +61,19 @@
         let status = old.instance.stop().await.unwrap();
         assert!(status.success(), "{} ended with {status}", old.name);
         d.platform.delist(&old.name).await.unwrap();
-        assert!(done.load(Ordering::SeqCst) > before, "requests went on meanwhile");
+        let during = done.load(Ordering::SeqCst) - before;
+        // Those who were sent there at last have tried their next address by now.
+        let later = done.load(Ordering::SeqCst) + 4 * CALLERS;
+        wait_for("requests after the stop", STATE_LIMIT, || async {
+            let ended = workers.iter().any(tokio::task::JoinHandle::is_finished);
+            (ended || done.load(Ordering::SeqCst) >= later).then_some(())
+        })
+        .await
+        .unwrap();
+        while let Some(at) = workers.iter().position(tokio::task::JoinHandle::is_finished) {
+            workers.remove(at).await.unwrap();
+        }
+        assert!(during > 0, "requests went on meanwhile");
     }
     tokio::time::sleep(Duration::from_millis(500)).await;
     stop.store(true, Ordering::SeqCst);
