Show that a model off the team's list is refused

The check of the model list passed unseen when taken out, because the target list kept the other organisation's model out as well. The new test leaves the target within reach and takes the model off the list.

--- a/crates/node/tests/deployed_isolation.rs
+++ b/crates/node/tests/deployed_isolation.rs
@@ -246,6 +246,24 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_model_off_the_list_is_unknown() {
+    let d = shared().await;
+    d.create("models/poet", &json!({"name": "poet", "version": "v1"})).await.unwrap();
+    // The target that serves the writer stays within reach.
+    let relist = |doc: &mut Value| doc["params"]["models"] = json!(["poet"]);
+    d.change(&d.entries[0], "templates/inkline", relist).await.unwrap();
+    d.wait_same_revision().await.unwrap();
+    let body = json!({"model": "writer", "prompt": "Who?", "stream": true});
+    for entry in &d.entries {
+        for bearer in ["Bearer weddings-key", "Bearer fairs-key"] {
+            let got = refusal(&d, entry, &[("authorization", bearer)], &body).await;
+            assert_eq!(got, refused(404, "unknown-model"), "{bearer} at {}", entry.name);
+        }
+    }
+    assert!(runs(&d, "inkline-writer-1").await.is_empty());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn names_in_the_body_change_nothing() {
     let d = shared().await;
