Keep the table from being flooded when it returns

Cause: in an outage every call tried leaves a claim whose write may have taken effect and that has to be withdrawn; each instance wrote all of them in one go as soon as the table answered. Ruled out: configuration polls (jittered, 10 reads a second with 6 instances) and the rollouts' leases. Each instance now settles one row a second, outcomes before withdrawals; until then a row is kept in memory as before. A drain still writes all.

Each target has a task of its own, so one that never ends does not hold up the others, and a rollout that takes no step for a minute says why in the log.

The rig's engines check fences where their target says so; before, the documents said it and the engines did not.

--- a/crates/ledger/src/settle.rs
+++ b/crates/ledger/src/settle.rs
@@ -72,7 +72,15 @@
     /// Writes what could not be written before, and stops at the first row that still can't be.
     /// Returns the number of rows left.
     pub async fn sweep(&self) -> usize {
-        let batch = self.pending.lock().clone();
+        self.sweep_some(MAX_PENDING).await
+    }
+
+    /// Like [`Ledger::sweep`] for at most `most` rows, outcomes before claims to be withdrawn, so
+    /// that instances with long lists do not flood a table service that has just come back.
+    pub async fn sweep_some(&self, most: usize) -> usize {
+        let mut batch = self.pending.lock().clone();
+        batch.sort_by_key(|p| matches!(p.end, End::Withdraw));
+        batch.truncate(most);
         for pending in batch {
             if let Err(EndError::Later(_)) = self.try_end(&pending).await {
                 break;
--- a/crates/ledger/tests/claim_steps.rs
+++ b/crates/ledger/tests/claim_steps.rs
@@ -95,6 +95,27 @@
     claim(&a, &w, "k", 3).await;
 }
 
+#[tokio::test]
+async fn some_are_swept_outcomes_first() {
+    let w = World::new();
+    let a = w.ledger("a");
+    w.table.down(true);
+    for i in 0..3 {
+        let (key, token) = (format!("k{i}"), RequestId(i));
+        a.begin(&call(&key), token, request(), w.until(3_000)).await.unwrap_err();
+    }
+    w.table.down(false);
+    let held = claim(&a, &w, "held", 8).await;
+    w.table.down(true);
+    let deferred = a.finish(&held, outcome("done")).await;
+    assert!(matches!(deferred, Err(LedgerError::Deferred(_))));
+    w.table.down(false);
+    assert_eq!(a.sweep_some(1).await, 3);
+    assert!(matches!(begin(&a, &w, "held", 9).await, Begin::Stored(o) if o == outcome("done")));
+    assert_eq!(a.sweep_some(2).await, 1);
+    assert_eq!(a.sweep_some(2).await, 0);
+}
+
 #[tokio::test]
 async fn outcome_is_kept_through_outage() {
     let w = World::new();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 mod drain;
 mod follow;
 mod gossip;
+mod loads;
 mod logs;
 mod node;
 mod rollout;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -231,6 +231,7 @@
     tokio::spawn(watching::loads(core.clone()));
     tokio::spawn(upkeep::queue(core.clone()));
     tokio::spawn(upkeep::rounds(core.clone(), most));
+    tokio::spawn(upkeep::sweeps(core.clone()));
     tokio::spawn(rollout::run(rollouts));
     Ok(())
 }
--- a/crates/node/src/rollout.rs
+++ b/crates/node/src/rollout.rs
@@ -7,37 +7,44 @@
 use entry::{Core, ReplicaRef};
 use events::{EventKind, Phase};
 use ident::{Name, Time};
-use lease::{Bounds, Demand, Held, LeaseError, Leases, Order, Replica, Rollout, Step, Wanted};
+use lease::{
+    Block, Bounds, Demand, Held, LeaseError, Leases, Order, Replica, Rollout, Step, Wanted,
+};
 use outbound::{CallError, Orders};
 use parking_lot::Mutex;
 use table::Table;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::loads::{Loads, MAX_LOADS};
 
 /// Term of a target's rollout lease.
 const TERM: Duration = Duration::from_secs(10);
 /// Time between two rounds.
 const ROUND: Duration = Duration::from_secs(1);
-/// Loads over all targets at once; loading slows down beyond.
-const MAX_LOADS: usize = 3;
 /// Percentage of a target's capacity that keeps serving, where one replica is not more than the
 /// rest.
 const FLOOR: u8 = 60;
 /// Share of capacity, in percent, that keeps serving the version before.
 const PREVIOUS_SHARE: u8 = 0;
 
+/// A rollout that takes no step for this long says so in the log.
+const STUCK: Duration = Duration::from_secs(60);
+
 /// The rollouts of all model deployments as this instance sees them.
 pub struct Rollouts {
     core: Arc<Core>,
     leases: Leases,
     /// What this instance leads. Sorted by target.
     led: Mutex<Vec<Name>>,
+    /// Targets this instance is leading or trying to lead. Sorted.
+    tried: Mutex<Vec<Name>>,
 }
 
 impl Rollouts {
     /// Rollouts driven by leases in `table`.
     pub fn new(core: Arc<Core>, table: Arc<dyn Table>) -> Self {
         let leases = Leases::new(table, core.clock.clone(), core.name.clone());
-        Self { core, leases, led: Mutex::default() }
+        Self { core, leases, led: Mutex::default(), tried: Mutex::default() }
     }
 
     /// How far a model's version has come; `None` for an unknown model.
@@ -63,26 +70,32 @@
             loading: u32::try_from(loading).unwrap_or(u32::MAX),
         })
     }
+}
 
-    fn set_led(&self, target: &Name, leads: bool) {
-        let mut led = self.led.lock();
-        match (led.binary_search(target), leads) {
-            (Err(at), true) => led.insert(at, target.clone()),
-            (Ok(at), false) => {
-                led.remove(at);
-            }
-            _ => {}
-        }
+/// Puts a target into a sorted list or removes it; whether that changed the list.
+fn set(list: &Mutex<Vec<Name>>, target: &Name, present: bool) -> bool {
+    let mut list = list.lock();
+    match (list.binary_search(target), present) {
+        (Err(at), true) => list.insert(at, target.clone()),
+        (Ok(at), false) => drop(list.remove(at)),
+        _ => return false,
     }
+    true
 }
 
-/// Looks after all rollouts until the process ends.
+/// Looks after all rollouts until the process ends. Each target has a task of its own, so that one
+/// whose replicas never finish loading does not hold up the others.
 pub async fn run(rollouts: Arc<Rollouts>) {
     loop {
         let view = rollouts.core.view();
         for target in view.targets() {
-            if let Some((model, fenced)) = pending(&rollouts.core, target) {
-                lead(&rollouts, target, model, fenced).await;
+            let Some((version, fenced)) = pending(&rollouts.core, target) else { continue };
+            if set(&rollouts.tried, &target.name, true) {
+                let (rollouts, target) = (rollouts.clone(), target.clone());
+                tokio::spawn(async move {
+                    lead(&rollouts, &target, version, fenced).await;
+                    set(&rollouts.tried, &target.name, false);
+                });
             }
         }
         sleep(ROUND).await;
@@ -106,7 +119,7 @@
     let name =
         Name::new(&format!("rollout.{}", target.name)).unwrap_or_else(|_| target.name.clone());
     let Ok(mut held) = rollouts.leases.acquire(&name, TERM).await else { return };
-    rollouts.set_led(&target.name, true);
+    set(&rollouts.led, &target.name, true);
     let phase = |phase| EventKind::Rollout {
         target: target.name.clone(),
         version: version.clone(),
@@ -120,11 +133,26 @@
     let done = Lead { rollouts, target, version: &version, fenced }.run(&mut held).await;
     core.record(if done { started } else { stopped });
     tracing::info!(target = %target.name, %version, done, "rollout ended");
-    rollouts.set_led(&target.name, false);
+    set(&rollouts.led, &target.name, false);
     // A lease that is not given back lapses by itself.
     let _ = rollouts.leases.release(held).await;
 }
 
+/// Since when a rollout has not got on.
+struct Stall {
+    since: Instant,
+    /// Replicas that do not serve the version yet.
+    behind: usize,
+    /// What the log says already; within, `None` while replicas load.
+    told: Option<Option<Block>>,
+}
+
+impl Default for Stall {
+    fn default() -> Self {
+        Self { since: Instant::now(), behind: 0, told: None }
+    }
+}
+
 struct Lead<'a> {
     rollouts: &'a Rollouts,
     target: &'a Target,
@@ -141,20 +169,50 @@
         let bounds = Bounds { floor: floor(self.replicas().len()), loads: MAX_LOADS };
         let mut rollout = Rollout::new(wanted, held.fence(), self.fenced, quiet, bounds);
         let mut readings: Vec<Replica> = Vec::new();
-        loop {
+        let mut loads = Loads::new(&self.rollouts.leases, TERM);
+        let mut stall = Stall::default();
+        let done = loop {
             if !self.renew(held).await || !self.still_wanted() {
-                return false;
+                break false;
             }
+            loads.hold(spared(self.replicas().len())).await;
             self.read(&mut readings).await;
             let demands = [Demand { version: self.version.clone(), share: PREVIOUS_SHARE }];
-            match rollout.step(&readings, &demands, MAX_LOADS, core.now()) {
-                Step::Done => return true,
-                Step::Superseded => return false,
+            let step = rollout.step(&readings, &demands, loads.held(core.now()), core.now());
+            self.note(&mut stall, &step, &readings);
+            match step {
+                Step::Done => break true,
+                Step::Superseded => break false,
                 Step::Orders(orders) => self.send(held, orders).await,
                 Step::Wait(until) => sleep(until.since(core.now()).min(ROUND)).await,
                 Step::Loading | Step::Settling | Step::Blocked(_) => sleep(ROUND).await,
             }
+        };
+        loads.release().await;
+        done
+    }
+
+    /// Says in the log why a rollout does not get on, once for each reason.
+    fn note(&self, stall: &mut Stall, step: &Step, readings: &[Replica]) {
+        let behind = |r: &&Replica| r.actual.as_ref().is_none_or(|a| a.weights != *self.version);
+        let behind: Vec<_> = readings.iter().filter(behind).map(|r| r.name.clone()).collect();
+        let reason = match step {
+            Step::Loading => None,
+            Step::Blocked(block) => Some(block.clone()),
+            _ => return *stall = Stall::default(),
+        };
+        if behind.len() != stall.behind {
+            *stall = Stall { behind: behind.len(), ..Stall::default() };
         }
+        if stall.since.elapsed() < STUCK || stall.told.as_ref() == Some(&reason) {
+            return;
+        }
+        let (target, version) = (&self.target.name, self.version);
+        match &reason {
+            Some(block) => tracing::warn!(%target, %version, ?behind, %block, "rollout blocked"),
+            None => tracing::warn!(%target, %version, ?behind, "replicas still load the version"),
+        }
+        stall.told = Some(reason);
     }
 
     async fn renew(&self, held: &mut Held) -> bool {
@@ -228,6 +286,12 @@
     FLOOR.min(u8::try_from(spared).unwrap_or(FLOOR))
 }
 
+/// Most replicas that may load at once, by the floor.
+fn spared(replicas: usize) -> usize {
+    let kept = (replicas * usize::from(floor(replicas))).div_ceil(100);
+    replicas.saturating_sub(kept).clamp(1, MAX_LOADS)
+}
+
 fn reading(replica: &ReplicaRef, orders: Orders, read: Time) -> Replica {
     let state = |w: outbound::Wanted| Wanted { weights: w.weights, role: w.role };
     Replica {
--- a/crates/node/src/upkeep.rs
+++ b/crates/node/src/upkeep.rs
@@ -11,6 +11,9 @@
 const QUEUE_TICK: Duration = Duration::from_millis(20);
 /// Time between two rounds of the rest.
 const ROUND: Duration = Duration::from_millis(500);
+/// Time between two looks at rows the ledger could not write. One row each time: all instances may
+/// come back to the table service at once with long lists.
+const SWEEP_PACE: Duration = Duration::from_secs(1);
 /// Requests a replica runs or queues at once.
 const REPLICA_SLOTS: u32 = 16;
 /// Least capacity of an instance.
@@ -26,8 +29,18 @@
     }
 }
 
-/// Adapts capacity and link shares to the instances there are, repeats ledger writes and notes
-/// changes of freshness, until the process ends.
+/// Repeats ledger writes, until the process ends.
+pub async fn sweeps(core: Arc<Core>) {
+    let mut ticks = interval(SWEEP_PACE);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        core.ledger.sweep_some(1).await;
+    }
+}
+
+/// Adapts capacity and link shares to the instances there are and notes changes of freshness, until
+/// the process ends.
 pub async fn rounds(core: Arc<Core>, most: u32) {
     let mut ticks = interval(ROUND);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -36,9 +49,6 @@
         ticks.tick().await;
         adapt(&core, most);
         last = note(&core, last);
-        if core.ledger.pending() > 0 {
-            core.ledger.sweep().await;
-        }
     }
 }
 
--- /dev/null
+++ b/crates/node/tests/deployed_recovery.rs
@@ -0,0 +1,288 @@
+//! A long outage of the platform: what goes on, what is refused with what advice, and how all
+//! becomes normal again without flooding the platform.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use hyper::Method;
+use rig::{Completion, Deployment, Reply, STATE_LIMIT, Spec, wait_for};
+use serde_json::{Value, json};
+use tokio::time::sleep;
+
+const SERVICE: &str = "inkline-desk-1";
+/// Length of the outage; longer than a confirmation of the configuration lasts.
+const OUTAGE: Duration = Duration::from_secs(15);
+/// Longest time from the platform's return until all is as before.
+const NORMAL: Duration = Duration::from_secs(12);
+/// Longest time to the refusal of what needs the table.
+const REFUSAL: Duration = Duration::from_secs(3);
+/// Time between two calls by way of one instance.
+const CALL_PACE: Duration = Duration::from_millis(500);
+/// Time after the start of an outage in which a call may still be half way through.
+const MARGIN: Duration = Duration::from_secs(1);
+/// The largest deployment.
+const INSTANCES: u64 = 320;
+/// Reads of the table per second by all of them.
+const READS: u64 = 2000;
+/// Writes of the table per second by all of them.
+const WRITES: u64 = 300;
+/// Most writes of the table for one call: its claim, its outcome and a repeat of either.
+const CALL_WRITES: u64 = 3;
+
+/// One attempt at a call.
+struct Tried {
+    key: String,
+    entry: usize,
+    began: Instant,
+    ended: Instant,
+    reply: Reply,
+}
+
+impl Tried {
+    fn ok(&self) -> bool {
+        self.reply.status.is_success()
+    }
+
+    fn ran(&self) -> String {
+        let problem: Value = self.reply.json().unwrap();
+        problem["ran"].as_str().unwrap_or_default().to_owned()
+    }
+}
+
+fn spec() -> Spec {
+    let names = ["entry-1", "entry-2", "entry-3", "entry-4", "entry-5", "entry-6"];
+    let zones = ["regina", "saskatoon"];
+    let instances = names.iter().enumerate().map(|(i, n)| (*n, zones[i % 2])).collect();
+    Spec { instances, ..Spec::default() }
+}
+
+async fn platform(d: &Deployment, knobs: Value) {
+    let (table, objects) = (&d.platform.table, &d.platform.objects);
+    let set = tokio::join!(
+        d.platform.faults(table, knobs.clone()),
+        d.platform.faults(objects, knobs.clone())
+    );
+    set.0.unwrap();
+    set.1.unwrap();
+}
+
+/// Calls by way of one instance, each with its own key, until told to stop.
+async fn calls(d: Arc<Deployment>, entry: usize, stop: Arc<AtomicBool>) -> Vec<Tried> {
+    let mut out = Vec::new();
+    while !stop.load(Ordering::Relaxed) {
+        let (key, began) = (format!("key-{entry}-{}", out.len()), Instant::now());
+        let at = &d.entries[entry];
+        let reply = d.call(at, "weddings", "inkline-desk", &key, "{}").await.unwrap();
+        out.push(Tried { key, entry, began, ended: Instant::now(), reply });
+        sleep(CALL_PACE).await;
+    }
+    out
+}
+
+/// Completions one after the other until told to stop; when each began.
+async fn completions(d: Arc<Deployment>, zone: &str, stop: Arc<AtomicBool>) -> Vec<Instant> {
+    let caller = d.caller("weddings", zone);
+    let mut out = Vec::new();
+    while !stop.load(Ordering::Relaxed) {
+        let prompt = format!("{}Guest {}?", "The brief of the gala. ".repeat(50), out.len());
+        let ask = Completion {
+            model: "writer".to_owned(),
+            prompt,
+            tokens: 20,
+            context: format!("brief-{zone}"),
+            batch: false,
+        };
+        out.push(Instant::now());
+        let answer = caller.complete(&ask).await.unwrap();
+        let wanted = fakes::expected(&ask.model, &answer.weights, &ask.prompt, ask.tokens);
+        assert_eq!(answer.text, wanted);
+    }
+    out
+}
+
+/// The table's reads and writes at moments, until told to stop.
+async fn samples(d: Arc<Deployment>, stop: Arc<AtomicBool>) -> Vec<(Instant, u64, u64)> {
+    let mut out = Vec::new();
+    while !stop.load(Ordering::Relaxed) {
+        let stats = d.platform.stats(&d.platform.table).await.unwrap();
+        let total = |name: &str| stats[name]["total"].as_u64().unwrap_or_default();
+        out.push((Instant::now(), total("reads"), total("writes")));
+        sleep(Duration::from_millis(100)).await;
+    }
+    out
+}
+
+/// The most reads and writes within any one second, and the most calls begun meanwhile.
+fn peaks(samples: &[(Instant, u64, u64)], tried: &[Tried]) -> (u64, u64, u64) {
+    let second = Duration::from_secs(1);
+    let (mut reads, mut writes, mut begun) = (0, 0, 0);
+    for (at, r, w) in samples {
+        // Samples of a busy machine may be further apart; a window has at least two.
+        let within = samples.iter().filter(|s| s.0 >= *at && s.0 <= *at + second);
+        for (end, r2, w2) in within {
+            reads = reads.max(r2 - r);
+            writes = writes.max(w2 - w);
+            let calls = tried.iter().filter(|t| t.ended >= *at && t.began <= *end).count();
+            begun = begun.max(calls as u64);
+        }
+    }
+    (reads, writes, begun)
+}
+
+/// Tries to change the limit at an instance.
+async fn change(d: &Deployment, entry: usize, limit: u64) -> Reply {
+    let (entry, path) = (&d.entries[entry], "templates/inkline");
+    let reply = d.admin(entry, Method::GET, path, &[], None).await.unwrap();
+    let etag = reply.header("etag").unwrap().to_owned();
+    let mut doc: Value = reply.json().unwrap();
+    doc["params"]["limits"]["prompt"] = json!(limit);
+    let id = ident::Digest::of(format!("{limit} {etag}").as_bytes()).to_string();
+    let headers = [("if-match", &*etag), ("change-id", &*id)];
+    d.admin(entry, Method::PUT, path, &headers, Some(&doc)).await.unwrap()
+}
+
+/// Checks the calls against the outage and the service's own log.
+async fn check_calls(d: &Deployment, tried: &[Tried], (from, to): (Instant, Instant)) {
+    let within = |t: &&Tried| t.began > from + MARGIN && t.ended < to;
+    let refused: Vec<_> = tried.iter().filter(within).collect();
+    assert!(refused.len() >= 6, "calls were tried in the outage");
+    for t in &refused {
+        // Not sent. Whether an earlier attempt ran can't be read, so the answer says "unknown".
+        let problem: Value = t.reply.json().unwrap();
+        let kind = problem["type"].as_str().unwrap().rsplit(':').next().unwrap();
+        assert!(["claim-unread", "not-claimed"].contains(&kind), "{}: {problem}", t.key);
+        assert_eq!(t.reply.status.as_u16(), 503, "{}", t.key);
+        let advice: Option<u64> = t.reply.header("retry-after").and_then(|v| v.parse().ok());
+        assert!(advice.is_some_and(|s| s > 0), "{} is told when to come again", t.key);
+        assert!(t.ended - t.began < REFUSAL, "{} took {:?}", t.key, t.ended - t.began);
+    }
+    let log = d.platform.log(d.platform.proc(SERVICE).unwrap()).await.unwrap();
+    for t in tried {
+        let runs = log.iter().filter(|call| call["key"] == *t.key).count();
+        match t.ok() {
+            true => assert_eq!(runs, 1, "{}", t.key),
+            false if t.ran() == "no" => assert_eq!(runs, 0, "{}", t.key),
+            false => assert!(runs <= 1, "{}", t.key),
+        }
+    }
+    for t in refused {
+        assert_eq!(log.iter().filter(|call| call["key"] == *t.key).count(), 0, "{}", t.key);
+    }
+    for entry in 0..d.entries.len() {
+        let ok = |t: &&Tried| t.entry == entry && t.ok() && t.began >= to;
+        let first = tried.iter().find(ok).unwrap_or_else(|| panic!("{entry} makes calls again"));
+        assert!(first.ended - to < NORMAL, "calls at {entry}: {:?}", first.ended - to);
+        println!("calls run at instance {entry} after {:?}", first.ended - to);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_outage_ends_without_a_flood() {
+    let d = Arc::new(Deployment::start(&spec()).await.unwrap());
+    let stop = Arc::new(AtomicBool::new(false));
+    let callers: Vec<_> = (0..6).map(|i| tokio::spawn(calls(d.clone(), i, stop.clone()))).collect();
+    let readers =
+        ["regina", "saskatoon"].map(|z| tokio::spawn(completions(d.clone(), z, stop.clone())));
+    sleep(Duration::from_secs(2)).await;
+
+    platform(&d, json!({"outage": true})).await;
+    let from = Instant::now();
+    sleep(OUTAGE - Duration::from_secs(3)).await;
+    let asked = Instant::now();
+    let refused = change(&d, 0, 1_002_000).await;
+    // The table's refusal does not say that nothing was written, so the answer does not either.
+    assert_eq!(refused.status.as_u16(), 504, "{}", refused.text());
+    let problem: Value = refused.json().unwrap();
+    assert!(problem["change"].is_string(), "the change may be sent again by its id: {problem}");
+    assert!(problem["retry_after_ms"].as_u64().is_some_and(|ms| ms > 0), "{problem}");
+    assert!(asked.elapsed() < REFUSAL, "refused after {:?}", asked.elapsed());
+    sleep(OUTAGE.saturating_sub(from.elapsed())).await;
+
+    let to = Instant::now();
+    let watch = tokio::spawn(samples(d.clone(), stop.clone()));
+    platform(&d, json!({})).await;
+    let before = d.status(&d.entries[3]).await.unwrap()["rev"].clone();
+    let accepted = wait_for("the change to be accepted", STATE_LIMIT, || async {
+        change(&d, 3, 1_002_000).await.status.is_success().then(Instant::now)
+    })
+    .await
+    .unwrap();
+    let revision = d.wait_same_revision().await.unwrap();
+    let everywhere = Instant::now();
+    println!(
+        "accepted after {:?}, everywhere (r{revision}) after {:?}",
+        accepted - to,
+        everywhere - to
+    );
+    assert_ne!(d.status(&d.entries[0]).await.unwrap()["rev"], before);
+    assert!(everywhere - to < NORMAL, "in force everywhere after {:?}", everywhere - to);
+    sleep(NORMAL.saturating_sub(to.elapsed())).await;
+
+    stop.store(true, Ordering::Relaxed);
+    let mut tried = Vec::new();
+    for task in callers {
+        tried.extend(task.await.unwrap());
+    }
+    for task in readers {
+        let began = task.await.unwrap();
+        let late = began.iter().filter(|b| **b > from + MARGIN && **b < to).count();
+        println!("{late} completions in the outage");
+        assert!(late > 5, "completions go on");
+    }
+    check_calls(&d, &tried, (from, to)).await;
+    let (reads, writes, calls) = peaks(&watch.await.unwrap(), &tried);
+    println!("most in a second after the return: {reads} reads, {writes} writes, {calls} calls");
+    let share = |total: u64| (total * 6).div_ceil(INSTANCES);
+    assert!(reads <= share(READS) + calls, "{reads} reads, {calls} calls");
+    assert!(writes <= share(WRITES) + CALL_WRITES * calls, "{writes} writes, {calls} calls");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_slow_table_delays_and_loses_nothing() {
+    let d = Deployment::start(&Spec::default()).await.unwrap();
+    let knobs = json!({"delay_ms": 1000});
+    d.platform.faults(&d.platform.table, knobs).await.unwrap();
+    for i in 0..6 {
+        let (key, entry) = (format!("slow-{i}"), &d.entries[i % 3]);
+        let reply = d.call(entry, "weddings", "inkline-desk", &key, "{}").await.unwrap();
+        let runs = d.runs(SERVICE, &key).await.unwrap();
+        assert_eq!((reply.status.as_u16(), runs), (200, 1), "{key}: {}", reply.text());
+    }
+    assert!(change(&d, 1, 1_004_000).await.status.is_success());
+    let accepted = Instant::now();
+    d.wait_same_revision().await.unwrap();
+    assert!(accepted.elapsed() < NORMAL, "in force after {:?}", accepted.elapsed());
+    for entry in &d.entries {
+        let status = d.status(entry).await.unwrap();
+        assert_eq!(status["phase"], "serving", "{status}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answers_of_the_table_run_nothing_twice() {
+    let d = Deployment::start(&Spec::default()).await.unwrap();
+    for i in 0..12 {
+        let (key, entry) = (format!("lost-{i}"), &d.entries[i % 3]);
+        d.platform.faults(&d.platform.table, json!({"lose_answers": 1 + i % 3})).await.unwrap();
+        let reply = d.call(entry, "weddings", "inkline-desk", &key, "{}").await.unwrap();
+        let runs = d.runs(SERVICE, &key).await.unwrap();
+        if reply.status.is_success() {
+            assert_eq!(runs, 1, "{key}");
+        } else {
+            let problem: Value = reply.json().unwrap();
+            assert!(runs == 0 || (runs == 1 && problem["ran"] != "no"), "{key}: {problem}");
+        }
+    }
+    d.platform.faults(&d.platform.table, json!({})).await.unwrap();
+    for i in 0..12 {
+        let (key, entry) = (format!("lost-{i}"), &d.entries[(i + 1) % 3]);
+        // A lost answer may leave a claim; whatever is answered, nothing runs twice.
+        d.call(entry, "weddings", "inkline-desk", &key, "{}").await.unwrap();
+        assert!(d.runs(SERVICE, &key).await.unwrap() <= 1, "{key}");
+    }
+}
--- a/crates/rig/src/deployment.rs
+++ b/crates/rig/src/deployment.rs
@@ -33,6 +33,10 @@
     pub engines: usize,
     /// Further options of each engine.
     pub engine_args: Vec<&'static str>,
+    /// Whether engines check fencing numbers; the targets say so too.
+    pub fenced: bool,
+    /// Options of the weight store `weights-1`; without them weights load at once.
+    pub weight_args: Option<Vec<&'static str>>,
     /// Options of each store instance.
     pub store_args: Vec<&'static str>,
 }
@@ -43,6 +47,8 @@
             instances: vec![("entry-1", "regina"), ("entry-2", "saskatoon"), ("entry-3", "regina")],
             engines: 2,
             engine_args: vec!["--weights", "v1", "--decode-ms", "2"],
+            fenced: true,
+            weight_args: None,
             store_args: Vec::new(),
         }
     }
@@ -78,7 +84,7 @@
             deployment.add_instance(name, zone).await?;
         }
         deployment.wait_ready().await?;
-        for (path, doc) in documents() {
+        for (path, doc) in documents(spec.fenced) {
             deployment.create(&path, &doc).await?;
         }
         deployment.wait_same_revision().await?;
@@ -286,11 +292,18 @@
 async fn replicas(spec: &Spec) -> Result<Platform, RigError> {
     let mut platform = Platform::start().await?;
     let zones = ["regina", "saskatoon"];
+    let mut common = spec.engine_args.clone();
+    common.extend(spec.fenced.then_some("--fenced"));
+    let source = match &spec.weight_args {
+        Some(args) => Some(platform.weights("weights-1", args).await?.url()),
+        None => None,
+    };
+    let source: Vec<&str> = source.iter().flat_map(|url| ["--weight-store", url]).collect();
     for (org, model, target) in
         [("inkline", "writer", "inkline-writer"), ("umthombo", "assistant", "umthombo-assistant")]
     {
         for i in 0..spec.engines {
-            let args = [&["--model", model], &spec.engine_args[..]].concat();
+            let args = [&["--model", model], &common[..], &source[..]].concat();
             let name = format!("{target}-{}", i + 1);
             platform.engine(&name, zones[i % zones.len()], target, &args).await?;
         }
@@ -302,8 +315,8 @@
     Ok(platform)
 }
 
-/// The configuration of both organisations: two teams each.
-fn documents() -> Vec<(String, Value)> {
+/// The configuration of both organisations: two teams each; `fenced` as in [`Spec`].
+fn documents(fenced: bool) -> Vec<(String, Value)> {
     let limits = json!({"rate": 500, "inflight": 200, "prompt": 1_000_000, "tokens": 4096});
     let mut out = Vec::new();
     for (org, model, engine, service, weights, teams) in [
@@ -325,7 +338,7 @@
         ),
     ] {
         out.push((format!("models/{model}"), json!({"name": model, "version": "v1"})));
-        let kind = json!({"engine": {"model": model, "fenced": true}});
+        let kind = json!({"engine": {"model": model, "fenced": fenced}});
         out.push((format!("targets/{engine}"), json!({"name": engine, "org": org, "kind": kind})));
         let kind = json!({"service": {"idempotent": ["/quotes"]}});
         out.push((
