--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -237,5 +237,6 @@
     tokio::spawn(watching::loads(core.clone()));
     tokio::spawn(upkeep::queue(core.clone()));
     tokio::spawn(upkeep::rounds(core.clone(), limits));
+    tokio::spawn(upkeep::sweeps(core.clone()));
     tokio::spawn(rollout::run(rollouts));
 }
