Count table operations and stalled rollouts

Every operation of the table service is counted by kind and result, and a rollout that takes no step for a minute is counted by target, so that a load that never ends shows in the metrics as well as in the log.

--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -51,6 +51,10 @@
     pub bad_listed: IntCounter,
     /// Orders sent to replicas by result.
     pub orders: IntCounterVec,
+    /// Operations of the table service by operation and result.
+    pub table: IntCounterVec,
+    /// Rollouts that took no step for long, by target.
+    pub stalls: IntCounterVec,
 }
 
 impl Metrics {
@@ -126,6 +130,18 @@
                 "Orders sent to replicas by result.",
                 &["result"],
             )?,
+            table: counters(
+                reg,
+                "table_operations_total",
+                "Operations of the table service by operation and result.",
+                &["operation", "result"],
+            )?,
+            stalls: counters(
+                reg,
+                "rollout_stalls_total",
+                "Rollouts that took no step for long by target.",
+                &["target"],
+            )?,
             registry,
         })
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod clock;
 mod control;
+mod counted;
 mod drain;
 mod follow;
 mod gossip;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -19,6 +19,7 @@
 use crate::{
     clock::{ProcessClock, Random, boot},
     control::Operator,
+    counted::Counted,
     drain::{self, Drained, Stage},
     follow::Follower,
     gossip::{self, PeerHandler},
@@ -78,10 +79,11 @@
         let material = settings.keys.deployment.material()?;
         let url = settings.platform.table.url.to_string();
         let table = Dynamo::new(&url, &settings.platform.table.name, TABLE_TERM)?;
-        let table: Arc<dyn Table> = Arc::new(table);
+        let metrics = Metrics::new()?;
+        let table: Arc<dyn Table> = Arc::new(Counted::new(Arc::new(table), metrics.table.clone()));
         let objects = &settings.platform.objects;
         let blob: Arc<dyn Blob> = Arc::new(S3::new(&objects.url.to_string(), &objects.bucket)?);
-        let parts = Parts { table, blob, boot, material: material.bytes() };
+        let parts = Parts { table, blob, boot, metrics, material: material.bytes() };
         let core = Arc::new(core(settings, &parts)?);
         core.record(EventKind::Started);
 
@@ -147,6 +149,7 @@
     table: Arc<dyn Table>,
     blob: Arc<dyn Blob>,
     boot: Boot,
+    metrics: Metrics,
     material: &'a [u8],
 }
 
@@ -186,7 +189,7 @@
             store: Arc::new(StoreClient::new(client.clone())),
             service: Arc::new(ServiceClient::new(client)),
         },
-        metrics: Metrics::new()?,
+        metrics: parts.metrics.clone(),
         running: Default::default(),
     })
 }
--- a/crates/node/src/rollout.rs
+++ b/crates/node/src/rollout.rs
@@ -208,6 +208,7 @@
             return;
         }
         let (target, version) = (&self.target.name, self.version);
+        self.rollouts.core.metrics.stalls.with_label_values(&[target.as_str()]).inc();
         match &reason {
             Some(block) => tracing::warn!(%target, %version, ?behind, %block, "rollout blocked"),
             None => tracing::warn!(%target, %version, ?behind, "replicas still load the version"),
--- a/crates/node/tests/deployed_orders.rs
+++ b/crates/node/tests/deployed_orders.rs
@@ -227,3 +227,29 @@
         assert!(log.iter().all(|o| o.2 == "v2" && o.3), "{log:?}");
     }
 }
+
+/// Whether some instance counts a stalled rollout of the target.
+async fn stalled(d: &Deployment, target: &str) -> Option<()> {
+    let series = format!("lentil_rollout_stalls_total{{target=\"{target}\"}}");
+    for entry in &d.entries {
+        let reply = d.platform.http.get(&format!("{}/metrics", entry.instance.url())).await.ok()?;
+        if reply.text().contains(&series) {
+            return Some(());
+        }
+    }
+    None
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_load_that_does_not_end_is_told_and_ends_when_it_can() {
+    let d = Deployment::start(&spec(true)).await.unwrap();
+    let store = d.platform.proc("weights-1").unwrap();
+    d.platform.faults(store, json!({"link_rate": 10_000})).await.unwrap();
+    roll(&d, &d.entries[0], "writer", "v2").await;
+    wait_for("the stall to be told", 2 * STATE_LIMIT, || stalled(&d, "inkline-writer"))
+        .await
+        .unwrap();
+    assert!(served(&d, "inkline-writer", "v2").await.is_none(), "the rollout was under way");
+    d.platform.faults(store, json!({})).await.unwrap();
+    wait_for("v2 everywhere", STATE_LIMIT, || served(&d, "inkline-writer", "v2")).await.unwrap();
+}
--- a/crates/node/tests/deployed_recovery.rs
+++ b/crates/node/tests/deployed_recovery.rs
@@ -235,6 +235,12 @@
         assert!(late > 5, "completions go on");
     }
     check_calls(&d, &tried, (from, to)).await;
+    let url = format!("{}/metrics", d.entries[0].instance.url());
+    let metrics = d.platform.http.get(&url).await.unwrap().text();
+    for result in ["ok", "unknown"] {
+        let labels = format!("{{operation=\"commit\",result=\"{result}\"}}");
+        assert!(metrics.contains(&format!("lentil_table_operations_total{labels}")), "{metrics}");
+    }
     let (reads, writes, calls) = peaks(&watch.await.unwrap(), &tried);
     println!("most in a second after the return: {reads} reads, {writes} writes, {calls} calls");
     let share = |total: u64| (total * 6).div_ceil(INSTANCES);
--- a/crates/node/tests/page_tables.rs
+++ b/crates/node/tests/page_tables.rs
@@ -18,6 +18,8 @@
         vec.with_label_values(&["label"]);
     }
     m.orders.with_label_values(&["label"]);
+    m.table.with_label_values(&["operation", "result"]);
+    m.stalls.with_label_values(&["target"]);
     let text = String::from_utf8(m.render().unwrap()).unwrap();
     let help = text.lines().filter_map(|l| l.strip_prefix("# HELP "));
     help.map(|l| l.split(' ').next().unwrap().to_owned()).collect()
