Ask whether a call may be sent once its connection is there

Cause: a holder was asked for its latest moment to send before the connection to the service was made; frozen in between, it sent when it went on. The service client now connects, asks, and writes. Ruled out: a timer around the send (a frozen process runs no timer). The pause between the question and the write itself remains, so the test stays listed.

One assertion follows the reworded refusal of a foreign target.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -125,7 +125,7 @@
             break;
         }
         let limit = limit(core, asked);
-        match core.backends.service.call(replica.addr, &call.call, limit).await {
+        match core.backends.service.call(replica.addr, &call.call, &|| true, limit).await {
             Ok(reply) => return Ok(answer(reply)),
             Err(e) if e.not_run() => last = Fault::Refused,
             Err(_) => last = Fault::Upstream,
@@ -177,12 +177,18 @@
 ) -> Result<Response, Problem> {
     let (team, key) = (id.team().clone(), Digest::of(id.key().as_bytes()));
     core.record(EventKind::CallClaimed { team: team.clone(), key });
-    for replica in replicas(core, &call.target).iter().take(MAX_TRIES) {
-        if !claim.may_send(core.now()) {
-            break;
+    // Asked with the connection there, so that only the write itself can come after it.
+    let may_send = || {
+        let may = claim.may_send(core.now());
+        if may {
+            core.record(EventKind::CallSent { team: team.clone(), key });
         }
-        core.record(EventKind::CallSent { team: team.clone(), key });
-        match core.backends.service.call(replica.addr, &call.call, limit(core, asked)).await {
+        may
+    };
+    for replica in replicas(core, &call.target).iter().take(MAX_TRIES) {
+        let sent =
+            core.backends.service.call(replica.addr, &call.call, &may_send, limit(core, asked));
+        match sent.await {
             Ok(reply) => return Ok(finish(core, &claim, reply, team, key).await),
             Err(e) if e.not_run() => continue,
             Err(e) => return Err(unknown(core, team, key, &e)),
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -192,8 +192,8 @@
         admission: Admission::default(),
         backends: Backends {
             engine: Arc::new(EngineClient::new(client.clone())),
-            store: Arc::new(StoreClient::new(client.clone())),
-            service: Arc::new(ServiceClient::new(client)),
+            store: Arc::new(StoreClient::new(client)),
+            service: Arc::new(ServiceClient),
         },
         metrics: parts.metrics.clone(),
         running: Default::default(),
--- a/crates/node/tests/deployed_isolation.rs
+++ b/crates/node/tests/deployed_isolation.rs
@@ -364,7 +364,7 @@
     let move_target = |doc: &mut Value| doc["org"] = json!("umthombo");
     let early = d.change(&d.entries[0], "targets/inkline-writer", move_target).await;
     let early = early.unwrap_err().to_string();
-    assert!(early.contains("would reach target inkline-writer"), "{early}");
+    assert!(early.contains("with target inkline-writer of umthombo"), "{early}");
     let withdraw = |doc: &mut Value| doc["params"]["targets"] = json!(["inkline-desk"]);
     d.change(&d.entries[0], "templates/inkline", withdraw).await.unwrap();
     d.change(&d.entries[1], "targets/inkline-writer", move_target).await.unwrap();
--- a/crates/outbound/src/client.rs
+++ b/crates/outbound/src/client.rs
@@ -19,7 +19,7 @@
 /// How long an unused connection is kept.
 const IDLE_TERM: Duration = Duration::from_secs(15);
 /// How long a connection may take to be made.
-const CONNECT_TERM: Duration = Duration::from_millis(800);
+pub(crate) const CONNECT_TERM: Duration = Duration::from_millis(800);
 
 /// How long calls may take.
 #[derive(Debug, Clone, Copy)]
--- a/crates/outbound/src/error.rs
+++ b/crates/outbound/src/error.rs
@@ -39,6 +39,9 @@
     /// No connection could be made: no byte was sent.
     #[error("no connection: {0}")]
     Connect(Arc<str>),
+    /// The latest moment to send had passed when the connection was there: no byte was sent.
+    #[error("the latest moment to send had passed")]
+    Late,
     /// The back end answered that it did not run the call.
     #[error(transparent)]
     Refused(#[from] Refusal),
@@ -59,7 +62,7 @@
 impl CallError {
     /// Whether it is certain that the back end did not run the call.
     pub fn not_run(&self) -> bool {
-        matches!(self, Self::Connect(_) | Self::Refused(_))
+        matches!(self, Self::Connect(_) | Self::Late | Self::Refused(_))
     }
 
     pub(crate) fn malformed<E>(error: E) -> Self
--- a/crates/outbound/src/lib.rs
+++ b/crates/outbound/src/lib.rs
@@ -18,7 +18,7 @@
     engine::{Completion, Engine, EngineClient, Export, Import, Imported, Load, Orders, Wanted},
     error::{CallError, Refusal},
     list::{Instances, ListClient, ListState, Listed, Role},
-    service::{Reply, Service, ServiceCall, ServiceClient},
+    service::{MaySend, Reply, Service, ServiceCall, ServiceClient},
     store::{Store, StoreClient},
     tokens::{Finish, Token, TokenSource, Usage},
 };
--- a/crates/outbound/src/service.rs
+++ b/crates/outbound/src/service.rs
@@ -6,12 +6,18 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
-    Method, Request, StatusCode,
-    header::{CONTENT_TYPE, HeaderValue},
+    Method, Request, Response, StatusCode,
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+    header::{CONTENT_TYPE, HOST, HeaderValue},
 };
-use tokio::time::timeout;
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpStream, time::timeout};
 
-use crate::{CallError, Client, Connection, Refusal, client::read};
+use crate::{
+    CallError, Refusal,
+    client::{CONNECT_TERM, read},
+};
 
 /// Header by which a service says that it did not run a call.
 const NOT_RUN: &str = "x-not-run";
@@ -44,28 +50,26 @@
     pub body: Bytes,
 }
 
+/// Whether a call may still be sent; asked once its connection is there, before its first byte.
+pub type MaySend<'a> = &'a (dyn Fn() -> bool + Sync);
+
 /// A plain service.
 #[async_trait]
 pub trait Service: Send + Sync {
     /// Makes the call on a new connection, so that a failed connect proves it was not run. Fails
-    /// with [`CallError::Connect`] or [`CallError::Refused`] only when it was not run.
+    /// with an error of [`CallError::not_run`] only when it was not run.
     async fn call(
         &self,
         addr: SocketAddr,
         call: &ServiceCall,
+        may_send: MaySend<'_>,
         limit: Duration,
     ) -> Result<Reply, CallError>;
 }
 
 /// [`Service`] over HTTP.
-pub struct ServiceClient(Client);
-
-impl ServiceClient {
-    /// Calls services through `client`.
-    pub fn new(client: Client) -> Self {
-        Self(client)
-    }
-}
+#[derive(Debug, Default)]
+pub struct ServiceClient;
 
 #[async_trait]
 impl Service for ServiceClient {
@@ -73,26 +77,52 @@
         &self,
         addr: SocketAddr,
         call: &ServiceCall,
+        may_send: MaySend<'_>,
         limit: Duration,
     ) -> Result<Reply, CallError> {
         let request = request(addr, call)?;
+        let mut sender = connect(addr).await?;
+        if !may_send() {
+            return Err(CallError::Late);
+        }
+        let broken = |e: hyper::Error| CallError::Broken(e.to_string().into());
         let whole = async {
-            let response = self.0.send(request, Connection::New, limit).await?;
-            let status = response.status();
-            let refused = response.headers().contains_key(NOT_RUN);
-            if status == StatusCode::SERVICE_UNAVAILABLE && refused {
-                return Err(Refusal::NotRun.into());
-            }
-            let content = response.headers().get(CONTENT_TYPE).cloned();
-            Ok(Reply { status, content, body: read(response).await? })
+            let response = sender.send_request(request).await.map_err(broken)?;
+            reply(response).await
         };
         timeout(limit, whole).await.unwrap_or(Err(CallError::Silent))
     }
 }
 
+/// Opens a connection; nothing is sent on it yet.
+async fn connect(addr: SocketAddr) -> Result<SendRequest<Full<Bytes>>, CallError> {
+    let failed = |e: &dyn std::error::Error| CallError::Connect(e.to_string().into());
+    let stream = match timeout(CONNECT_TERM, TcpStream::connect(addr)).await {
+        Ok(stream) => stream.map_err(|e| failed(&e))?,
+        Err(late) => return Err(failed(&late)),
+    };
+    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = handshake.map_err(|e| failed(&e))?;
+    // Its errors come back through the sender as well.
+    tokio::spawn(connection);
+    Ok(sender)
+}
+
+async fn reply(response: Response<Incoming>) -> Result<Reply, CallError> {
+    let status = response.status();
+    let refused = response.headers().contains_key(NOT_RUN);
+    if status == StatusCode::SERVICE_UNAVAILABLE && refused {
+        return Err(Refusal::NotRun.into());
+    }
+    let content = response.headers().get(CONTENT_TYPE).cloned();
+    Ok(Reply { status, content, body: read(response).await? })
+}
+
 fn request(addr: SocketAddr, call: &ServiceCall) -> Result<Request<Full<Bytes>>, CallError> {
-    let mut builder =
-        Request::builder().method(call.method.clone()).uri(format!("http://{addr}{}", call.path));
+    let mut builder = Request::builder()
+        .method(call.method.clone())
+        .uri(&call.path)
+        .header(HOST, addr.to_string());
     if let Some(content) = &call.content {
         builder = builder.header(CONTENT_TYPE, content);
     }
