Begin a stream before a long prefill ends

Cause: an answer had no head until its first token, so a caller could not tell a long prefill from a silent connection and gave up or tried elsewhere. After two seconds the stream now begins and sends keep-alives; a failure after that comes as an event. A caller that resumes with the whole answer in hand is told so by the end marker; before, it got the last token twice. The time line records when an instance first takes work. Ruled out: answering at once, which would hide the status of early refusals.

--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -33,6 +33,8 @@
     Token(Delivered),
     /// The caller drops what it holds: the answer begins again.
     Restart,
+    /// The caller holds the whole answer already.
+    Complete,
     /// The answer cannot be finished.
     Failed(Problem),
 }
@@ -166,6 +168,7 @@
         let last = token.finish.is_some();
         let sent = match self.catch_up.take(token) {
             Delivery::Skip => true,
+            Delivery::Complete => self.out.send(Item::Complete).await.is_ok(),
             Delivery::Token(token, mark) => self.deliver(token, mark).await,
             Delivery::Restart(tokens) => self.restart(tokens).await,
         };
--- a/crates/entry/src/respond.rs
+++ b/crates/entry/src/respond.rs
@@ -13,7 +13,7 @@
 use ident::RequestId;
 use outbound::{Finish, Usage};
 use serde::Serialize;
-use tokio::sync::mpsc;
+use tokio::{sync::mpsc, time::timeout};
 
 use crate::{
     body::Api,
@@ -22,6 +22,10 @@
     relay::{Delivered, Item},
 };
 
+/// Longest wait for the first token before the stream begins without it.
+const HEAD_TERM: Duration = Duration::from_secs(2);
+/// Data of the last event of a stream.
+const END_MARKER: &str = "[DONE]";
 /// Longest silence on a stream to a caller.
 const KEEP_ALIVE: Duration = Duration::from_secs(1);
 
@@ -47,17 +51,30 @@
     model: ident::Name,
 }
 
-/// Answers with an event stream, once its first item is known: a request that failed before its
-/// first token gets its problem as the answer.
+/// Answers with an event stream. A request that fails soon, before its first token, gets its problem
+/// as the answer; one whose prompt takes longer to compute gets keep-alives meanwhile, and its
+/// problem, if any, as an event.
 pub async fn stream(job: &Job, mut items: mpsc::Receiver<Item>) -> Result<Response, Problem> {
-    let first = match items.recv().await {
-        Some(Item::Failed(problem)) => return Err(problem),
-        Some(item) => item,
-        None => return Err(Fault::Upstream.into()),
+    let first = match timeout(HEAD_TERM, items.recv()).await {
+        Ok(Some(Item::Failed(problem))) => return Err(problem),
+        Ok(Some(item)) => Next::Item(item, items),
+        Ok(None) => return Err(Fault::Upstream.into()),
+        Err(_) => Next::Wait(items),
     };
-    let shape = Shape::of(job);
     let keep_alive = KeepAlive::new().interval(KEEP_ALIVE);
-    Ok(Sse::new(events(shape, first, items)).keep_alive(keep_alive).into_response())
+    Ok(Sse::new(events(Shape::of(job), first)).keep_alive(keep_alive).into_response())
+}
+
+/// What an event stream sends next.
+enum Next {
+    /// This item.
+    Item(Item, mpsc::Receiver<Item>),
+    /// The next item there is.
+    Wait(mpsc::Receiver<Item>),
+    /// The end marker.
+    Done,
+    /// Nothing more.
+    End,
 }
 
 /// Answers with one document, once the whole answer is known.
@@ -68,6 +85,8 @@
         match item {
             Item::Restart => text.clear(),
             Item::Failed(problem) => return Err(problem),
+            // Only a resumed stream can be complete from the start.
+            Item::Complete => return Err(Fault::BadHandle.into()),
             Item::Token(token) => {
                 text.push_str(&token.text);
                 if token.finish.is_some() {
@@ -80,29 +99,19 @@
     Err(Fault::Upstream.into())
 }
 
-fn events(
-    shape: Shape,
-    first: Item,
-    items: mpsc::Receiver<Item>,
-) -> impl Stream<Item = Result<Event, Infallible>> {
-    enum Next {
-        Item(Item, mpsc::Receiver<Item>),
-        Wait(mpsc::Receiver<Item>),
-        Done,
-        End,
-    }
-    stream::unfold(Next::Item(first, items), move |next| {
+fn events(shape: Shape, first: Next) -> impl Stream<Item = Result<Event, Infallible>> {
+    stream::unfold(first, move |next| {
         let shape = shape.clone();
         async move {
             let (item, items) = match next {
                 Next::Item(item, items) => (item, items),
                 Next::Wait(mut items) => (items.recv().await?, items),
-                Next::Done => return Some((Ok(Event::default().data("[DONE]")), Next::End)),
+                Next::Done => return Some((Ok(Event::default().data(END_MARKER)), Next::End)),
                 Next::End => return None,
             };
             let next = match &item {
                 Item::Token(t) if t.finish.is_some() => Next::Done,
-                Item::Failed(_) => Next::End,
+                Item::Failed(_) | Item::Complete => Next::End,
                 _ => Next::Wait(items),
             };
             Some((Ok(shape.event(&item)), next))
@@ -124,6 +133,7 @@
                 json(Event::default().id(format!("{}.{}", token.sealed, token.mark)), &data)
             }
             Item::Restart => Event::default().event("restart").data("{}"),
+            Item::Complete => Event::default().data(END_MARKER),
             Item::Failed(problem) => json(Event::default().event("problem"), &problem.document()),
         }
     }
--- a/crates/entry/src/sequence.rs
+++ b/crates/entry/src/sequence.rs
@@ -70,6 +70,8 @@
 pub enum Delivery {
     /// The caller holds it already.
     Skip,
+    /// The caller holds it already, and it was the last.
+    Complete,
     /// The token, with the caller's mark after it.
     Token(Token, Mark),
     /// The generation differs from what the caller holds: it drops that, and takes these.
@@ -117,11 +119,7 @@
         }
         let skipped = std::mem::take(&mut self.skipped);
         if caught_up && self.seen.hash == self.held.hash {
-            // The last token carries the usage, which the caller may not hold yet.
-            return match skipped.into_iter().next_back() {
-                Some((token, mark)) if last => Delivery::Token(token, mark),
-                _ => Delivery::Skip,
-            };
+            return if last { Delivery::Complete } else { Delivery::Skip };
         }
         self.held = self.seen;
         Delivery::Restart(skipped)
--- a/crates/node/src/upkeep.rs
+++ b/crates/node/src/upkeep.rs
@@ -48,12 +48,16 @@
 pub async fn rounds(core: Arc<Core>, limits: watch::Receiver<Limits>) {
     let mut ticks = interval(ROUND);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut last = Freshness::Stale;
+    let (mut last, mut ready) = (Freshness::Stale, false);
     loop {
         ticks.tick().await;
         let limits = *limits.borrow();
         adapt(&core, limits);
         last = note(&core, last);
+        if !ready && last != Freshness::Stale {
+            ready = true;
+            core.record(EventKind::Ready);
+        }
     }
 }
 
--- a/crates/node/tests/deployed_streams.rs
+++ b/crates/node/tests/deployed_streams.rs
@@ -3,7 +3,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use rig::{Completion, Deployment, STATE_LIMIT, Signal, Spec, wait_for};
+use rig::{Caller, CallerConfig, Completion, Deployment, STATE_LIMIT, Signal, Spec, wait_for};
 use serde_json::json;
 
 /// Tokens of an answer that is long enough to be interrupted.
@@ -94,6 +94,27 @@
     .await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_prefill_is_told_from_silence() {
+    // About 850 prompt tokens take over 5 s.
+    let engine_args = vec!["--weights", "v1", "--prefill-rate", "150"];
+    let deployment = Deployment::start(&Spec { engine_args, ..Spec::default() }).await.unwrap();
+    let seeds = deployment.entries.iter().map(|e| e.instance.addr().to_string()).collect();
+    let caller = Caller::new(CallerConfig {
+        seeds,
+        key: "weddings-key".to_owned(),
+        zone: None,
+        silence: Duration::from_secs(3),
+        patience: Duration::from_secs(4),
+        limit: STATE_LIMIT,
+    });
+    let ask = Completion { tokens: 4, ..ask(0) };
+    let answer = caller.complete(&ask).await.unwrap();
+    assert_eq!(answer.text, expected(&ask));
+    assert_eq!((answer.attempts, answer.restarts), (1, 0), "{answer:?}");
+    assert!(answer.ttft > Duration::from_secs(4), "the prompt took long: {:?}", answer.ttft);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn disorderly_events_give_ordered_answers() {
     let deployment = Deployment::start(&slow()).await.unwrap();
