Give back what is counted for a caller that went away

Cause: a request was placed and sent within the caller's own call. When the caller went away before the engine's first answer, that call was dropped with its ticket and its planned transfer, which are only given back by hand: the replica counted as loaded, and the link as used, for ever. Ruled out: the gate (its permit is given back on drop).

--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -5,8 +5,10 @@
 use axum::{http::HeaderMap, response::Response};
 use conf::Grant;
 use outbound::CallError;
+use tokio::sync::mpsc;
 
 use crate::{
+    admission::Permit,
     asked::{Asked, text},
     body::{Api, Prompt},
     core::Core,
@@ -19,6 +21,9 @@
     sequence::CatchUp,
 };
 
+/// What a caller is to be sent.
+type Items = mpsc::Receiver<Item>;
+
 /// Header with the handle of the last event a caller received.
 const LAST_EVENT: &str = "last-event-id";
 /// Time a request is expected to hold its place, before anything was measured.
@@ -34,41 +39,54 @@
     // First of all: a stale configuration decides nothing, not even a refusal.
     core.taking()?;
     let asked = Asked::read(&core, headers)?;
-    let begun = begin(&core, asked.clone(), api, headers, body).await;
-    let (job, start) = begun.inspect_err(|problem| core.refuse(&asked, problem))?;
-    let items = Relay::spawn(core, job.clone(), start);
+    let items = begin(&core, &asked, api, headers, body).await;
+    let (job, items) = items.inspect_err(|problem| core.refuse(&asked, problem))?;
     answer(&job, items).await
 }
 
 /// Admits a request and sends it to a replica.
 async fn begin(
     core: &Arc<Core>,
-    asked: Asked,
+    asked: &Asked,
     api: Api,
     headers: &HeaderMap,
     body: &[u8],
-) -> Result<(Arc<Job>, Start), Problem> {
+) -> Result<(Arc<Job>, Items), Problem> {
     let prompt = Prompt::parse(api, body)?;
     check(&asked.grant, &prompt)?;
-    let resumed = handle(core, headers, &asked, &prompt)?;
+    let resumed = handle(core, headers, asked, &prompt)?;
     // And again, in case the process was paused while it read that configuration.
     core.taking()?;
-    let job = Arc::new(Job { asked, prompt });
+    let job = Arc::new(Job { asked: asked.clone(), prompt });
     let permit = core.admission.enter(core, &job, FIRST_SERVICE).await?;
+    // A caller that goes away drops this call at any point. What is counted at a replica or planned
+    // on a link from here on is given back by a task that ends by itself.
+    let started = tokio::spawn(start(core.clone(), job.clone(), resumed, permit));
+    let items = started.await.unwrap_or_else(|_| Err(Fault::Upstream.into()))?;
+    Ok((job, items))
+}
+
+/// Starts or resumes a generation and its relay, which ends it if the caller has gone.
+async fn start(
+    core: Arc<Core>,
+    job: Arc<Job>,
+    resumed: Option<Handle>,
+    permit: Permit,
+) -> Result<Items, Problem> {
     let start = match resumed {
         None => {
-            let live = launch(core, &job, &[], Pinned::No).await?;
+            let live = launch(&core, &job, &[], Pinned::No).await?;
             Start { live, from: 0, catch_up: CatchUp::resumed(Default::default()), permit }
         }
         Some(handle) => {
-            let (live, from, catch_up) = resume(core, &job, handle).await?;
+            let (live, from, catch_up) = resume(&core, &job, handle).await?;
             Start { live, from, catch_up, permit }
         }
     };
-    Ok((job, start))
+    Ok(Relay::spawn(core, job, start))
 }
 
-async fn answer(job: &Job, items: tokio::sync::mpsc::Receiver<Item>) -> Result<Response, Problem> {
+async fn answer(job: &Job, items: Items) -> Result<Response, Problem> {
     if job.prompt.stream {
         respond::stream(job, items).await
     } else {
