--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -13,6 +13,7 @@
 };
 use ident::Name;
 use serde::{Deserialize, Serialize};
+use tower::ServiceBuilder;
 
 use crate::{
     asked::Asked,
@@ -31,8 +32,11 @@
         .route("/v1/chat/completions", post(chat))
         .route("/v1/call/{target}/{*path}", any(service))
         .route("/v1/outcomes/{key}", get(outcome))
-        .layer(middleware::from_fn_with_state(core.clone(), count))
-        .layer(DefaultBodyLimit::max(limit))
+        .layer(
+            ServiceBuilder::new()
+                .layer(DefaultBodyLimit::max(limit))
+                .layer(middleware::from_fn_with_state(core.clone(), count)),
+        )
         .route("/healthz", get(healthy))
         .route("/readyz", get(ready))
         .route("/metrics", get(metrics))
