--- /dev/null
+++ b/crates/fleet/src/view.rs
@@ -0,0 +1,246 @@
+//! The newest knowledge, shared by all tasks of an instance.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use ident::Time;
+use parking_lot::RwLock;
+use tokio::sync::watch;
+
+use crate::Setup;
+
+/// One incarnation of a replica of a target, as registered.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Replica {
+    /// Its id, unique to the incarnation in most cases.
+    pub id: Arc<str>,
+    /// The target it belongs to.
+    pub target: Arc<str>,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// The zone it is in.
+    pub zone: Arc<str>,
+    /// Requests it runs at once.
+    pub slots: u32,
+    /// It is leaving: no new work.
+    pub leaving: bool,
+    /// Its start, in Unix ms; tells incarnations under one id apart. Zero where unknown.
+    pub born: u64,
+    /// Models and the weight versions it has. Sorted by model.
+    pub models: Vec<(Arc<str>, u64)>,
+}
+
+impl Replica {
+    /// The version of `model` that the replica registered.
+    pub fn version(&self, model: &str) -> Option<u64> {
+        self.models.iter().find(|(name, _)| &**name == model).map(|(_, version)| *version)
+    }
+}
+
+/// The weights wanted for a model.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Weights {
+    /// The model.
+    pub model: Arc<str>,
+    /// The newest version named.
+    pub version: u64,
+    /// When this instance learnt of it.
+    pub learnt: Time,
+}
+
+/// An instance as it registered itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Instance {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Where callers connect.
+    pub front: SocketAddr,
+    /// Where it takes peers' datagrams.
+    pub peer: SocketAddr,
+    /// The zone it is in.
+    pub zone: Arc<str>,
+    /// It takes no new callers.
+    pub leaving: bool,
+    /// The life of its process.
+    pub boot: u64,
+}
+
+/// When a part of the view was last confirmed by the platform.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Age {
+    /// Configuration and wanted weights.
+    pub setup: Time,
+    /// Replicas.
+    pub replicas: Time,
+}
+
+/// A consistent copy of the view.
+#[derive(Debug, Clone, Default)]
+pub struct Snapshot {
+    /// The configuration in force; `None` before the first.
+    pub setup: Option<Arc<Setup>>,
+    /// Sorted by id.
+    pub replicas: Vec<Arc<Replica>>,
+    /// Sorted by model.
+    pub weights: Vec<Weights>,
+    /// Sorted by name.
+    pub instances: Vec<Arc<Instance>>,
+    /// When the parts were confirmed.
+    pub age: Age,
+}
+
+impl Snapshot {
+    /// The version wanted for `model`, with the time it was learnt.
+    pub fn wanted(&self, model: &str) -> Option<&Weights> {
+        let at = self.weights.binary_search_by(|w| (*w.model).cmp(model)).ok()?;
+        Some(&self.weights[at])
+    }
+
+    /// The replica of that id.
+    pub fn replica(&self, id: &str) -> Option<&Arc<Replica>> {
+        let at = self.replicas.binary_search_by(|r| (*r.id).cmp(id)).ok()?;
+        Some(&self.replicas[at])
+    }
+}
+
+/// The newest knowledge of an instance.
+///
+/// Invariants: the configuration's revision and each model's wanted version never fall within a
+/// process.
+pub struct View {
+    now: RwLock<Arc<Snapshot>>,
+    changed: watch::Sender<u64>,
+}
+
+impl Default for View {
+    fn default() -> Self {
+        Self { now: RwLock::default(), changed: watch::Sender::new(0) }
+    }
+}
+
+impl View {
+    /// The newest snapshot.
+    pub fn get(&self) -> Arc<Snapshot> {
+        self.now.read().clone()
+    }
+
+    /// Told of each change.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// Takes in a configuration; false where it isn't newer.
+    pub fn offer_setup(&self, setup: Setup) -> bool {
+        self.update(|now| match &now.setup {
+            Some(old) if old.rev >= setup.rev => false,
+            _ => {
+                now.setup = Some(Arc::new(setup));
+                true
+            }
+        })
+    }
+
+    /// Takes in wanted weights; false where they aren't newer.
+    pub fn offer_weights(&self, model: &str, version: u64, learnt: Time) -> bool {
+        self.update(|now| match now.weights.binary_search_by(|w| (*w.model).cmp(model)) {
+            Ok(at) if now.weights[at].version >= version => false,
+            Ok(at) => {
+                now.weights[at] = Weights { model: model.into(), version, learnt };
+                true
+            }
+            Err(at) => {
+                now.weights.insert(at, Weights { model: model.into(), version, learnt });
+                true
+            }
+        })
+    }
+
+    /// Adds or replaces a replica; false where nothing changes.
+    pub fn put_replica(&self, replica: Replica) -> bool {
+        self.update(|now| match now.replicas.binary_search_by(|r| r.id.cmp(&replica.id)) {
+            Ok(at) if *now.replicas[at] == replica => false,
+            Ok(at) => {
+                now.replicas[at] = Arc::new(replica);
+                true
+            }
+            Err(at) => {
+                now.replicas.insert(at, Arc::new(replica));
+                true
+            }
+        })
+    }
+
+    /// Drops a replica; false where it wasn't known.
+    pub fn drop_replica(&self, id: &str) -> bool {
+        self.update(|now| match now.replicas.binary_search_by(|r| (*r.id).cmp(id)) {
+            Ok(at) => {
+                now.replicas.remove(at);
+                true
+            }
+            Err(_) => false,
+        })
+    }
+
+    /// Marks a replica as leaving.
+    pub fn mark_leaving(&self, id: &str) -> bool {
+        let found = self.get().replica(id).cloned();
+        found.is_some_and(|r| self.put_replica(Replica { leaving: true, ..(*r).clone() }))
+    }
+
+    /// Adds or replaces an instance; false where nothing changes.
+    pub fn put_instance(&self, instance: Instance) -> bool {
+        self.update(|now| match now.instances.binary_search_by(|i| i.name.cmp(&instance.name)) {
+            Ok(at) if *now.instances[at] == instance => false,
+            Ok(at) => {
+                now.instances[at] = Arc::new(instance);
+                true
+            }
+            Err(at) => {
+                now.instances.insert(at, Arc::new(instance));
+                true
+            }
+        })
+    }
+
+    /// Drops an instance; false where it wasn't known.
+    pub fn drop_instance(&self, name: &str) -> bool {
+        self.update(|now| match now.instances.binary_search_by(|i| (*i.name).cmp(name)) {
+            Ok(at) => {
+                now.instances.remove(at);
+                true
+            }
+            Err(_) => false,
+        })
+    }
+
+    /// Notes that configuration and weights were current at `at`.
+    pub fn confirm_setup(&self, at: Time) {
+        self.touch(|age| age.setup = age.setup.max(at));
+    }
+
+    /// Notes that the replicas were current at `at`.
+    pub fn confirm_replicas(&self, at: Time) {
+        self.touch(|age| age.replicas = age.replicas.max(at));
+    }
+
+    fn touch<F>(&self, change: F)
+    where
+        F: FnOnce(&mut Age),
+    {
+        let mut now = self.now.write();
+        change(&mut Arc::make_mut(&mut now).age);
+    }
+
+    fn update<F>(&self, change: F) -> bool
+    where
+        F: FnOnce(&mut Snapshot) -> bool,
+    {
+        let mut now = self.now.write();
+        let mut next = (**now).clone();
+        if !change(&mut next) {
+            return false;
+        }
+        *now = Arc::new(next);
+        self.changed.send_modify(|n| *n += 1);
+        true
+    }
+}
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -10,6 +10,7 @@
 mod rollout;
 mod row;
 mod slots;
+mod upgrade;
 mod watch;
 
 use std::{
@@ -28,6 +29,7 @@
     held::{Held, LeaseError},
     rollout::{Block, Bounds, Demand, LONGEST_ORDER, Order, Replica, Rollout, Step, Wanted},
     slots::Slots,
+    upgrade::{Moves, Reading, Upgrade},
 };
 use crate::{
     row::{Owner, RowWire},
--- a/crates/outbound/src/client.rs
+++ b/crates/outbound/src/client.rs
@@ -117,10 +117,37 @@
     where
         A: Serialize + Sync,
         F: Fn(StatusCode, &[u8]) -> CallError,
+    {
+        self.whole(call.request()?, call.connection, limit, refuse).await
+    }
+
+    /// Sends a prepared request over a pooled connection and reads a JSON answer whole.
+    pub async fn exchange<B, F>(
+        &self,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+        refuse: F,
+    ) -> Result<B, CallError>
+    where
+        B: DeserializeOwned,
+        F: Fn(StatusCode, &[u8]) -> CallError,
+    {
+        let bytes = self.whole(request, Connection::Pooled, limit, refuse).await?;
+        serde_json::from_slice(&bytes).map_err(CallError::malformed)
+    }
+
+    async fn whole<F>(
+        &self,
+        request: Request<Full<Bytes>>,
+        connection: Connection,
+        limit: Duration,
+        refuse: F,
+    ) -> Result<Bytes, CallError>
+    where
+        F: Fn(StatusCode, &[u8]) -> CallError,
     {
         let whole = async {
-            let request = call.request()?;
-            let response = self.send(request, call.connection, limit).await?;
+            let response = self.send(request, connection, limit).await?;
             let status = response.status();
             let body = read(response).await?;
             if status.is_success() { Ok(body) } else { Err(refuse(status, &body)) }
--- /dev/null
+++ b/crates/relay/src/follow.rs
@@ -0,0 +1,222 @@
+//! Follows the platform's registry and keeps the view up to date.
+
+use std::{sync::Arc, time::Duration};
+
+use fleet::Instance;
+use ident::Time;
+use rand::Rng;
+use tracing::{info, warn};
+
+use crate::{
+    core::Core,
+    outside::{CallError, News, Topic},
+};
+
+/// Longest wait for a change. Each answer also confirms that nothing newer is there.
+const WAIT: Duration = Duration::from_millis(2000);
+/// Pause after an answer about replicas: their heartbeats change rows all the time, and each
+/// question is a call that all instances share. Half a second leaves most of the time in which a
+/// leaving replica must be left alone.
+const REPLICA_PAUSE: Duration = Duration::from_millis(500);
+/// First pause after a failed question, doubled up to the longest.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Longest pause after failed questions.
+const MAX_RETRY: Duration = Duration::from_millis(1500);
+/// How long after the registry's return an entry may be missing before its replica is given up.
+const RETURN_TERM: Duration = Duration::from_millis(2200);
+
+/// Follows one topic for ever.
+pub(crate) async fn follow(core: Arc<Core>, topic: Topic) {
+    let mut follower = Follower::new(core, topic);
+    loop {
+        follower.step().await;
+    }
+}
+
+struct Follower {
+    core: Arc<Core>,
+    topic: Topic,
+    /// Where to go on; `None` where everything must be read.
+    next: Option<u64>,
+    /// Failures in a row.
+    failures: u32,
+    /// When the registry last came back after failures.
+    returned: Time,
+    /// Replicas whose entries are missing, and when they are given up. In order of time.
+    missing: Vec<(Arc<str>, Time)>,
+}
+
+impl Follower {
+    fn new(core: Arc<Core>, topic: Topic) -> Self {
+        let (next, failures, returned) = (None, 0, Time(0));
+        Self { core, topic, next, failures, returned, missing: Vec::new() }
+    }
+
+    async fn step(&mut self) {
+        let asked = self.core.now();
+        let registry = &self.core.outside.registry;
+        let whole = self.next.is_none();
+        let answer = match self.next {
+            None => registry.read(self.topic).await,
+            Some(next) => {
+                let wait = if self.missing.is_empty() { WAIT } else { Duration::from_millis(400) };
+                registry.follow(self.topic, next, wait).await
+            }
+        };
+        match answer {
+            Ok(batch) => {
+                self.core.metrics.calls.with_label_values(&["answered"]).inc();
+                if self.failures > 0 {
+                    self.returned = self.core.now();
+                    info!(topic = ?self.topic, failures = self.failures, "the registry is back");
+                }
+                self.failures = 0;
+                self.next = Some(batch.next);
+                let changed = !batch.news.is_empty();
+                self.take_in(batch.news, whole);
+                self.give_up();
+                self.confirm(asked);
+                if changed && self.topic != Topic::Operator {
+                    tokio::time::sleep(REPLICA_PAUSE).await;
+                }
+            }
+            Err(e) => self.failed(e).await,
+        }
+    }
+
+    async fn failed(&mut self, error: CallError) {
+        self.core.metrics.calls.with_label_values(&["failed"]).inc();
+        if self.failures == 0 {
+            let age = self.core.now().since(self.core.view.get().age.replicas).as_millis() as u64;
+            warn!(topic = ?self.topic, %error, known_ms = age, "the registry is lost");
+        }
+        if error == CallError::History {
+            self.next = None;
+        }
+        let pause = RETRY_PAUSE * (1 << self.failures.min(5));
+        self.failures += 1;
+        let jitter = rand::rng().random_range(0.7..1.3);
+        tokio::time::sleep(pause.min(MAX_RETRY).mul_f64(jitter)).await;
+    }
+
+    fn confirm(&self, asked: Time) {
+        match self.topic {
+            Topic::Operator => self.core.view.confirm_setup(asked),
+            Topic::Replicas => self.core.view.confirm_replicas(asked),
+            Topic::Instances => {}
+        }
+    }
+
+    fn take_in(&mut self, news: Vec<News>, whole: bool) {
+        if whole {
+            self.drop_absent(&news);
+        }
+        let mut replicas = false;
+        for item in news {
+            replicas |= matches!(item, News::Replica(_) | News::ReplicaGone(_));
+            self.apply(item);
+        }
+        if replicas || whole {
+            self.core.pool.lock().sync(&self.core.view.get().replicas);
+        }
+    }
+
+    fn apply(&mut self, item: News) {
+        let core = self.core.clone();
+        match item {
+            News::Setup(setup) => {
+                let (rev, routes) = (setup.rev, setup.routes.len());
+                if core.view.offer_setup(*setup) {
+                    info!(rev, routes, "configuration in force");
+                    crate::kept::sync_shelves(&core);
+                }
+            }
+            News::Weights { model, version } => {
+                if core.view.offer_weights(&model, version, core.now()) {
+                    info!(%model, version, "weights named");
+                }
+            }
+            News::Replica(replica) => {
+                self.missing.retain(|(id, _)| *id != replica.id);
+                let (id, leaving) = (replica.id.clone(), replica.leaving);
+                let known = core.view.get().replica(&id).cloned();
+                let addr = replica.addr;
+                // A replica that a peer or an answer showed to be leaving does not come back by an
+                // older entry of the same incarnation.
+                let gone = known.as_ref().is_some_and(|k| k.leaving && k.born == replica.born);
+                if gone && !leaving && known.as_ref().is_some_and(|k| k.addr == addr) {
+                    return;
+                }
+                let new = known.is_none_or(|k| k.leaving != leaving || k.addr != addr);
+                if core.view.put_replica(replica) && new {
+                    info!(replica = %id, leaving, %addr, "replica registered");
+                }
+            }
+            News::ReplicaGone(id) => self.gone(id),
+            News::Instance(instance) => self.instance(instance),
+            News::InstanceGone(name) => {
+                if core.view.drop_instance(&name) {
+                    info!(instance = %name, "instance gone");
+                }
+            }
+        }
+    }
+
+    fn instance(&self, instance: Instance) {
+        let (name, leaving) = (instance.name.clone(), instance.leaving);
+        if self.core.view.put_instance(instance) {
+            info!(instance = %name, leaving, "instance registered");
+        }
+    }
+
+    /// An entry vanished: at once where the registry is steady, after a while where it has just
+    /// come back and entries may have lapsed meanwhile.
+    fn gone(&mut self, id: Arc<str>) {
+        let back = self.returned.after(RETURN_TERM);
+        if self.returned > Time(0) && !back.passed(self.core.now()) {
+            info!(replica = %id, "replica missing after the registry's return");
+            self.missing.push((id, back));
+            return;
+        }
+        if self.core.view.drop_replica(&id) {
+            info!(replica = %id, "replica gone");
+        }
+    }
+
+    fn give_up(&mut self) {
+        let now = self.core.now();
+        let (over, rest) = self.missing.drain(..).partition(|(_, until)| until.passed(now));
+        self.missing = rest;
+        let over: Vec<(Arc<str>, Time)> = over;
+        for (id, _) in &over {
+            if self.core.view.drop_replica(id) {
+                info!(replica = %id, "replica gone, it did not come back");
+            }
+        }
+        if !over.is_empty() {
+            self.core.pool.lock().sync(&self.core.view.get().replicas);
+        }
+    }
+
+    /// Drops what a whole reading no longer holds.
+    fn drop_absent(&mut self, news: &[News]) {
+        let snapshot = self.core.view.get();
+        match self.topic {
+            Topic::Operator => {}
+            Topic::Replicas => {
+                let listed =
+                    |id: &str| news.iter().any(|n| matches!(n, News::Replica(r) if *r.id == *id));
+                let absent = snapshot.replicas.iter().filter(|r| !listed(&r.id));
+                absent.for_each(|r| self.gone(r.id.clone()));
+            }
+            Topic::Instances => {
+                let listed = |name: &str| {
+                    news.iter().any(|n| matches!(n, News::Instance(i) if *i.name == *name))
+                };
+                for absent in snapshot.instances.iter().filter(|i| !listed(&i.name)) {
+                    self.core.view.drop_instance(&absent.name);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/job.rs
@@ -0,0 +1,86 @@
+//! A request that was accepted, and the record of how it went.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use fleet::{Route, Snapshot, Team};
+use hyper::{HeaderMap, Method, Uri};
+use ident::Time;
+use place::Prompt;
+
+use crate::{core::Core, dialect::Told};
+
+/// A request that was accepted and read whole.
+pub struct Job {
+    /// Its method.
+    pub method: Method,
+    /// Path and query, as the client sent them.
+    pub uri: Uri,
+    /// Headers to pass on.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+    /// What the client says of it.
+    pub told: Told,
+    /// Its route.
+    pub route: Route,
+    /// The client's team.
+    pub team: Option<Team>,
+    /// When its head was read.
+    pub start: Time,
+    /// When its answer must have ended.
+    pub deadline: Time,
+}
+
+impl Job {
+    /// Its prompt, where it goes to a model engine.
+    pub fn prompt(&self) -> Option<&Prompt> {
+        self.told.prompt.as_ref().filter(|_| self.route.sticky)
+    }
+
+    /// The time left.
+    pub fn left(&self, now: Time) -> Duration {
+        self.deadline.since(now)
+    }
+
+    /// The team, where its KV cache is shared with no other.
+    pub fn wall(&self) -> Option<&str> {
+        self.team.as_ref().filter(|t| t.dedicated).map(|t| &*t.name)
+    }
+
+    /// The target it goes to: drawn by the shares of its route.
+    pub fn target(&self, draw: u64) -> Arc<str> {
+        let total: u64 = self.route.shares.iter().map(|s| u64::from(s.weight)).sum();
+        let mut left = draw % total.max(1);
+        for share in &self.route.shares {
+            if left < u64::from(share.weight) {
+                return share.target.clone();
+            }
+            left -= u64::from(share.weight);
+        }
+        self.route.shares[0].target.clone()
+    }
+
+    /// Its rank at an engine: short prompts first, since they delay nobody.
+    pub fn rank(&self) -> Option<u8> {
+        let prompt = self.prompt()?;
+        let (reading, medium, long) = (prompt.input, 4_096, 16_384);
+        Some(match reading {
+            n if n < 1_024 => 2,
+            n if n < medium => 4,
+            n if n < long => 5,
+            _ => 6,
+        })
+    }
+
+    /// Whether the weights may only be the newest: the bound for older ones is near.
+    pub fn strict(&self, core: &Core, snapshot: &Snapshot, now: Time) -> bool {
+        let Some(prompt) = self.prompt() else { return false };
+        let bound = core.settings.bounds.version.mul_f64(STRICT_SHARE);
+        snapshot.wanted(&prompt.model).is_some_and(|w| now.since(w.learnt) > bound)
+    }
+}
+
+/// Share of the time allowed for new weights after which older ones are no longer used. A request
+/// begins to run only after it has waited at the replica.
+const STRICT_SHARE: f64 = 0.75;
--- /dev/null
+++ b/crates/relay/src/peers.rs
@@ -0,0 +1,183 @@
+//! Datagrams between instances: who is alive, who is leaving, what each has under way at the
+//! replicas, and news that a peer may miss while the platform is out of its reach.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use ident::Time;
+use place::{PeerLoad, Work};
+use serde::{Deserialize, Serialize};
+use tokio::{net::UdpSocket, time::timeout};
+use tracing::{info, warn};
+
+use crate::core::Core;
+
+/// How long after its last datagram an instance counts as alive.
+pub(crate) const PEER_TERM: Duration = Duration::from_millis(1600);
+/// Least pause between two rounds of datagrams.
+const ROUND: Duration = Duration::from_millis(200);
+/// Datagrams an instance sends in a second at most; with more peers, rounds are further apart.
+const PER_SECOND: u32 = 60;
+/// Longest datagram, in bytes: fits into one packet.
+const MAX_BYTES: usize = 1400;
+/// Most replicas whose load fits.
+const MAX_LOADS: usize = 40;
+
+/// How long a replica is left alone after a peer said that it loads weights.
+pub(crate) const LOADING_TERM: Duration = Duration::from_millis(500);
+
+/// Layout of a datagram; another one is not understood.
+const FORMAT: u8 = 1;
+
+/// What an instance tells its peers.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct Wire {
+    format: u8,
+    name: String,
+    /// It takes callers' requests.
+    ready: bool,
+    /// Revision of its configuration, 0 for none.
+    rev: u64,
+    /// Replica, prompt tokens to read, tokens of memory, requests.
+    loads: Vec<(String, u64, u64, u32)>,
+    /// Replicas that it knows to be leaving.
+    leaving: Vec<String>,
+    /// Replicas that load weights by its orders.
+    loading: Vec<String>,
+    /// Newest weights by model.
+    weights: Vec<(String, u64)>,
+}
+
+/// A datagram that is not understood.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+enum WireError {
+    #[error("the datagram is malformed")]
+    Malformed,
+    #[error("the datagram has layout {0}, not {FORMAT}")]
+    Format(u8),
+}
+
+impl TryFrom<&[u8]> for Wire {
+    type Error = WireError;
+
+    fn try_from(bytes: &[u8]) -> Result<Self, WireError> {
+        let wire: Self = postcard::from_bytes(bytes).map_err(|_| WireError::Malformed)?;
+        if wire.format == FORMAT { Ok(wire) } else { Err(WireError::Format(wire.format)) }
+    }
+}
+
+fn wire(core: &Core) -> Wire {
+    let snapshot = core.view.get();
+    let mut loads = core.pool.lock().loads();
+    loads.truncate(MAX_LOADS);
+    let load = |l: PeerLoad| (l.replica.to_string(), l.work.reading, l.work.memory, l.work.runs);
+    let leaving = snapshot.replicas.iter().filter(|r| r.leaving);
+    Wire {
+        format: FORMAT,
+        name: core.settings.name.to_string(),
+        ready: core.ready(),
+        rev: snapshot.setup.as_ref().map_or(0, |s| s.rev),
+        loads: loads.into_iter().map(load).collect(),
+        leaving: leaving.map(|r| r.id.to_string()).take(8).collect(),
+        loading: core.loading.lock().iter().map(|id| id.to_string()).collect(),
+        weights: snapshot.weights.iter().map(|w| (w.model.to_string(), w.version)).collect(),
+    }
+}
+
+/// Tells all peers, again and again.
+pub(crate) async fn tell(core: Arc<Core>, socket: Arc<UdpSocket>) {
+    loop {
+        let peers = addresses(&core);
+        let share = Duration::from_secs(1) * peers.len() as u32 / PER_SECOND;
+        let _ = timeout(ROUND.max(share), core.tell.notified()).await;
+        send(&core, &socket, &peers).await;
+    }
+}
+
+/// Tells all peers once.
+pub(crate) async fn send(core: &Core, socket: &UdpSocket, peers: &[SocketAddr]) {
+    let Ok(bytes) = postcard::to_stdvec(&wire(core)) else { return };
+    if bytes.len() > MAX_BYTES {
+        warn!(bytes = bytes.len(), "the datagram for peers is too long");
+        return;
+    }
+    for peer in peers {
+        // Lost datagrams are made up for by the next.
+        let _ = socket.send_to(&bytes, peer).await;
+    }
+}
+
+pub(crate) fn addresses(core: &Core) -> Vec<SocketAddr> {
+    let snapshot = core.view.get();
+    let others = snapshot.instances.iter().filter(|i| i.name != core.settings.name);
+    others.map(|i| i.peer).collect()
+}
+
+/// Takes in what peers tell.
+pub(crate) async fn hear(core: Arc<Core>, socket: Arc<UdpSocket>) {
+    let mut buffer = vec![0; 2048];
+    loop {
+        let length = match socket.recv_from(&mut buffer).await {
+            Ok((length, _)) => length,
+            Err(e) => {
+                warn!(error = %e, "no datagram could be read");
+                tokio::time::sleep(ROUND).await;
+                continue;
+            }
+        };
+        match Wire::try_from(&buffer[..length]) {
+            Ok(wire) => take_in(&core, wire),
+            Err(e) => warn!(error = %e, "a peer's datagram was dropped"),
+        }
+    }
+}
+
+fn take_in(core: &Core, wire: Wire) {
+    let now = core.now();
+    let name: Arc<str> = wire.name.as_str().into();
+    let mut loads: Vec<PeerLoad> = wire
+        .loads
+        .into_iter()
+        .map(|(replica, reading, memory, runs)| PeerLoad {
+            replica: replica.into(),
+            work: Work { reading, memory, runs },
+        })
+        .collect();
+    loads.sort_by(|a, b| a.replica.cmp(&b.replica));
+    core.pool.lock().peer(&name, loads, now);
+    for id in &wire.loading {
+        core.pool.lock().avoid(id, now.after(LOADING_TERM));
+    }
+    for id in &wire.leaving {
+        if core.view.get().replica(id).is_some_and(|r| !r.leaving) && core.view.mark_leaving(id) {
+            info!(replica = %id, peer = %name, "a peer knows that the replica is leaving");
+            core.pool.lock().sync(&core.view.get().replicas);
+        }
+    }
+    for (model, version) in &wire.weights {
+        if core.view.get().wanted(model).is_some_and(|w| w.version < *version)
+            && core.view.offer_weights(model, *version, now)
+        {
+            info!(%model, version, peer = %name, "a peer knows newer weights");
+        }
+    }
+    note(core, name, wire.ready, now);
+}
+
+/// Notes that a peer is alive, or no longer takes requests.
+fn note(core: &Core, name: Arc<str>, ready: bool, now: Time) {
+    let mut heard = core.heard.lock();
+    match (heard.binary_search_by(|(n, _)| n.cmp(&name)), ready) {
+        (Ok(at), true) => heard[at].1 = now,
+        (Err(at), true) => heard.insert(at, (name, now)),
+        (Ok(at), false) => {
+            heard.remove(at);
+        }
+        (Err(_), false) => {}
+    }
+    heard.retain(|(_, at)| now.since(*at) < PEER_TERM * 4);
+    core.live.store(heard.len() as u32 + 1, Ordering::Relaxed);
+}
