Take homes within one version, date knowledge by the answer, stop taking requests in time

Change: a third of the grace after SIGTERM the listener closes and idle connections end; an active request is counted until its last byte. Answers of the registry are dated by its own clock. Homes are chosen within one version. Each send is logged with what decided it.

--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -164,6 +164,21 @@
     read: Time,
 }
 
+/// The home of the context within each version of the model: parts of one version are of no use to
+/// another.
+fn homes<'e>(members: &[&'e Entry], ask: &Ask<'_>) -> Vec<(Option<u64>, &'e Entry)> {
+    let Some(context) = ask.context else { return Vec::new() };
+    let mut out: Vec<(Option<u64>, &'e Entry)> = Vec::new();
+    let order = rank(context.as_bytes(), members, |e| &e.replica.id);
+    for entry in order.into_iter().filter(|e| e.failures < FAILURES) {
+        let version = ask.model.and_then(|(model, _)| entry.version(model));
+        if out.iter().all(|(v, _)| *v != version) {
+            out.push((version, entry));
+        }
+    }
+    out
+}
+
 /// What an instance knows of the replicas.
 ///
 /// Invariant: `entries` is sorted by id, and own work there belongs to requests under way.
@@ -290,20 +305,21 @@
         if members.is_empty() {
             return Err(Denied::Empty);
         }
-        let home = ask.context.and_then(|context| {
-            let order = rank(context.as_bytes(), &members, |e| &e.replica.id);
-            order.into_iter().find(|e| e.failures < FAILURES).copied()
-        });
+        let homes = homes(&members, ask);
+        let home_of = |entry: &Entry| {
+            let version = ask.model.and_then(|(model, _)| entry.version(model));
+            homes.iter().find(|(v, _)| *v == version).map(|(_, home)| *home)
+        };
         let usable = members.iter().filter(|e| self.usable(e, ask, now));
         let best = usable
-            .map(|e| (self.cost(e, home, ask, now), e))
+            .map(|e| (self.cost(e, home_of(e), ask, now), e))
             .min_by(|(a, _), (b, _)| a.total_cmp(b));
         let Some((delay, entry)) = best else {
             let paused = members.iter().map(|e| e.paused).filter(|t| !t.passed(now)).min();
             return Err(Denied::Unusable { until: paused.unwrap_or(now.after(FULL_PAUSE)) });
         };
         let version = ask.model.and_then(|(model, _)| entry.version(model));
-        let other = home.filter(|h| h.replica.id != entry.replica.id);
+        let other = home_of(entry).filter(|h| h.replica.id != entry.replica.id);
         let home = other.map(|h| h.replica.clone());
         Ok(Choice { replica: entry.replica.clone(), home, version, delay })
     }
--- a/crates/relay/src/accept.rs
+++ b/crates/relay/src/accept.rs
@@ -14,17 +14,22 @@
 use ident::Time;
 use tokio::time::timeout;
 
-use crate::{answer::Refusal, core::Core, job::Job};
+use crate::{
+    answer::Refusal,
+    core::Core,
+    job::{Active, Job},
+};
 
 /// Patience of a client that names none.
 const PATIENCE: Duration = Duration::from_secs(30);
 
 /// Reads a request whole and finds its route and team.
 pub(crate) async fn accept(
-    core: &Core,
+    core: &Arc<Core>,
     request: Request<Incoming>,
     start: Time,
 ) -> Result<Job, Refusal> {
+    let active = Active::new(core);
     let (head, body) = request.into_parts();
     let snapshot: Arc<Snapshot> = core.view.get();
     let setup = snapshot.setup.as_ref().ok_or(Refusal::Unready)?;
@@ -43,7 +48,7 @@
     let mut headers = head.headers;
     core.outside.dialect.strip(&mut headers);
     let (method, uri) = (head.method, origin_form(head.uri));
-    Ok(Job { method, uri, headers, body, told, route, team, start, deadline })
+    Ok(Job { method, uri, headers, body, told, route, team, start, deadline, _active: active })
 }
 
 /// A request with both a length and a transfer coding may be two in disguise.
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -14,7 +14,7 @@
 use parking_lot::Mutex;
 use place::{Budget, Catalog, Pool};
 use table::Table;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::{
     conns::Conns,
@@ -128,6 +128,8 @@
     pub dial: Mutex<Dial>,
     /// Replicas that load weights by this instance's orders.
     pub loading: Mutex<Vec<Arc<str>>>,
+    /// Set once no request is taken any more: listeners close, idle connections end.
+    pub closing: watch::Sender<bool>,
     /// Wakes the task that tells peers.
     pub tell: Notify,
 }
@@ -152,6 +154,7 @@
             heard: Mutex::default(),
             dial: Mutex::default(),
             loading: Mutex::default(),
+            closing: watch::Sender::new(false),
             tell: Notify::new(),
         })
     }
--- a/crates/relay/src/dates.rs
+++ b/crates/relay/src/dates.rs
@@ -30,16 +30,29 @@
     }
 }
 
-/// The registry's clock, as last told.
+/// The registry's clock, by the reading that arrived fastest.
+///
+/// Invariant: the own time of a reading is never earlier than its true time, and later by no more
+/// than the shortest delay of an answer so far.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Dial {
     told: Option<(u64, Time)>,
 }
 
+/// A reading that is further off than any delay means that the clock is another one.
+const MAX_DRIFT_MS: i128 = 30_000;
+
 impl Dial {
-    /// Takes in a reading of the registry's clock.
+    /// Takes in a reading of the registry's clock that arrived at `now`.
     pub fn set(&mut self, clock: u64, now: Time) {
-        self.told = Some((clock, now));
+        let offset = |clock: u64, now: Time| i128::from(now.0) - i128::from(clock);
+        let better = self.told.is_none_or(|(c, t)| {
+            let (old, new) = (offset(c, t), offset(clock, now));
+            new < old || new - old > MAX_DRIFT_MS
+        });
+        if better {
+            self.told = Some((clock, now));
+        }
     }
 
     /// The registry's time at `at`.
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -73,11 +73,15 @@
                 }
                 self.failures = 0;
                 self.next = Some(batch.next);
-                self.core.dial.lock().set(batch.clock, self.core.now());
+                let made = {
+                    let mut dial = self.core.dial.lock();
+                    dial.set(batch.clock, self.core.now());
+                    dial.own(batch.clock).unwrap_or(asked)
+                };
                 let changed = !batch.news.is_empty();
                 self.take_in(batch.news, whole);
                 self.give_up();
-                self.confirm(asked);
+                self.confirm(made.max(asked));
                 if changed && self.topic != Topic::Operator {
                     tokio::time::sleep(REPLICA_PAUSE).await;
                 }
@@ -101,10 +105,11 @@
         tokio::time::sleep(pause.min(MAX_RETRY).mul_f64(jitter)).await;
     }
 
-    fn confirm(&self, asked: Time) {
+    /// Notes that all that was known at `made` is known.
+    fn confirm(&self, made: Time) {
         match self.topic {
-            Topic::Operator => self.core.view.confirm_setup(asked),
-            Topic::Replicas => self.core.view.confirm_replicas(asked),
+            Topic::Operator => self.core.view.confirm_setup(made),
+            Topic::Replicas => self.core.view.confirm_replicas(made),
             Topic::Instances => {}
         }
     }
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -11,7 +11,7 @@
     header::{CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE},
 };
 use ident::Time;
-use place::{Ask, Choice, Denied, Outcome, Plan, Source, Work, salt};
+use place::{Ask, Choice, Denied, Outcome, Plan, Source, Transfer, Work, salt};
 use tokio::time::timeout;
 use tracing::info;
 
@@ -262,6 +262,7 @@
         *request.headers_mut() = job.headers.clone();
         core.outside.dialect.mark(request.headers_mut(), &marks);
         let load = Load::new(core, &replica.id, work);
+        self.log_sent(&choice, plan.as_ref(), marks.left, snapshot);
         let most = self.most(snapshot);
         let sent = core.conns.send(&replica.id, replica.addr, most, request, now);
         match timeout(job.left(now), sent).await {
@@ -289,6 +290,32 @@
         }
     }
 
+    /// One line for each send: what decided it, and how old that knowledge was.
+    fn log_sent(&self, choice: &Choice, plan: Option<&Plan>, left: Duration, known: &Snapshot) {
+        let now = self.core.now();
+        let source = |part: &Transfer| match (part.fetch, part.save) {
+            (Some(Source { tokens: Some(_), .. }), _) => 's',
+            (Some(_), _) => 'r',
+            (None, Some(_)) => 'w',
+            (None, None) => '-',
+        };
+        let moved: String = plan.iter().flat_map(|p| p.parts.iter().map(source)).collect();
+        info!(
+            request = &*self.job.told.id,
+            replica = &*choice.replica.id,
+            home = choice.home.as_ref().map(|h| &*h.id),
+            version = choice.version,
+            send = self.tried.len(),
+            delay_ms = choice.delay as u64,
+            left_ms = left.as_millis() as u64,
+            known_ms = now.since(known.age.replicas).as_millis() as u64,
+            moved,
+            context = self.job.prompt().and_then(|p| p.context()).map(|c| &*c.id),
+            shared = self.job.prompt().map(|p| p.shared_tokens()),
+            "sent"
+        );
+    }
+
     /// Connections that this instance may have to one replica.
     fn most(&self, snapshot: &Snapshot) -> u32 {
         let target = snapshot.setup.as_ref().and_then(|s| s.target(&self.target));
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -1,6 +1,9 @@
 //! A request that was accepted, and the record of how it went.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use fleet::{Route, Snapshot, Team};
@@ -10,6 +13,23 @@
 
 use crate::{core::Core, dialect::Told};
 
+/// Counts a request as in progress until its answer has ended.
+pub struct Active(Arc<Core>);
+
+impl Active {
+    /// Begins to count.
+    pub fn new(core: &Arc<Core>) -> Self {
+        core.active.fetch_add(1, Ordering::Relaxed);
+        Self(core.clone())
+    }
+}
+
+impl Drop for Active {
+    fn drop(&mut self) {
+        self.0.active.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// A request that was accepted and read whole.
 pub struct Job {
     /// Its method.
@@ -30,6 +50,8 @@
     pub start: Time,
     /// When its answer must have ended.
     pub deadline: Time,
+    /// The process does not end while it is in progress.
+    pub _active: Active,
 }
 
 impl Job {
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -27,9 +27,12 @@
 /// Pause between two sweeps of unused connections.
 const SWEEP: Duration = Duration::from_millis(500);
 /// The process ends this long before it would be killed.
-const GRACE_MARGIN: Duration = Duration::from_millis(700);
-/// Callers may still use an address answer this many times as long as it allowed.
-const TTL_FACTOR: u32 = 3;
+const GRACE_MARGIN: Duration = Duration::from_millis(250);
+/// How long the last bytes of answers may take to be written.
+const FLUSH_TERM: Duration = Duration::from_millis(60);
+/// Share of the grace in which requests are still taken: callers learn late that an instance
+/// leaves, and what is taken later might not end in time.
+const TAKE_SHARE: f64 = 0.33;
 /// Pause between attempts to register.
 const ANNOUNCE_PAUSE: Duration = Duration::from_millis(500);
 
@@ -95,15 +98,20 @@
     });
     let bounds = &core.settings.bounds;
     let end = start.after(bounds.grace.saturating_sub(GRACE_MARGIN));
-    let linger = start.after(bounds.ttl * TTL_FACTOR).min(end);
+    let close = start.after(bounds.grace.mul_f64(TAKE_SHARE));
     loop {
         let now = core.now();
         let idle = core.active.load(Ordering::Relaxed) == 0;
-        if end.passed(now) || (idle && linger.passed(now)) {
+        if close.passed(now) {
+            core.closing.send_replace(true);
+        }
+        if end.passed(now) || (idle && close.passed(now)) {
             break;
         }
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
+    // The last bytes of an answer are written after its end is counted.
+    tokio::time::sleep(FLUSH_TERM).await;
     info!(active = core.active.load(Ordering::Relaxed), "stopped");
 }
 
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -1,11 +1,6 @@
 //! Listeners: accepting connections and serving them until the process ends.
 
-use std::{
-    convert::Infallible,
-    net::SocketAddr,
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
 use hyper::{
     Request, Response, StatusCode, body::Incoming, header::CONNECTION, header::HeaderValue,
@@ -44,9 +39,15 @@
 /// Accepts connections until the process ends.
 pub(crate) async fn listen(core: Arc<Core>, listener: TcpListener, door: Door) {
     let permits = Arc::new(tokio::sync::Semaphore::new(core.settings.bounds.callers));
+    let mut closing = core.closing.subscribe();
     loop {
         let permit = permits.clone().acquire_owned().await.expect("it is never closed");
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            // Callers that still know this address are refused and use another one.
+            _ = closing.wait_for(|c| *c), if door == Door::Front => return,
+        };
+        match accepted {
             Ok((stream, from)) => {
                 let core = core.clone();
                 tokio::spawn(async move {
@@ -68,12 +69,20 @@
     }
     let limits = core.view.get().setup.as_ref().map(|s| s.limits);
     let head = limits.map_or(HEAD_BYTES, |l| l.head.max(8192));
+    let mut closing = core.closing.subscribe();
     let service = service_fn(move |request| answer(core.clone(), request, door));
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new()).max_buf_size(head);
     builder.header_read_timeout(limits.map_or(HEAD_TERM, |l| l.idle.max(l.patience)));
+    let conn = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(conn);
     // An error is the client's leaving or a protocol fault that was answered already.
-    let _ = builder.serve_connection(TokioIo::new(stream), service).await;
+    tokio::select! {
+        _ = conn.as_mut() => return,
+        _ = closing.wait_for(|c| *c), if door == Door::Front => {}
+    }
+    conn.as_mut().graceful_shutdown();
+    let _ = conn.await;
 }
 
 async fn answer(
@@ -82,12 +91,7 @@
     door: Door,
 ) -> Result<Response<Body>, Infallible> {
     let mut out = match door {
-        Door::Front => {
-            let active = Active::new(&core);
-            let out = request_answer(&core, request).await;
-            drop(active);
-            out
-        }
+        Door::Front => request_answer(&core, request).await,
         Door::Inquiry => inquiry_answer(&core, &request),
     };
     if core.is_leaving() {
@@ -96,22 +100,6 @@
     Ok(out)
 }
 
-/// Counts a request as in progress.
-struct Active(Arc<Core>);
-
-impl Active {
-    fn new(core: &Arc<Core>) -> Self {
-        core.active.fetch_add(1, Ordering::Relaxed);
-        Self(core.clone())
-    }
-}
-
-impl Drop for Active {
-    fn drop(&mut self) {
-        self.0.active.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 async fn request_answer(core: &Arc<Core>, request: Request<Incoming>) -> Response<Body> {
     let start = core.now();
     let rev = core.view.get().setup.as_ref().map(|s| s.rev);
