Roll out faster, keep short prompts apart from long ones, learn of weights from peers

Long prompts pushed the parts of short ones out of the replicas' memory.

Change: renewals end after 350 ms; the oldest weights are ordered first, a quarter of the replicas at a time; three instances watch the lease closely; peers confirm the wanted weights by the registry's clock, so that old parts can be freed after 3.6 s; a third of the replicas is home to short prompts, whose parts are not stored.

--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -98,8 +98,10 @@
 /// When a part of the view was last confirmed by the platform.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Age {
-    /// Configuration and wanted weights.
+    /// Configuration.
     pub setup: Time,
+    /// Wanted weights.
+    pub weights: Time,
     /// Replicas.
     pub replicas: Time,
 }
@@ -246,6 +248,12 @@
     /// Notes that configuration and weights were current at `at`.
     pub fn confirm_setup(&self, at: Time) {
         self.touch(|age| age.setup = age.setup.max(at));
+        self.confirm_weights(at);
+    }
+
+    /// Notes that the wanted weights were current at `at`.
+    pub fn confirm_weights(&self, at: Time) {
+        self.touch(|age| age.weights = age.weights.max(at));
     }
 
     /// Notes that the replicas were current at `at`.
--- a/crates/lease/src/upgrade.rs
+++ b/crates/lease/src/upgrade.rs
@@ -8,8 +8,9 @@
 
 use ident::Time;
 
-/// Share of a model's replicas that load at once. Engines load more slowly when more do.
-const LOAD_SHARE: usize = 6;
+/// One in this many of a model's replicas finishes its runs or loads at once. Loads slow down when
+/// more than a fifth do so; about half of the time goes to runs that end.
+const LOAD_ONE_IN: usize = 4;
 /// How long an order counts as under way without a reading that shows it.
 const ORDER_TERM: Duration = Duration::from_millis(1500);
 /// How old a reading may be to base an order on.
@@ -67,7 +68,7 @@
         let reading = |id: &str| readings.iter().find(|r| &*r.replica == id);
         let done = |id: &str| reading(id).is_some_and(|r| r.version >= wanted && !r.busy);
         self.sent.retain(|s| !s.until.passed(now) && !done(&s.replica));
-        let most = (registered.len() / LOAD_SHARE).max(1);
+        let most = (registered.len() / LOAD_ONE_IN).max(1);
         let mut moves = Moves::default();
         for (id, _) in registered {
             let busy = reading(id).is_some_and(|r| r.busy && now.since(r.read) < ORDER_TERM);
@@ -76,10 +77,13 @@
                 moves.read.push(id.clone());
             }
         }
-        let open = registered
+        let mut open: Vec<_> = registered
             .iter()
-            .filter(|(id, version)| *version < wanted && !done(id) && !moves.loading.contains(id));
-        for (id, _) in open.take(most.saturating_sub(moves.loading.len())) {
+            .filter(|(id, version)| *version < wanted && !done(id) && !moves.loading.contains(id))
+            .collect();
+        // The oldest weights are the first that must not be used any more.
+        open.sort_by_key(|(_, version)| *version);
+        for (id, _) in open.into_iter().take(most.saturating_sub(moves.loading.len())) {
             match reading(id).filter(|r| now.since(r.read) < READING_TERM) {
                 Some(reading) => moves.order.push(reading.clone()),
                 None => moves.read.push(id.clone()),
--- a/crates/place/src/plan.rs
+++ b/crates/place/src/plan.rs
@@ -9,6 +9,9 @@
 
 /// How long other requests of this instance leave the saving of a part to one that was sent.
 const SAVE_TERM: Duration = Duration::from_secs(3);
+/// Prompts whose shared parts are shorter than this stay in the replicas' memory: reading them again
+/// is quicker than a transfer that waits behind long ones.
+const MIN_KEPT: u64 = 1024;
 /// Share of a store's room that is filled, so that saves under way find space.
 const FILL: f64 = 0.97;
 
@@ -67,6 +70,8 @@
         now: Time,
     ) -> Self {
         let mut out = Self { parts: vec![Transfer::default(); prompt.parts.len()], until: None };
+        let long = prompt.shared_tokens() >= MIN_KEPT;
+        let stores = if long { stores } else { &mut [] };
         for (at, part) in prompt.shared().iter().enumerate() {
             let (fetch, save) = match kept(part, salt, stores, now) {
                 Some((source, until)) => {
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -9,6 +9,8 @@
 const READ_RATE: f64 = 45.0;
 /// What one more running request costs the others, in ms of delay to a first token.
 const RUN_COST_MS: f64 = 1.5;
+/// Cost of each request beyond an engine's slots, in ms.
+const QUEUED_COST_MS: f64 = 50.0;
 /// Cost of a request that waits or runs at a plain service, in ms, per full set of slots.
 const SLOT_COST_MS: f64 = 100.0;
 /// Cost of crossing into another zone, in ms.
@@ -31,6 +33,16 @@
 const PEER_TERM: Duration = Duration::from_millis(1500);
 /// How long a replica's own report of its load counts.
 const REPORT_TERM: Duration = Duration::from_millis(500);
+/// Prompts below this many tokens are short: reading one delays no other request noticeably.
+const SHORT_TOKENS: u64 = 2048;
+/// One in this many replicas of an engine target is at home to short prompts, the others to long
+/// ones. Long prompts push the parts of short ones out of a replica's memory within seconds, and
+/// each piece of a long prompt that is read delays every short one beside it.
+const SHORT_ONE_IN: usize = 3;
+/// Cost of a short prompt among long ones, in ms.
+const SHORT_AWAY_MS: f64 = 40.0;
+/// Cost of a long prompt among short ones, in ms.
+const LONG_AWAY_MS: f64 = 400.0;
 /// Failures in a row from which on a replica counts as failing.
 const FAILURES: u32 = 2;
 
@@ -147,6 +159,20 @@
     learnt: Option<(Arc<str>, u64)>,
 }
 
+/// A replica that takes work, and whether short prompts are at home there.
+#[derive(Debug, Clone, Copy)]
+struct Member<'e> {
+    entry: &'e Entry,
+    short: bool,
+}
+
+impl Ask<'_> {
+    /// Whether the prompt is short.
+    fn short(&self) -> bool {
+        self.work.reading < SHORT_TOKENS
+    }
+}
+
 impl Entry {
     fn version(&self, model: &str) -> Option<u64> {
         match &self.learnt {
@@ -166,11 +192,14 @@
 
 /// The home of the context within each version of the model: parts of one version are of no use to
 /// another.
-fn homes<'e>(members: &[&'e Entry], ask: &Ask<'_>) -> Vec<(Option<u64>, &'e Entry)> {
+fn homes<'e>(members: &[Member<'e>], ask: &Ask<'_>) -> Vec<(Option<u64>, &'e Entry)> {
     let Some(context) = ask.context else { return Vec::new() };
     let mut out: Vec<(Option<u64>, &'e Entry)> = Vec::new();
-    let order = rank(context.as_bytes(), members, |e| &e.replica.id);
-    for entry in order.into_iter().filter(|e| e.failures < FAILURES) {
+    let order = rank(context.as_bytes(), members, |m| &m.entry.replica.id);
+    let healthy = order.into_iter().filter(|m| m.entry.failures < FAILURES);
+    let (own, other): (Vec<&Member<'e>>, Vec<&Member<'e>>) =
+        healthy.partition(|m| m.short == ask.short());
+    for entry in own.into_iter().chain(other).map(|m| m.entry) {
         let version = ask.model.and_then(|(model, _)| entry.version(model));
         if out.iter().all(|(v, _)| *v != version) {
             out.push((version, entry));
@@ -297,11 +326,7 @@
 
     /// Chooses the replica with the least expected delay.
     pub fn choose(&self, ask: &Ask<'_>, now: Time) -> Result<Choice, Denied> {
-        let members: Vec<&Entry> = self
-            .entries
-            .iter()
-            .filter(|e| &*e.replica.target == ask.target && !e.replica.leaving)
-            .collect();
+        let members = self.members(ask);
         if members.is_empty() {
             return Err(Denied::Empty);
         }
@@ -310,12 +335,12 @@
             let version = ask.model.and_then(|(model, _)| entry.version(model));
             homes.iter().find(|(v, _)| *v == version).map(|(_, home)| *home)
         };
-        let usable = members.iter().filter(|e| self.usable(e, ask, now));
+        let usable = members.iter().filter(|m| self.usable(m.entry, ask, now));
         let best = usable
-            .map(|e| (self.cost(e, home_of(e), ask, now), e))
+            .map(|m| (self.cost(m, home_of(m.entry), ask, now), m.entry))
             .min_by(|(a, _), (b, _)| a.total_cmp(b));
         let Some((delay, entry)) = best else {
-            let paused = members.iter().map(|e| e.paused).filter(|t| !t.passed(now)).min();
+            let paused = members.iter().map(|m| m.entry.paused).filter(|t| !t.passed(now)).min();
             return Err(Denied::Unusable { until: paused.unwrap_or(now.after(FULL_PAUSE)) });
         };
         let version = ask.model.and_then(|(model, _)| entry.version(model));
@@ -324,6 +349,21 @@
         Ok(Choice { replica: entry.replica.clone(), home, version, delay })
     }
 
+    /// The replicas that take work. Which of an engine target's are at home to short prompts
+    /// follows from their ids alone, so that all instances agree.
+    fn members(&self, ask: &Ask<'_>) -> Vec<Member<'_>> {
+        let works = |e: &&Entry| &*e.replica.target == ask.target && !e.replica.leaving;
+        let entries: Vec<&Entry> = self.entries.iter().filter(works).collect();
+        if ask.engine.is_none() {
+            return entries.into_iter().map(|entry| Member { entry, short: false }).collect();
+        }
+        let shorts = entries.len() / SHORT_ONE_IN;
+        let order = rank(ask.target.as_bytes(), &entries, |e| &e.replica.id);
+        let short: Vec<&str> = order.iter().take(shorts).map(|e| &*e.replica.id).collect();
+        let is_short = |e: &Entry| short.contains(&&*e.replica.id);
+        entries.into_iter().map(|entry| Member { entry, short: is_short(entry) }).collect()
+    }
+
     fn usable(&self, entry: &Entry, ask: &Ask<'_>, now: Time) -> bool {
         let tried = ask.tried.contains(&entry.replica.id);
         let version =
@@ -332,7 +372,8 @@
     }
 
     /// Expected delay of the first token, or of the answer, in ms.
-    fn cost(&self, entry: &Entry, home: Option<&Entry>, ask: &Ask<'_>, now: Time) -> f64 {
+    fn cost(&self, member: &Member<'_>, home: Option<&Entry>, ask: &Ask<'_>, now: Time) -> f64 {
+        let entry = member.entry;
         let work = self.work(entry, now);
         let zone = if &*entry.replica.zone == ask.zone { 0.0 } else { ZONE_COST_MS };
         let noise = (ask.draw.wrapping_mul(entry.replica.addr.port().into()) % 64) as f64 / 64.0;
@@ -353,15 +394,14 @@
             _ => 0.0,
         };
         let runs = f64::from(self.requests(entry, now));
-        let queued = (runs + 1.0 - f64::from(engine.slots)).max(0.0) * 50.0;
-        read + moved
-            + away
-            + zone
-            + noise
-            + old
-            + queued
-            + runs * RUN_COST_MS
-            + over * MEMORY_COST_MS
+        let queued = (runs + 1.0 - f64::from(engine.slots)).max(0.0) * QUEUED_COST_MS;
+        let foreign = match (ask.short(), member.short) {
+            (true, false) => SHORT_AWAY_MS,
+            (false, true) => LONG_AWAY_MS,
+            _ => 0.0,
+        };
+        let waits = read + moved + queued + runs * RUN_COST_MS + over * MEMORY_COST_MS;
+        waits + away + zone + noise + old + foreign
     }
 
     /// What all instances have under way at a replica, as far as is known.
--- a/crates/relay/src/duty.rs
+++ b/crates/relay/src/duty.rs
@@ -8,6 +8,8 @@
 use lease::{Held, LeaseError, Leases, Moves, Reading, Upgrade};
 use place::salted;
 use rand::Rng;
+use table::TableError;
+use tokio::time::timeout;
 use tracing::{info, warn};
 
 use crate::{
@@ -22,14 +24,20 @@
 /// Pause between two rounds of a holder that has nothing to do.
 const IDLE_ROUND: Duration = Duration::from_millis(500);
 /// Pause between two looks of an instance at another's lease.
-const WATCH_ROUND: Duration = Duration::from_millis(1200);
+const WATCH_ROUND: Duration = Duration::from_millis(700);
 /// A lease is renewed once this share of its term is over.
 const RENEW_SHARE: f64 = 0.4;
+/// How long a renewal may take: orders wait for it.
+const RENEW_TERM: Duration = Duration::from_millis(350);
+/// Instances that watch the lease closely; the others look seldom.
+const WATCHERS: usize = 3;
+/// Pause between two looks of the other instances.
+const REST_ROUND: Duration = Duration::from_secs(4);
 /// No order is sent in the last part of a lease's term: it must arrive within it.
 const ORDER_MARGIN: Duration = Duration::from_millis(700);
 /// Cached parts of older weights are freed this long after newer ones were learnt of. By then no
 /// instance fetches them: see `forward::STORE_AGE`, and the limit that each fetch carries.
-const FREE_AFTER: Duration = Duration::from_millis(6500);
+const FREE_AFTER: Duration = Duration::from_millis(3600);
 /// Parts freed by one call.
 const FREE_BATCH: usize = 200;
 /// How long a freeing call may be under way, on the store's clock, in ms.
@@ -65,10 +73,23 @@
             Err(error) => warn!(%error, "the lease for duties can't be read"),
         }
         let jitter = rand::rng().random_range(0.8..1.2);
-        tokio::time::sleep(WATCH_ROUND.mul_f64(jitter)).await;
+        let pause = if watches(&core) { WATCH_ROUND } else { REST_ROUND };
+        tokio::time::sleep(pause.mul_f64(jitter)).await;
     }
 }
 
+/// Whether this instance is one of those that watch the lease closely.
+fn watches(core: &Core) -> bool {
+    let snapshot = core.view.get();
+    let order = ident::rank(b"duties", &snapshot.instances, |i| &i.name);
+    let known = snapshot.instances.iter().any(|i| i.name == core.settings.name);
+    !known || order.iter().take(WATCHERS).any(|i| i.name == core.settings.name)
+}
+
+fn silent() -> LeaseError {
+    LeaseError::Table(TableError::Unknown("no answer in time".into()))
+}
+
 struct Holder {
     core: Arc<Core>,
     held: Held,
@@ -110,7 +131,9 @@
                 return;
             }
             if self.renew.passed(now) {
-                match leases.renew(&mut self.held, self.core.settings.bounds.lease).await {
+                let renewal = leases.renew(&mut self.held, self.core.settings.bounds.lease);
+                let renewed = timeout(RENEW_TERM, renewal).await;
+                match renewed.unwrap_or_else(|_| Err(silent())) {
                     Ok(()) => {
                         let term = self.core.settings.bounds.lease.mul_f64(RENEW_SHARE);
                         self.renew = now.after(term);
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -14,7 +14,9 @@
 };
 
 /// Longest wait for a change. Each answer also confirms that nothing newer is there.
-const WAIT: Duration = Duration::from_millis(2000);
+const WAIT: Duration = Duration::from_millis(2400);
+/// Longest wait while replicas are missing whose time is running out.
+const SHORT_WAIT: Duration = Duration::from_millis(400);
 /// Pause after an answer about replicas: their heartbeats change rows all the time, and each
 /// question is a call that all instances share. Half a second leaves most of the time in which a
 /// leaving replica must be left alone.
@@ -60,7 +62,10 @@
         let answer = match self.next {
             None => registry.read(self.topic).await,
             Some(next) => {
-                let wait = if self.missing.is_empty() { WAIT } else { Duration::from_millis(400) };
+                // A change wakes all instances at once; apart again, each one's answer tells its
+                // peers that nothing newer is there.
+                let spread = rand::rng().random_range(0.5..1.0);
+                let wait = if self.missing.is_empty() { WAIT.mul_f64(spread) } else { SHORT_WAIT };
                 registry.follow(self.topic, next, wait).await
             }
         };
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -216,7 +216,7 @@
         let prompt = self.job.prompt()?;
         let snapshot = self.core.view.get();
         let newest = snapshot.wanted(&prompt.model).map_or(0, |w| w.version);
-        let stores_usable = now.since(snapshot.age.setup) < STORE_AGE
+        let stores_usable = now.since(snapshot.age.weights) < STORE_AGE
             && choice.version.is_some_and(|v| v >= newest);
         let mut shelves = self.core.shelves.lock();
         let usable = shelves.iter_mut().filter(|_| stores_usable);
@@ -379,9 +379,7 @@
             self.core.view.mark_leaving(id);
             self.core.pool.lock().sync(&self.core.view.get().replicas);
         } else if misdirected {
-            if let (Some(prompt), Some(version)) = (self.job.prompt(), reply.version) {
-                self.core.pool.lock().learnt(id, &prompt.model, version);
-            }
+            self.other_weights(reply, choice);
             self.core.pool.lock().outcome(id, Outcome::Full, now);
         } else {
             self.core.pool.lock().outcome(id, Outcome::Full, now);
@@ -389,6 +387,15 @@
         self.log_send("not_run", choice, status.as_str());
     }
 
+    /// The replica has other weights than it registered. Versions only grow, so unless it says
+    /// which, it most likely has the newest.
+    fn other_weights(&self, reply: &Reply, choice: &Choice) {
+        let (Some(prompt), Some(counted)) = (self.job.prompt(), choice.version) else { return };
+        let newest = self.core.view.get().wanted(&prompt.model).map_or(0, |w| w.version);
+        let version = reply.version.unwrap_or(newest.max(counted + 1));
+        self.core.pool.lock().learnt(&choice.replica.id, &prompt.model, version);
+    }
+
     fn note(&self, outcome: &str, replica: &str) {
         self.core.metrics.sends.with_label_values(&[outcome]).inc();
         tracing::debug!(request = &*self.job.told.id, replica, outcome, "send");
@@ -416,7 +423,7 @@
 
 /// Stores are used only while the newest weights are known to be no older than this: parts of older
 /// ones are freed some time after newer ones are named.
-const STORE_AGE: Duration = Duration::from_millis(3800);
+const STORE_AGE: Duration = Duration::from_millis(1200);
 /// Share of the fixed allowance of repeats that is used; the rest covers instances that are not
 /// known of.
 const EXTRA_SHARE: f64 = 0.7;
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -52,6 +52,8 @@
     loading: Vec<String>,
     /// Model, version, and how many ms ago it was named at the latest.
     weights: Vec<(String, u64, u64)>,
+    /// When these were the newest, on the registry's clock.
+    confirmed: u64,
 }
 
 /// A datagram that is not understood.
@@ -87,6 +89,7 @@
         leaving: leaving.map(|r| r.id.to_string()).take(8).collect(),
         loading: core.loading.lock().iter().map(|id| id.to_string()).collect(),
         weights: weights(&snapshot, core.now()),
+        confirmed: core.dial.lock().foreign(snapshot.age.weights).unwrap_or(0),
     }
 }
 
@@ -175,6 +178,11 @@
             info!(%model, version, age_ms = age, peer = %name, "a peer knows newer weights");
         }
     }
+    // The registry's clock dates it: a datagram may have waited while this instance was suspended.
+    let confirmed = core.dial.lock().own(wire.confirmed);
+    if let Some(at) = confirmed.filter(|_| wire.confirmed > 0) {
+        core.view.confirm_weights(at.min(now));
+    }
     note(core, name, wire.ready, now);
 }
 
