Hold long prompts while all engines' memory is taken

Change: a long prompt waits at the instance until an engine of the long pool has memory to spare (a quarter of the goal), then any with memory (2.5 times the goal), then goes anywhere. The inputs of each choice are in its log line.

Ruled out: a leak in the counts (it recovers after the restart and follows the load).

--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -13,6 +13,6 @@
     budget::Budget,
     catalog::{Catalog, Change, Held},
     plan::{Plan, Source, Transfer, salt, salted},
-    pool::{Ask, Choice, Denied, Outcome, PeerLoad, Pool, Work},
+    pool::{Ask, Choice, Denied, Outcome, PeerLoad, Pool, Room, Work},
     prompt::{Part, Prompt},
 };
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -21,6 +21,12 @@
 const MEMORY_COST_MS: f64 = 4000.0;
 /// Share of an engine's memory that requests may need before that cost applies.
 const MEMORY_FILL: f64 = 0.85;
+/// Share of an engine's memory that running requests may need where there is room to spare.
+const AMPLE_FILL: f64 = 0.75;
+/// Share that they may need where there is not.
+const TIGHT_FILL: f64 = 0.95;
+/// An engine whose requests need less than this share takes any other request.
+const IDLE_FILL: f64 = 0.2;
 /// Cost of weights that are no longer the newest, in ms.
 const OLD_COST_MS: f64 = 150.0;
 /// How long a replica that failed without an answer is left alone, doubled with each failure.
@@ -93,6 +99,20 @@
     Silent,
 }
 
+/// How crowded an engine may be to be chosen.
+///
+/// Parts that an engine fetches for a waiting request are pushed out again by those that run, and
+/// read once more when it begins. So requests wait at the instance while all engines are full.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Room {
+    /// With memory to spare, and a home to prompts of this length.
+    Ample,
+    /// With memory for the request.
+    Tight,
+    /// Any.
+    Any,
+}
+
 /// What is asked of the pool.
 #[derive(Debug, Clone)]
 pub struct Ask<'a> {
@@ -108,6 +128,8 @@
     pub model: Option<(&'a str, u64)>,
     /// The oldest version that may be used.
     pub floor: u64,
+    /// How crowded a replica may be.
+    pub room: Room,
     /// The asking instance's zone.
     pub zone: &'a str,
     /// Replicas that this request was sent to already.
@@ -129,6 +151,10 @@
     pub version: Option<u64>,
     /// Expected delay of the first token, in ms.
     pub delay: f64,
+    /// What all instances have under way there, as far as is known.
+    pub work: Work,
+    /// Requests there, by count or by its own report.
+    pub requests: u32,
 }
 
 /// Why no replica was chosen.
@@ -137,6 +163,9 @@
     /// The target has no replica that takes work.
     #[error("the target has no replica that takes work")]
     Empty,
+    /// All usable replicas are more crowded than was asked for.
+    #[error("all replicas are full")]
+    Crowded,
     /// All replicas with the right weights were tried or are left alone for now.
     #[error("no replica is usable now")]
     Unusable {
@@ -336,17 +365,23 @@
             homes.iter().find(|(v, _)| *v == version).map(|(_, home)| *home)
         };
         let usable = members.iter().filter(|m| self.usable(m.entry, ask, now));
-        let best = usable
+        let roomy = usable.clone().filter(|m| self.has_room(m, ask, now));
+        let crowded = usable.count() > 0;
+        let best = roomy
             .map(|m| (self.cost(m, home_of(m.entry), ask, now), m.entry))
             .min_by(|(a, _), (b, _)| a.total_cmp(b));
         let Some((delay, entry)) = best else {
+            if crowded {
+                return Err(Denied::Crowded);
+            }
             let paused = members.iter().map(|m| m.entry.paused).filter(|t| !t.passed(now)).min();
             return Err(Denied::Unusable { until: paused.unwrap_or(now.after(FULL_PAUSE)) });
         };
         let version = ask.model.and_then(|(model, _)| entry.version(model));
         let other = home_of(entry).filter(|h| h.replica.id != entry.replica.id);
         let home = other.map(|h| h.replica.clone());
-        Ok(Choice { replica: entry.replica.clone(), home, version, delay })
+        let (work, requests) = (self.work(entry, now), self.requests(entry, now));
+        Ok(Choice { replica: entry.replica.clone(), home, version, delay, work, requests })
     }
 
     /// The replicas that take work. Which of an engine target's are at home to short prompts
@@ -364,6 +399,18 @@
         entries.into_iter().map(|entry| Member { entry, short: is_short(entry) }).collect()
     }
 
+    /// Whether the replica has the room that is asked for.
+    fn has_room(&self, member: &Member<'_>, ask: &Ask<'_>, now: Time) -> bool {
+        let (Some(engine), false) = (ask.engine, ask.room == Room::Any || ask.short()) else {
+            return true;
+        };
+        let share = if ask.room == Room::Ample { AMPLE_FILL } else { TIGHT_FILL };
+        let taken = self.work(member.entry, now).memory as f64 / engine.capacity.max(1) as f64;
+        let after = taken + ask.work.memory as f64 / engine.capacity.max(1) as f64;
+        let own = ask.room == Room::Tight || !member.short;
+        own && (after <= share || taken < IDLE_FILL)
+    }
+
     fn usable(&self, entry: &Entry, ask: &Ask<'_>, now: Time) -> bool {
         let tried = ask.tried.contains(&entry.replica.id);
         let version =
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -11,7 +11,7 @@
     header::{CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE},
 };
 use ident::Time;
-use place::{Ask, Choice, Denied, Outcome, Plan, Source, Transfer, Work, salt};
+use place::{Ask, Choice, Denied, Outcome, Plan, Room, Source, Transfer, Work, salt};
 use tokio::time::timeout;
 use tracing::info;
 
@@ -26,6 +26,13 @@
 
 /// Least time left for which a request is still sent.
 const MIN_LEFT: Duration = Duration::from_millis(30);
+/// Pause between two looks for a replica with room.
+const ROOM_PAUSE: Duration = Duration::from_millis(15);
+/// Share of the time in which an answer is on time during which a request waits for ample room.
+const AMPLE_SHARE: f64 = 0.25;
+/// The same for any room, as a multiple: a late answer is worth less, but a request that is sent to
+/// a full engine delays all others there.
+const TIGHT_SHARE: f64 = 2.5;
 /// Longest wait for a replica that is left alone for now.
 const MAX_WAIT: Duration = Duration::from_millis(120);
 /// Sends of one request, those included that were refused.
@@ -122,6 +129,10 @@
                 Err(Denied::Empty) => {
                     return Err(self.given_up("the target has no replica", EMPTY_PAUSE));
                 }
+                Err(Denied::Crowded) => {
+                    tokio::time::sleep(ROOM_PAUSE).await;
+                    continue;
+                }
                 Err(Denied::Unusable { until }) => {
                     let wait = until.since(now);
                     if wait > MAX_WAIT || self.job.left(now) < wait + MIN_LEFT {
@@ -196,6 +207,7 @@
             shared: prompt.map_or(0, |p| p.shared_tokens()),
             model: prompt.map(|p| (&*p.model, newest(&p.model))),
             floor: self.job.floor(&self.core, snapshot, now),
+            room: self.room(now),
             zone: &self.core.settings.zone,
             tried: &self.tried,
             engine,
@@ -204,6 +216,16 @@
         self.core.pool.lock().choose(&ask, now)
     }
 
+    /// How crowded a replica may be: the longer the request has waited, the more.
+    fn room(&self, now: Time) -> Room {
+        let waited = now.since(self.job.start);
+        match waited {
+            w if w < self.job.route.goal.mul_f64(AMPLE_SHARE) => Room::Ample,
+            w if w < self.job.route.goal.mul_f64(TIGHT_SHARE) => Room::Tight,
+            _ => Room::Any,
+        }
+    }
+
     fn work(&self) -> Work {
         match self.job.prompt() {
             Some(p) => Work { reading: p.input, memory: p.input + p.output, runs: 1 },
@@ -309,6 +331,9 @@
             delay_ms = choice.delay as u64,
             left_ms = left.as_millis() as u64,
             known_ms = now.since(known.age.replicas).as_millis() as u64,
+            reading = choice.work.reading,
+            memory = choice.work.memory,
+            requests = choice.requests,
             moved,
             context = self.job.prompt().and_then(|p| p.context()).map(|c| &*c.id),
             shared = self.job.prompt().map(|p| p.shared_tokens()),
