Give short prompts a quarter of the replicas

Hypothesis: most parts that are read again belong to short prompts; a larger pool for them would help. It did not: the long ones need the memory.

Conclusion: a quarter; a half is ruled out.

--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -44,7 +44,7 @@
 /// One in this many replicas of an engine target is at home to short prompts, the others to long
 /// ones. Long prompts push the parts of short ones out of a replica's memory within seconds, and
 /// each piece of a long prompt that is read delays every short one beside it.
-const SHORT_ONE_IN: usize = 3;
+const SHORT_ONE_IN: usize = 4;
 /// Cost of a short prompt among long ones, in ms.
 const SHORT_AWAY_MS: f64 = 40.0;
 /// Cost of a long prompt among short ones, in ms.
