--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -75,6 +75,8 @@
     }
 }
 
+/// The longest pause between two answers while the registry serves somebody.
+const MAX_GAP: Duration = Duration::from_millis(2800);
 /// Versions of one model whose times are kept.
 const MAX_NAMED: usize = 8;
 
@@ -100,8 +102,12 @@
 pub struct Age {
     /// Configuration.
     pub setup: Time,
-    /// Wanted weights.
+    /// Wanted weights, by this instance's own question or a peer's.
     pub weights: Time,
+    /// When the registry last answered this instance or a peer.
+    pub served: Time,
+    /// Since when such answers have come without a gap.
+    pub steady: Time,
     /// Replicas.
     pub replicas: Time,
 }
@@ -256,6 +262,16 @@
         self.touch(|age| age.weights = age.weights.max(at));
     }
 
+    /// Notes that the registry answered this instance or a peer at `at`.
+    pub fn confirm_served(&self, at: Time) {
+        self.touch(|age| {
+            if at.since(age.served) > MAX_GAP {
+                age.steady = at;
+            }
+            age.served = age.served.max(at);
+        });
+    }
+
     /// Notes that the replicas were current at `at`.
     pub fn confirm_replicas(&self, at: Time) {
         self.touch(|age| age.replicas = age.replicas.max(at));
--- /dev/null
+++ b/crates/place/tests/budget_bounds.rs
@@ -0,0 +1,45 @@
+//! Repeats stay within the ratio and the allowance in every window.
+
+use std::time::Duration;
+
+use ident::Time;
+use place::Budget;
+
+const WINDOW: Duration = Duration::from_secs(10);
+
+fn budget() -> Budget {
+    Budget::new(0.2, WINDOW)
+}
+
+#[test]
+fn the_allowance_alone() {
+    let mut budget = budget();
+    let taken = (0..20).filter(|_| budget.repeat(5.0, Time(1000))).count();
+    assert_eq!(taken, 5);
+}
+
+#[test]
+fn first_sends_earn_repeats() {
+    let mut budget = budget();
+    (0..100).for_each(|n| budget.first(Time(1000 + n)));
+    let taken = (0..100).filter(|_| budget.repeat(0.0, Time(1200))).count();
+    assert_eq!(taken, 20);
+}
+
+#[test]
+fn no_window_holds_more() {
+    let mut budget = budget();
+    let mut sends = Vec::new();
+    for ms in (0..60_000).step_by(20) {
+        budget.first(Time(ms));
+        if budget.repeat(3.0, Time(ms)) {
+            sends.push(ms);
+        }
+    }
+    for (at, end) in sends.iter().enumerate() {
+        let inside = sends[..=at].iter().filter(|s| **s + 10_000 > *end).count();
+        // 500 first sends in ten seconds, and the slice that is only partly inside.
+        assert!(inside as f64 <= 0.2 * 525.0 + 3.0, "{inside} repeats before {end}");
+    }
+    assert!(sends.len() > 400, "the budget is used");
+}
--- /dev/null
+++ b/crates/place/tests/transfer_plans.rs
@@ -0,0 +1,90 @@
+//! What is fetched and saved for a prompt.
+
+use std::sync::Arc;
+
+use fleet::Store;
+use ident::Time;
+use place::{Catalog, Held, Part, Plan, Prompt, Source, salt, salted};
+
+const NOW: Time = Time(1000);
+
+fn prompt(shared: u64) -> Prompt {
+    let part = |id: &str, tokens| Part { id: id.into(), tokens };
+    let parts = vec![part("ctx", shared), part("own", 400)];
+    Prompt { model: "m".into(), input: shared + 400, output: 10, parts }
+}
+
+fn store(port: u16, capacity: u64) -> Arc<Store> {
+    Arc::new(Store {
+        name: format!("s-{port}").into(),
+        addr: ([127, 0, 0, 1], port).into(),
+        zone: "a".into(),
+        capacity,
+        link: 40_000.0,
+        calls: 12,
+        delay: 0.5,
+        managed: true,
+    })
+}
+
+fn catalog(parts: &[(&str, u64)]) -> Catalog {
+    let mut out = Catalog::default();
+    let held = |(part, tokens): &(&str, u64)| Held {
+        salt: "m/1".into(),
+        part: (*part).into(),
+        tokens: *tokens,
+    };
+    out.replace(1, parts.iter().map(held).collect());
+    assert!(out.apply(1, false, Vec::new(), 100, NOW));
+    out
+}
+
+fn plan(prompt: &Prompt, home: Option<u16>, stores: &mut [(Arc<Store>, &mut Catalog)]) -> Plan {
+    let home = home.map(|port| ([127, 0, 0, 1], port).into());
+    Plan::new(prompt, &salt("m", 1, None), home, stores, NOW)
+}
+
+#[test]
+fn a_kept_part_is_fetched_whole() {
+    let mut kept = catalog(&[("ctx", 12_800)]);
+    let out = plan(&prompt(12_800), Some(9), &mut [(store(1, 100_000), &mut kept)]);
+    let source = Source { addr: ([127, 0, 0, 1], 1).into(), tokens: Some(12_800) };
+    assert_eq!(out.parts[0].fetch, Some(source));
+    assert_eq!(out.parts[0].save, None);
+    assert_eq!(out.parts[1], Default::default(), "the request's own part stays");
+    assert_eq!(out.until, Some(100 + 1800));
+}
+
+#[test]
+fn half_a_part_is_not_fetched() {
+    let mut kept = catalog(&[("ctx", 6_000)]);
+    let out = plan(&prompt(12_800), None, &mut [(store(1, 100_000), &mut kept)]);
+    assert_eq!(out.parts[0].fetch, None);
+}
+
+#[test]
+fn a_new_part_comes_from_home_and_is_saved_where_there_is_room() {
+    let (mut full, mut free) = (catalog(&[("x", 99_000)]), catalog(&[]));
+    let mut stores = [(store(1, 100_000), &mut full), (store(2, 100_000), &mut free)];
+    let out = plan(&prompt(12_800), Some(9), &mut stores);
+    assert_eq!(out.parts[0].fetch.map(|f| f.addr.port()), Some(9));
+    assert_eq!(out.parts[0].save.map(|a| a.port()), Some(2));
+}
+
+#[test]
+fn short_parts_are_left_to_the_replicas() {
+    let mut kept = catalog(&[("ctx", 300)]);
+    let out = plan(&prompt(300), None, &mut [(store(1, 100_000), &mut kept)]);
+    assert!(!out.fetches());
+    assert_eq!(out.parts[0].save, None);
+}
+
+#[test]
+fn salts_tell_versions_and_dedicated_teams_apart() {
+    let all = [salt("m", 1, None), salt("m", 2, None), salt("m", 1, Some("t")), salt("n", 1, None)];
+    for (at, one) in all.iter().enumerate() {
+        assert!(all[at + 1..].iter().all(|other| one != other));
+    }
+    assert_eq!(salted("m/2/t"), Some(("m", 2)));
+    assert_eq!(salted("somebody else's"), None);
+}
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -44,12 +44,14 @@
             return if self.rest.len() > MAX_EVENT { Err(StreamError::TooLong) } else { Ok(None) };
         };
         let whole = self.rest.split_to(end).freeze();
+        let mut newest = self.last;
         for found in ids(&whole) {
-            if let Some(last) = self.last.filter(|last| found != last + 1) {
+            if let Some(last) = newest.filter(|last| found != last + 1) {
                 return Err(StreamError::OutOfOrder { last, found });
             }
-            self.last = Some(found);
+            newest = Some(found);
         }
+        self.last = newest;
         Ok(Some(whole))
     }
 
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -25,8 +25,6 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Longest pause after failed questions.
 const MAX_RETRY: Duration = Duration::from_millis(700);
-/// A peer that was served this recently shows that the registry was not away for all.
-const SERVED_TERM: Duration = Duration::from_millis(2500);
 /// How long after the registry's return an entry may be missing before its replica is given up.
 const RETURN_TERM: Duration = Duration::from_millis(2200);
 
@@ -45,16 +43,13 @@
     next: Option<u64>,
     /// Failures in a row.
     failures: u32,
-    /// When the registry last came back after failures.
-    returned: Time,
     /// Replicas whose entries are missing, and when they are given up. In order of time.
     missing: Vec<(Arc<str>, Time)>,
 }
 
 impl Follower {
     fn new(core: Arc<Core>, topic: Topic) -> Self {
-        let (next, failures, returned) = (None, 0, Time(0));
-        Self { core, topic, next, failures, returned, missing: Vec::new() }
+        Self { core, topic, next: None, failures: 0, missing: Vec::new() }
     }
 
     async fn step(&mut self) {
@@ -80,7 +75,10 @@
             Ok(batch) => {
                 self.core.metrics.calls.with_label_values(&["answered"]).inc();
                 if self.failures > 0 {
-                    self.came_back();
+                    let steady = self.core.view.get().age.steady;
+                    let steady_ms = self.core.now().since(steady).as_millis() as u64;
+                    let failures = self.failures;
+                    info!(topic = ?self.topic, failures, steady_ms, "the registry is back");
                 }
                 self.failures = 0;
                 self.next = Some(batch.next);
@@ -90,9 +88,10 @@
                     dial.own(batch.clock).unwrap_or(asked)
                 };
                 let changed = !batch.news.is_empty();
+                // First: entries that vanish just after a gap may come back.
+                self.confirm(made.max(asked));
                 self.take_in(batch.news, whole);
                 self.give_up();
-                self.confirm(made.max(asked));
                 if changed && self.topic != Topic::Operator {
                     tokio::time::sleep(REPLICA_PAUSE).await;
                 }
@@ -101,23 +100,6 @@
         }
     }
 
-    /// Entries may have lapsed while the registry was away, but not if it went on serving peers.
-    fn came_back(&mut self) {
-        let now = self.core.now();
-        let age = now.since(self.core.view.get().age.weights);
-        let served = age < SERVED_TERM;
-        if !served {
-            self.returned = now;
-        }
-        info!(
-            topic = ?self.topic,
-            failures = self.failures,
-            served_peers = served,
-            peers_ms = age.as_millis() as u64,
-            "the registry is back"
-        );
-    }
-
     async fn failed(&mut self, error: CallError) {
         self.core.metrics.calls.with_label_values(&["failed"]).inc();
         if self.failures == 0 {
@@ -135,6 +117,7 @@
 
     /// Notes that all that was known at `made` is known.
     fn confirm(&self, made: Time) {
+        self.core.view.confirm_served(made);
         match self.topic {
             Topic::Operator => self.core.view.confirm_setup(made),
             Topic::Replicas => self.core.view.confirm_replicas(made),
@@ -219,8 +202,8 @@
     /// An entry vanished: at once where the registry is steady, after a while where it has just
     /// come back and entries may have lapsed meanwhile.
     fn gone(&mut self, id: Arc<str>) {
-        let back = self.returned.after(RETURN_TERM);
-        if self.returned > Time(0) && !back.passed(self.core.now()) {
+        let back = self.core.view.get().age.steady.after(RETURN_TERM);
+        if !back.passed(self.core.now()) {
             info!(replica = %id, "replica missing after the registry's return");
             self.missing.push((id, back));
             return;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -27,5 +27,5 @@
 pub use crate::{
     dates::Dial,
     events::{Splitter, StreamError},
-    node::{RunError, run},
+    node::{RunError, run, run_until},
 };
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -54,9 +54,25 @@
 
 /// Runs an instance until SIGTERM, and then until its requests are done or the grace is over.
 pub async fn run(core: Arc<Core>) -> Result<(), RunError> {
-    let at = core.settings.listen;
     let mut terminate = signal(SignalKind::terminate()).map_err(RunError::Signals)?;
     let mut reload = signal(SignalKind::hangup()).map_err(RunError::Signals)?;
+    let told = async move {
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => return,
+                _ = reload.recv() => info!("reload asked for: settings are read at each start"),
+            }
+        }
+    };
+    run_until(core, told).await
+}
+
+/// Runs an instance until `told` ends, and then until its requests are done or the grace is over.
+pub async fn run_until<F>(core: Arc<Core>, told: F) -> Result<(), RunError>
+where
+    F: Future<Output = ()>,
+{
+    let at = core.settings.listen;
     let front = bind(at.front)?;
     let ready = bind(at.ready)?;
     let directory = bind(at.directory)?;
@@ -74,12 +90,7 @@
     tokio::spawn(announce(core.clone()));
     tokio::spawn(duty::run(core.clone()));
     tokio::spawn(sweep(core.clone()));
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = reload.recv() => info!("reload asked for: the settings are read at each start"),
-        }
-    }
+    told.await;
     stop(&core, &peer).await;
     Ok(())
 }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -187,6 +187,7 @@
     let confirmed = core.dial.lock().own(wire.confirmed);
     if let Some(at) = confirmed.filter(|_| wire.confirmed > 0) {
         core.view.confirm_weights(at.min(now));
+        core.view.confirm_served(at.min(now));
     }
     note(core, name, wire.ready, now);
 }
--- a/demo.sh
+++ b/demo.sh
@@ -1,6 +1,9 @@
 #!/usr/bin/env bash
-# Builds everything, brings up a small deployment on loopback, runs the main job and ends it all.
+# Builds everything, runs the main job on two small deployments on loopback, and ends them: the
+# product's own, and one on the users' platform through its adapter.
 set -euo pipefail
 cd "$(dirname "$0")"
 cargo build --locked --workspace --bins
-exec target/debug/lentildemo
+programs="${CARGO_TARGET_DIR:-target}/debug"
+"$programs/lentildemo"
+"$programs/platformdemo"
