--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -238,9 +238,11 @@
     fn plan(&self, choice: &Choice, salt: &Arc<str>, now: Time) -> Option<Plan> {
         let prompt = self.job.prompt()?;
         let snapshot = self.core.view.get();
-        let newest = snapshot.wanted(&prompt.model).map_or(0, |w| w.version);
+        let wanted = snapshot.wanted(&prompt.model);
+        let newest = wanted.map_or(0, |w| w.version);
+        let recent = wanted.is_some_and(|w| now.since(w.learnt) < OLD_STORE_TERM);
         let stores_usable = now.since(snapshot.age.weights) < STORE_AGE
-            && choice.version.is_some_and(|v| v >= newest);
+            && (choice.version.is_some_and(|v| v >= newest) || recent);
         let mut shelves = self.core.shelves.lock();
         let usable = shelves.iter_mut().filter(|_| stores_usable);
         let mut stores: Vec<_> = usable.map(|s| (s.store.clone(), &mut s.catalog)).collect();
@@ -448,6 +450,9 @@
     }
 }
 
+/// How long after newer weights are named the stores still serve those before: until most replicas
+/// have the newer ones, reading everything again would take all engines.
+const OLD_STORE_TERM: Duration = Duration::from_millis(4000);
 /// Stores are used only while the newest weights are known to be no older than this: parts of older
 /// ones are freed some time after newer ones are named.
 const STORE_AGE: Duration = Duration::from_millis(1200);
