--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -184,6 +184,8 @@
     failures: u32,
     /// Left alone until then.
     paused: Time,
+    /// Loads weights until then, as far as is known.
+    loading: Time,
     /// Weights that were learnt from the replica itself, newer than the registered ones.
     learnt: Option<(Arc<str>, u64)>,
 }
@@ -221,11 +223,13 @@
 
 /// The home of the context within each version of the model: parts of one version are of no use to
 /// another.
-fn homes<'e>(members: &[Member<'e>], ask: &Ask<'_>) -> Vec<(Option<u64>, &'e Entry)> {
+fn homes<'e>(members: &[Member<'e>], ask: &Ask<'_>, now: Time) -> Vec<(Option<u64>, &'e Entry)> {
     let Some(context) = ask.context else { return Vec::new() };
     let mut out: Vec<(Option<u64>, &'e Entry)> = Vec::new();
     let order = rank(context.as_bytes(), members, |m| &m.entry.replica.id);
-    let healthy = order.into_iter().filter(|m| m.entry.failures < FAILURES);
+    // One that loads weights loses what it has.
+    let keeps = |m: &&Member<'e>| m.entry.failures < FAILURES && m.entry.loading.passed(now);
+    let healthy = order.into_iter().filter(keeps);
     let (own, other): (Vec<&Member<'e>>, Vec<&Member<'e>>) =
         healthy.partition(|m| m.short == ask.short());
     for entry in own.into_iter().chain(other).map(|m| m.entry) {
@@ -266,6 +270,7 @@
                     reported: None,
                     failures: 0,
                     paused: Time(0),
+                    loading: Time(0),
                     learnt: None,
                 },
             });
@@ -330,6 +335,7 @@
     pub fn avoid(&mut self, id: &str, until: Time) {
         if let Some(entry) = self.find(id) {
             entry.paused = entry.paused.max(until);
+            entry.loading = entry.loading.max(until);
         }
     }
 
@@ -359,7 +365,7 @@
         if members.is_empty() {
             return Err(Denied::Empty);
         }
-        let homes = homes(&members, ask);
+        let homes = homes(&members, ask, now);
         let home_of = |entry: &Entry| {
             let version = ask.model.and_then(|(model, _)| entry.version(model));
             homes.iter().find(|(v, _)| *v == version).map(|(_, home)| *home)
--- a/crates/relay/src/duty.rs
+++ b/crates/relay/src/duty.rs
@@ -37,7 +37,7 @@
 const ORDER_MARGIN: Duration = Duration::from_millis(700);
 /// Cached parts of older weights are freed this long after newer ones were learnt of. By then no
 /// instance fetches them: see `forward::STORE_AGE`, and the limit that each fetch carries.
-const FREE_AFTER: Duration = Duration::from_millis(6300);
+const FREE_AFTER: Duration = Duration::from_millis(8800);
 /// Parts freed by one call.
 const FREE_BATCH: usize = 200;
 /// How long a freeing call may be under way, on the store's clock, in ms.
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -452,7 +452,7 @@
 
 /// How long after newer weights are named the stores still serve those before: until most replicas
 /// have the newer ones, reading everything again would take all engines.
-const OLD_STORE_TERM: Duration = Duration::from_millis(4000);
+const OLD_STORE_TERM: Duration = Duration::from_millis(6500);
 /// Stores are used only while the newest weights are known to be no older than this: parts of older
 /// ones are freed some time after newer ones are named.
 const STORE_AGE: Duration = Duration::from_millis(1200);
