Hand on the configuration between peers

Change: a datagram tells the revision; an instance that is behind asks that peer for the bytes of the configuration over TCP and reads them like a row of the store.

--- a/crates/relay/src/conns.rs
+++ b/crates/relay/src/conns.rs
@@ -10,9 +10,12 @@
 };
 
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper::{
-    HeaderMap, Request, Response, body::Incoming, client::conn::http1, header::CONNECTION,
+    HeaderMap, Request, Response,
+    body::Incoming,
+    client::conn::http1,
+    header::{CONNECTION, HOST, HeaderValue},
 };
 use hyper_util::rt::TokioIo;
 use ident::Time;
@@ -206,6 +209,29 @@
     Ok((sender, task.abort_handle()))
 }
 
+/// Reads a short body from a peer, over a connection of its own.
+pub(crate) async fn fetch(
+    addr: SocketAddr,
+    path: &str,
+    limit: Duration,
+) -> Result<Bytes, SendError> {
+    let broken = |e: hyper::Error| SendError::Broken(e.to_string().into());
+    let whole = async {
+        let (mut sender, task) = handshake(addr).await.map_err(SendError::Connect)?;
+        let mut request = Request::new(Full::new(Bytes::new()));
+        *request.uri_mut() = path.parse().expect("paths are constants");
+        let value = HeaderValue::from_str(&addr.to_string()).expect("addresses are plain");
+        request.headers_mut().insert(HOST, value);
+        let response = sender.send_request(request).await.map_err(broken)?;
+        let status = response.status();
+        let body = response.into_body().collect().await.map_err(broken)?.to_bytes();
+        task.abort();
+        if status.is_success() { Ok(body) } else { Err(SendError::Broken(status.as_str().into())) }
+    };
+    let silent = || SendError::Connect("no answer in time".into());
+    timeout(limit, whole).await.unwrap_or_else(|_| Err(silent()))
+}
+
 /// Makes a connection that has gone silent fail within a second or so.
 pub(crate) fn tune(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -9,17 +9,20 @@
     time::Duration,
 };
 
-use fleet::{Snapshot, Store, View};
+use bytes::Bytes;
+use fleet::{Setup, Snapshot, Store, View};
 use ident::{Clock, Time};
 use parking_lot::Mutex;
 use place::{Budgets, Catalog, Pool};
 use table::Table;
 use tokio::sync::{Notify, watch};
+use tracing::info;
 
 use crate::{
     conns::Conns,
     dates::Dial,
     dialect::Dialect,
+    kept,
     metrics::Metrics,
     outside::{Engines, Registry},
 };
@@ -127,10 +130,14 @@
     pub live: AtomicU32,
     /// Peers that lately told of themselves, with the time. Sorted by name.
     pub heard: Mutex<Vec<(Arc<str>, Time)>>,
+    /// The bytes of the configuration in force, for peers that can't reach the registry.
+    pub source: Mutex<Bytes>,
     /// Replicas that lately began to leave or vanished, and when this instance learnt of it.
     pub departed: Mutex<Vec<(Arc<str>, Time)>>,
     /// The registry's clock.
     pub dial: Mutex<Dial>,
+    /// A peer is being asked for its configuration.
+    pub asking: AtomicBool,
     /// Replicas that load weights by this instance's orders.
     pub loading: Mutex<Vec<Arc<str>>>,
     /// Set once no request is taken any more: listeners close, idle connections end.
@@ -157,8 +164,10 @@
             leaving: AtomicBool::new(false),
             live: AtomicU32::new(1),
             heard: Mutex::default(),
+            source: Mutex::default(),
             departed: Mutex::default(),
             dial: Mutex::default(),
+            asking: AtomicBool::new(false),
             loading: Mutex::default(),
             closing: watch::Sender::new(false),
             tell: Notify::new(),
@@ -180,6 +189,16 @@
         !self.is_leaving() && self.view.get().setup.is_some()
     }
 
+    /// Puts a configuration in force, unless it isn't newer. `bytes` are what it was read from.
+    pub fn take_setup(self: &Arc<Self>, setup: Setup, bytes: Bytes, from: &str) {
+        let (rev, routes) = (setup.rev, setup.routes.len());
+        if self.view.offer_setup(setup) {
+            *self.source.lock() = bytes;
+            info!(rev, routes, from, "configuration in force");
+            kept::sync_shelves(self);
+        }
+    }
+
     /// Notes that a replica leaves or is gone.
     pub fn depart(&self, id: &Arc<str>) {
         let now = self.now();
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -147,13 +147,7 @@
     fn apply(&mut self, item: News) {
         let core = self.core.clone();
         match item {
-            News::Setup(setup) => {
-                let (rev, routes) = (setup.rev, setup.routes.len());
-                if core.view.offer_setup(*setup) {
-                    info!(rev, routes, "configuration in force");
-                    crate::kept::sync_shelves(&core);
-                }
-            }
+            News::Setup(setup, bytes) => core.take_setup(*setup, bytes, "registry"),
             News::Weights { model, version } => {
                 if core.view.offer_weights(&model, version, core.now()) {
                     info!(%model, version, "weights named");
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -76,12 +76,14 @@
     let front = bind(at.front)?;
     let ready = bind(at.ready)?;
     let directory = bind(at.directory)?;
+    let handed = bind(at.peer)?;
     let peer = UdpSocket::bind(at.peer).await;
     let peer = Arc::new(peer.map_err(|cause| RunError::Listen { addr: at.peer, cause })?);
     info!(instance = %core.settings.name, zone = %core.settings.zone, front = %at.front, "started");
     tokio::spawn(listen(core.clone(), front, Door::Front));
     tokio::spawn(listen(core.clone(), ready, Door::Inquiry));
     tokio::spawn(listen(core.clone(), directory, Door::Inquiry));
+    tokio::spawn(listen(core.clone(), handed, Door::Peer));
     tokio::spawn(peers::hear(core.clone(), peer.clone()));
     tokio::spawn(peers::tell(core.clone(), peer.clone()));
     for topic in [Topic::Operator, Topic::Replicas, Topic::Instances] {
--- a/crates/relay/src/outside.rs
+++ b/crates/relay/src/outside.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use async_trait::async_trait;
+use bytes::Bytes;
 use fleet::{Instance, Replica, Setup};
 use place::{Change, Held};
 
@@ -37,8 +38,8 @@
 /// One change, or one row of a whole reading.
 #[derive(Debug, Clone, PartialEq)]
 pub enum News {
-    /// A configuration.
-    Setup(Box<Setup>),
+    /// A configuration, and the bytes that it was read from, to be handed on to peers.
+    Setup(Box<Setup>, Bytes),
     /// Newest weights of a model.
     Weights {
         /// The model.
@@ -76,6 +77,9 @@
     /// Waits up to `wait` for changes after `next`.
     async fn follow(&self, topic: Topic, next: u64, wait: Duration) -> Result<Batch, CallError>;
 
+    /// Reads a configuration from the bytes that a peer handed on.
+    fn setup(&self, bytes: &[u8]) -> Result<Setup, CallError>;
+
     /// Registers this instance.
     async fn announce(&self, instance: &Instance) -> Result<(), CallError>;
 
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -14,7 +14,7 @@
 use tokio::{net::UdpSocket, time::timeout};
 use tracing::{info, warn};
 
-use crate::core::Core;
+use crate::{conns::fetch, core::Core};
 
 /// How long after its last datagram an instance counts as alive.
 pub(crate) const PEER_TERM: Duration = Duration::from_millis(1600);
@@ -26,6 +26,10 @@
 const MAX_BYTES: usize = 1400;
 /// Most leaving replicas that fit.
 const MAX_LEAVING: usize = 16;
+/// Where a peer hands on its configuration.
+pub(crate) const SETUP_PATH: &str = "/setup";
+/// How long that may take.
+const SETUP_TERM: Duration = Duration::from_millis(800);
 /// Versions of a model that peers are told of.
 const MAX_NAMED: usize = 2;
 /// Most replicas whose load fits.
@@ -154,7 +158,30 @@
     }
 }
 
-fn take_in(core: &Core, wire: Wire) {
+/// Asks a peer for its configuration where it is newer: this instance may be out of the registry's
+/// reach.
+fn ask_setup(core: &Arc<Core>, name: &str, rev: u64) {
+    let snapshot = core.view.get();
+    let own = snapshot.setup.as_ref().map_or(0, |s| s.rev);
+    let peer = snapshot.instances.iter().find(|i| &*i.name == name).map(|i| i.peer);
+    let (Some(addr), true) = (peer, rev > own) else { return };
+    if core.asking.swap(true, Ordering::Relaxed) {
+        return;
+    }
+    let (core, name) = (core.clone(), name.to_owned());
+    tokio::spawn(async move {
+        match fetch(addr, SETUP_PATH, SETUP_TERM).await {
+            Ok(bytes) => match core.outside.registry.setup(&bytes) {
+                Ok(setup) => core.take_setup(setup, bytes, &name),
+                Err(error) => warn!(peer = %name, %error, "a peer's configuration can't be read"),
+            },
+            Err(error) => info!(peer = %name, %error, "a peer did not hand on its configuration"),
+        }
+        core.asking.store(false, Ordering::Relaxed);
+    });
+}
+
+fn take_in(core: &Arc<Core>, wire: Wire) {
     let now = core.now();
     let name: Arc<str> = wire.name.as_str().into();
     let mut loads: Vec<PeerLoad> = wire
@@ -189,6 +216,7 @@
         core.view.confirm_weights(at.min(now));
         core.view.confirm_served(at.min(now));
     }
+    ask_setup(core, &name, wire.rev);
     note(core, name, wire.ready, now);
 }
 
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -18,6 +18,7 @@
     dialect::Question,
     directory,
     forward::forward,
+    peers::SETUP_PATH,
 };
 
 /// Largest head of a request, in bytes, where the configuration does not say.
@@ -34,6 +35,8 @@
     Front,
     /// Readiness, addresses and metrics.
     Inquiry,
+    /// Peers' questions.
+    Peer,
 }
 
 /// Accepts connections until the process ends.
@@ -93,6 +96,7 @@
     let mut out = match door {
         Door::Front => request_answer(&core, request).await,
         Door::Inquiry => inquiry_answer(&core, &request),
+        Door::Peer => peer_answer(&core, &request),
     };
     if core.is_leaving() {
         out.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -149,5 +153,14 @@
     }
 }
 
+/// The configuration in force, as it was read.
+fn peer_answer(core: &Core, request: &Request<Incoming>) -> Response<Body> {
+    let bytes = core.source.lock().clone();
+    if request.uri().path() != SETUP_PATH || bytes.is_empty() {
+        return json(StatusCode::NOT_FOUND, core.outside.dialect.error("there is nothing here"));
+    }
+    Response::new(full(bytes))
+}
+
 /// Where the metrics are.
 const METRICS_PATH: &str = "/metrics";
