--- a/crates/lentilctl/src/cli.rs
+++ b/crates/lentilctl/src/cli.rs
@@ -95,6 +95,14 @@
     },
     /// Start the planned stop of the one instance named by --admin
     Drain,
+    /// Collect the log lines of one request from the logs of several instances, in order
+    Story {
+        /// The request's id
+        id: String,
+        /// Logs, one JSON record a line
+        #[arg(required = true, value_name = "FILE")]
+        files: Vec<PathBuf>,
+    },
     /// Make a random key and print it with its digest
     Key,
     /// Print a completion script
--- a/crates/lentilctl/src/commands.rs
+++ b/crates/lentilctl/src/commands.rs
@@ -8,6 +8,7 @@
 mod roll;
 mod set;
 mod status;
+mod story;
 mod withdraw;
 
 use std::io::Write;
@@ -41,6 +42,7 @@
     match cli.command {
         Command::Completions { shell } => return completions(shell),
         Command::Key => return keys::random(out),
+        Command::Story { id, files } => return story::run(&id, &files),
         _ => {}
     }
     let client = Client::new(Config::new(&cli.global)?);
@@ -69,7 +71,9 @@
         Command::Events { follow, trace } => events::run(cx, follow, trace).await,
         Command::Wait { rev, within } => status::wait(cx, rev, within).await,
         Command::Drain => drain(cx).await,
-        Command::Key | Command::Completions { .. } => unreachable!("run before connecting"),
+        Command::Key | Command::Story { .. } | Command::Completions { .. } => {
+            unreachable!("run before connecting")
+        }
     }
 }
 
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -36,8 +36,10 @@
     pub ready: SocketAddr,
     /// Questions for addresses.
     pub directory: SocketAddr,
-    /// Peers' datagrams.
+    /// Peers' datagrams, and over TCP their questions.
     pub peer: SocketAddr,
+    /// Metrics, where they have an address of their own.
+    pub metrics: Option<SocketAddr>,
 }
 
 /// The bounds that an instance keeps.
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -77,12 +77,23 @@
     let ready = bind(at.ready)?;
     let directory = bind(at.directory)?;
     let handed = bind(at.peer)?;
+    // Requests are served without metrics too.
+    let metrics = at.metrics.and_then(|addr| match bind(addr) {
+        Ok(listener) => Some(listener),
+        Err(error) => {
+            warn!(%error, "metrics have no address of their own");
+            None
+        }
+    });
     let peer = UdpSocket::bind(at.peer).await;
     let peer = Arc::new(peer.map_err(|cause| RunError::Listen { addr: at.peer, cause })?);
     info!(instance = %core.settings.name, zone = %core.settings.zone, front = %at.front, "started");
     tokio::spawn(listen(core.clone(), front, Door::Front));
     tokio::spawn(listen(core.clone(), ready, Door::Inquiry));
     tokio::spawn(listen(core.clone(), directory, Door::Inquiry));
+    if let Some(metrics) = metrics {
+        tokio::spawn(listen(core.clone(), metrics, Door::Inquiry));
+    }
     tokio::spawn(listen(core.clone(), handed, Door::Peer));
     tokio::spawn(peers::hear(core.clone(), peer.clone()));
     tokio::spawn(peers::tell(core.clone(), peer.clone()));
