Offer hasty requests in time, and learn nothing from their silence

Change: a request waits for room for at most two fifths of its time; silence counts against a replica only after a second.

Measured: a_hasty_client_says_nothing_about_a_replica fails before (503 instead of 504) and passes after.

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -33,6 +33,10 @@
 /// The same for any room, as a multiple: a late answer is worth less, but a request that is sent to
 /// a full engine delays all others there.
 const TIGHT_SHARE: f64 = 2.5;
+/// Share of a request's whole time that it waits for room at most.
+const WAIT_SHARE: f64 = 0.4;
+/// Silence that tells something about a replica; a client may have less time.
+const SILENCE_TERM: Duration = Duration::from_secs(1);
 /// Longest wait for a replica that is left alone for now.
 const MAX_WAIT: Duration = Duration::from_millis(120);
 /// Sends of one request, those included that were refused.
@@ -219,10 +223,12 @@
 
     /// How crowded a replica may be: the longer the request has waited, the more.
     fn room(&self, now: Time) -> Room {
-        let waited = now.since(self.job.start);
+        let (goal, waited) = (self.job.route.goal, now.since(self.job.start));
+        // Whoever has little time is offered to a replica all the same.
+        let most = self.job.deadline.since(self.job.start).mul_f64(WAIT_SHARE);
         match waited {
-            w if w < self.job.route.goal.mul_f64(AMPLE_SHARE) => Room::Ample,
-            w if w < self.job.route.goal.mul_f64(TIGHT_SHARE) => Room::Tight,
+            w if w < goal.mul_f64(AMPLE_SHARE).min(most) => Room::Ample,
+            w if w < goal.mul_f64(TIGHT_SHARE).min(most) => Room::Tight,
             _ => Room::Any,
         }
     }
@@ -308,7 +314,9 @@
                 Sent::Lost
             }
             Err(_) => {
-                core.pool.lock().outcome(&replica.id, Outcome::Silent, core.now());
+                if marks.left >= SILENCE_TERM {
+                    core.pool.lock().outcome(&replica.id, Outcome::Silent, core.now());
+                }
                 self.log_send("silent", &choice, "no answer in time");
                 Sent::Lost
             }
