Bound the memory of request bodies, give a send its own file

Change: a request reserves memory for its body before it is read and is refused with a time to come back where none is free; send.rs holds one send and what its answer is worth; ranks are a table.

--- a/crates/relay/src/accept.rs
+++ b/crates/relay/src/accept.rs
@@ -12,14 +12,18 @@
     http::request::Parts,
 };
 use ident::Time;
-use tokio::time::timeout;
+use tokio::{sync::OwnedSemaphorePermit, time::timeout};
 
 use crate::{
     answer::Refusal,
-    core::Core,
+    core::{BODY_UNIT, Core},
     job::{Active, Job},
 };
 
+/// How long a request waits for memory for its body.
+const ROOM_TERM: Duration = Duration::from_millis(300);
+/// What is reserved for a body without a length, in bytes: longer ones are rare.
+const UNSIZED: usize = 256 * 1024;
 /// Patience of a client that names none.
 const PATIENCE: Duration = Duration::from_secs(30);
 
@@ -44,11 +48,24 @@
     };
     let patience = told.patience.unwrap_or(PATIENCE).min(route.timeout);
     let deadline = start.after(patience);
+    let room = reserve(core, setup, &body, deadline).await?;
     let body = read(core, setup, body, deadline).await?;
     let mut headers = head.headers;
     core.outside.dialect.strip(&mut headers);
     let (method, uri) = (head.method, origin_form(head.uri));
-    Ok(Job { method, uri, headers, body, told, route, team, start, deadline, _active: active })
+    Ok(Job {
+        method,
+        uri,
+        headers,
+        body,
+        told,
+        route,
+        team,
+        start,
+        deadline,
+        _room: room,
+        _active: active,
+    })
 }
 
 /// A request with both a length and a transfer coding may be two in disguise.
@@ -80,6 +97,28 @@
     path.map_or(uri, hyper::Uri::from)
 }
 
+/// Reserves memory for a body before it is read.
+async fn reserve(
+    core: &Core,
+    setup: &Setup,
+    body: &Incoming,
+    deadline: Time,
+) -> Result<OwnedSemaphorePermit, Refusal> {
+    let most = setup.limits.body;
+    let bytes = body.size_hint().upper().map_or(UNSIZED.min(most), |n| n as usize);
+    if bytes > most {
+        return Err(Refusal::TooLong(most));
+    }
+    let units = bytes.div_ceil(BODY_UNIT).min(core.settings.bounds.bodies / BODY_UNIT);
+    let permits = core.bodies.clone().acquire_many_owned(units as u32);
+    let wait = deadline.since(core.now()).min(ROOM_TERM);
+    let pause = ROOM_TERM * 2;
+    match timeout(wait, permits).await {
+        Ok(Ok(room)) => Ok(room),
+        _ => Err(Refusal::NotRun { why: "no memory is free for its body", pause }),
+    }
+}
+
 async fn read(
     core: &Core,
     setup: &Setup,
@@ -87,9 +126,6 @@
     deadline: Time,
 ) -> Result<Bytes, Refusal> {
     let most = setup.limits.body;
-    if body.size_hint().lower() > most as u64 {
-        return Err(Refusal::TooLong(most));
-    }
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -15,7 +15,7 @@
 use parking_lot::Mutex;
 use place::{Budgets, Catalog, Pool};
 use table::Table;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 use tracing::info;
 
 use crate::{
@@ -101,6 +101,8 @@
     pub catalog: Catalog,
 }
 
+/// Bytes of a body that one permit stands for.
+pub const BODY_UNIT: usize = 1024;
 /// How long peers are told of a replica that leaves, and an older entry does not bring it back.
 const DEPARTED_TERM: Duration = Duration::from_secs(4);
 
@@ -120,6 +122,8 @@
     pub budgets: Mutex<Budgets>,
     /// Sorted by the stores' names.
     pub shelves: Mutex<Vec<Shelf>>,
+    /// Memory for the bodies of requests, in permits of [`BODY_UNIT`].
+    pub bodies: Arc<Semaphore>,
     /// Connections to replicas.
     pub conns: Conns,
     /// Counters and histograms.
@@ -151,6 +155,7 @@
 impl Core {
     /// The state of an instance that knows nothing yet.
     pub fn new(settings: Settings, outside: Outside, clock: Arc<dyn Clock>) -> Arc<Self> {
+        let bodies = Arc::new(Semaphore::new(settings.bounds.bodies / BODY_UNIT));
         let budgets = Budgets::new(settings.bounds.ratio, settings.bounds.window);
         Arc::new(Self {
             settings,
@@ -160,6 +165,7 @@
             pool: Mutex::default(),
             budgets: Mutex::new(budgets),
             shelves: Mutex::default(),
+            bodies,
             conns: Conns::default(),
             metrics: Metrics::new(),
             active: AtomicU32::new(0),
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -4,24 +4,22 @@
 
 use bytes::Bytes;
 use fleet::Snapshot;
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::{
-    HeaderMap, Request, Response, StatusCode,
-    body::Incoming,
-    header::{CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE},
+    HeaderMap, Response,
+    header::{CONTENT_LENGTH, CONTENT_TYPE},
 };
 use ident::Time;
-use place::{Ask, Choice, Denied, Outcome, Plan, Room, Source, Transfer, Work, salt};
+use place::{Ask, Choice, Denied, Outcome, Room, Work};
 use tokio::time::timeout;
 use tracing::info;
 
 use crate::{
     answer::{Body, Refusal, full},
-    conns::{Conn, SendError},
     core::Core,
-    dialect::{Marks, Reply},
     job::Job,
     relay,
+    send::{Begun, Sent},
 };
 
 /// Least time left for which a request is still sent.
@@ -35,8 +33,6 @@
 const TIGHT_SHARE: f64 = 2.5;
 /// Share of a request's whole time that it waits for room at most.
 const WAIT_SHARE: f64 = 0.4;
-/// Silence that tells something about a replica; a client may have less time.
-const SILENCE_TERM: Duration = Duration::from_secs(1);
 /// Longest wait for a replica that is left alone for now.
 const MAX_WAIT: Duration = Duration::from_millis(120);
 /// Sends of one request, those included that were refused.
@@ -48,62 +44,13 @@
 /// When to come back where a target has no replica.
 const EMPTY_PAUSE: Duration = Duration::from_millis(800);
 
-/// What a request counts for at a replica, until it is dropped.
-pub(crate) struct Load {
-    core: Arc<Core>,
-    replica: Arc<str>,
-    work: Work,
-}
-
-impl Load {
-    fn new(core: &Arc<Core>, replica: &Arc<str>, work: Work) -> Self {
-        core.pool.lock().begin(replica, work);
-        Self { core: core.clone(), replica: replica.clone(), work }
-    }
-
-    /// The prompt is read.
-    pub(crate) fn begun(&mut self) {
-        let read = Work { reading: self.work.reading, memory: 0, runs: 0 };
-        self.work.reading = 0;
-        self.core.pool.lock().release(&self.replica, read);
-    }
-}
-
-impl Drop for Load {
-    fn drop(&mut self) {
-        self.core.pool.lock().release(&self.replica, self.work);
-    }
-}
-
-/// A replica's answer whose head was read and believed.
-pub(crate) struct Begun {
-    pub(crate) status: StatusCode,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: Incoming,
-    pub(crate) conn: Conn,
-    pub(crate) load: Load,
-    pub(crate) replica: Arc<str>,
-}
-
-/// How one send ended.
-enum Sent {
-    /// With an answer to pass on.
-    Begun(Box<Begun>),
-    /// The request did not run.
-    NotRun,
-    /// No connection: nothing arrived.
-    Unsent,
-    /// It may have run.
-    Lost,
-}
-
 /// A request on its way through the replicas.
 pub(crate) struct Course {
     pub(crate) core: Arc<Core>,
     pub(crate) job: Arc<Job>,
-    target: Arc<str>,
+    pub(crate) target: Arc<str>,
     /// Replicas it was sent to.
-    tried: Vec<Arc<str>>,
+    pub(crate) tried: Vec<Arc<str>>,
     /// Replicas that may have run it.
     ran: u32,
     /// Times it arrived at a replica or may have.
@@ -233,242 +180,22 @@
         }
     }
 
-    fn work(&self) -> Work {
+    pub(crate) fn work(&self) -> Work {
         match self.job.prompt() {
             Some(p) => Work { reading: p.input, memory: p.input + p.output, runs: 1 },
             None => Work { reading: 0, memory: 0, runs: 1 },
         }
     }
 
-    /// What moves for the prompt's shared parts, where the weights are known.
-    fn plan(&self, choice: &Choice, salt: &Arc<str>, now: Time) -> Option<Plan> {
-        let prompt = self.job.prompt()?;
-        let snapshot = self.core.view.get();
-        let wanted = snapshot.wanted(&prompt.model);
-        let newest = wanted.map_or(0, |w| w.version);
-        let recent = wanted.is_some_and(|w| now.since(w.learnt) < OLD_STORE_TERM);
-        let stores_usable = now.since(snapshot.age.weights) < STORE_AGE
-            && (choice.version.is_some_and(|v| v >= newest) || recent);
-        let mut shelves = self.core.shelves.lock();
-        let usable = shelves.iter_mut().filter(|_| stores_usable);
-        let mut stores: Vec<_> = usable.map(|s| (s.store.clone(), &mut s.catalog)).collect();
-        let home = choice.home.as_ref().map(|r| r.addr);
-        let plan = Plan::new(prompt, salt, home, &mut stores, now);
-        for (part, moved) in prompt.shared().iter().zip(&plan.parts) {
-            let source = match moved.fetch {
-                None if choice.home.is_none() => "home",
-                None => "read",
-                Some(Source { tokens: None, .. }) => "replica",
-                Some(_) => "store",
-            };
-            self.core.metrics.tokens.with_label_values(&[source]).inc_by(part.tokens);
-        }
-        Some(plan)
-    }
-
-    async fn send(&self, snapshot: &Snapshot, choice: Choice, last: Option<u64>) -> Sent {
-        let (core, job) = (&self.core, &self.job);
-        let now = core.now();
-        let replica = &choice.replica;
-        let model = job.prompt().map(|p| p.model.clone());
-        let salt = model.zip(choice.version).map(|(m, v)| salt(&m, v, job.wall()));
-        let plan = salt.as_ref().and_then(|s| self.plan(&choice, s, now));
-        let shared = job.prompt().map_or(0, |p| p.shared_tokens());
-        let spared = choice.home.is_none() || plan.as_ref().is_some_and(Plan::fetches);
-        let mut work = self.work();
-        work.reading -= if spared { shared.min(work.reading) } else { 0 };
-        let marks = Marks {
-            left: job.left(now),
-            replica: &replica.id,
-            team: job.team.as_ref().map(|t| &*t.name),
-            salt: salt.as_deref(),
-            version: choice.version,
-            rank: job.rank(),
-            plan: plan.as_ref(),
-            last: last.or(job.told.last),
-        };
-        let mut request = Request::new(Full::new(job.body.clone()));
-        *request.method_mut() = job.method.clone();
-        *request.uri_mut() = job.uri.clone();
-        *request.headers_mut() = job.headers.clone();
-        core.outside.dialect.mark(request.headers_mut(), &marks);
-        let load = Load::new(core, &replica.id, work);
-        self.log_sent(&choice, plan.as_ref(), marks.left, snapshot);
-        let most = self.most(snapshot);
-        let sent = core.conns.send(&replica.id, replica.addr, most, request, now);
-        match timeout(job.left(now), sent).await {
-            Ok(Ok((response, conn))) => self.believe(response, conn, load, &choice),
-            Ok(Err(SendError::Connect(why))) => {
-                core.pool.lock().unreachable(&replica.id, core.now());
-                self.log_send("unreachable", &choice, &why);
-                Sent::Unsent
-            }
-            Ok(Err(SendError::Crowded)) => {
-                core.pool.lock().outcome(&replica.id, Outcome::Full, core.now());
-                self.note("crowded", &replica.id);
-                Sent::Unsent
-            }
-            Ok(Err(SendError::Broken(why))) => {
-                core.pool.lock().outcome(&replica.id, Outcome::Silent, core.now());
-                self.log_send("broken", &choice, &why);
-                Sent::Lost
-            }
-            Err(_) => {
-                if marks.left >= SILENCE_TERM {
-                    core.pool.lock().outcome(&replica.id, Outcome::Silent, core.now());
-                }
-                self.log_send("silent", &choice, "no answer in time");
-                Sent::Lost
-            }
-        }
-    }
-
-    /// One line for each send: what decided it, and how old that knowledge was.
-    fn log_sent(&self, choice: &Choice, plan: Option<&Plan>, left: Duration, known: &Snapshot) {
-        let now = self.core.now();
-        let source = |part: &Transfer| match (part.fetch, part.save) {
-            (Some(Source { tokens: Some(_), .. }), _) => 's',
-            (Some(_), _) => 'r',
-            (None, Some(_)) => 'w',
-            (None, None) => '-',
-        };
-        let moved: String = plan.iter().flat_map(|p| p.parts.iter().map(source)).collect();
-        info!(
-            request = &*self.job.told.id,
-            replica = &*choice.replica.id,
-            home = choice.home.as_ref().map(|h| &*h.id),
-            version = choice.version,
-            send = self.tried.len(),
-            delay_ms = choice.delay as u64,
-            left_ms = left.as_millis() as u64,
-            known_ms = now.since(known.age.replicas).as_millis() as u64,
-            reading = choice.work.reading,
-            memory = choice.work.memory,
-            requests = choice.requests,
-            moved,
-            context = self.job.prompt().and_then(|p| p.context()).map(|c| &*c.id),
-            shared = self.job.prompt().map(|p| p.shared_tokens()),
-            "sent"
-        );
-    }
-
-    /// Connections that this instance may have to one replica.
-    fn most(&self, snapshot: &Snapshot) -> u32 {
-        let target = snapshot.setup.as_ref().and_then(|s| s.target(&self.target));
-        let sharers = self.core.sharers(snapshot);
-        target.map_or(u32::MAX, |t| (t.conns / sharers).max(MIN_CONNS))
-    }
-
-    /// Judges an answer's head.
-    fn believe(
-        &self,
-        response: Response<Incoming>,
-        conn: Conn,
-        load: Load,
-        choice: &Choice,
-    ) -> Sent {
-        let (core, job) = (&self.core, &self.job);
-        let id = &choice.replica.id;
-        let (head, body) = response.into_parts();
-        let reply = core.outside.dialect.reply(head.status, &head.headers);
-        let now = core.now();
-        if let Some(requests) = reply.requests {
-            core.pool.lock().reported(id, requests, now);
-        }
-        let foreign = reply.id.as_ref().is_some_and(|i| *i != job.told.id);
-        if foreign || (reply.id.is_none() && !reply.refused) {
-            core.pool.lock().outcome(id, Outcome::Failed, now);
-            self.log_send("foreign", choice, "the answer belongs to another request");
-            return Sent::Lost;
-        }
-        if reply.refused {
-            self.refused(head.status, &reply, choice, now);
-            return Sent::NotRun;
-        }
-        let coded = head.headers.contains_key(CONTENT_ENCODING);
-        if !reply.sealed || coded {
-            core.pool.lock().outcome(id, Outcome::Failed, now);
-            self.log_send("unsealed", choice, head.status.as_str());
-            return Sent::Lost;
-        }
-        if let (Some(version), Some(prompt)) = (reply.version, job.prompt())
-            && Some(version) != choice.version
-        {
-            core.pool.lock().learnt(id, &prompt.model, version);
-        }
-        let outcome = match head.status.is_server_error() {
-            true => Outcome::Failed,
-            false => Outcome::Answered,
-        };
-        core.pool.lock().outcome(id, outcome, now);
-        let (status, headers, replica) = (head.status, head.headers, id.clone());
-        Sent::Begun(Box::new(Begun { status, headers, body, conn, load, replica }))
-    }
-
-    /// Learns from a refusal.
-    fn refused(&self, status: StatusCode, reply: &Reply, choice: &Choice, now: Time) {
-        let id = &choice.replica.id;
-        let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
-        let other = reply.replica.as_ref().is_some_and(|r| r != id);
-        if misdirected && other {
-            // Another incarnation has the address: this one is gone.
-            self.core.view.mark_leaving(id);
-            self.core.depart(id);
-            self.core.pool.lock().sync(&self.core.view.get().replicas);
-        } else if misdirected {
-            self.other_weights(reply, choice);
-            self.core.pool.lock().outcome(id, Outcome::Full, now);
-        } else {
-            self.core.pool.lock().outcome(id, Outcome::Full, now);
-        }
-        self.log_send("not_run", choice, status.as_str());
-    }
-
-    /// The replica has other weights than it registered. Versions only grow, so unless it says
-    /// which, it most likely has the newest.
-    fn other_weights(&self, reply: &Reply, choice: &Choice) {
-        let (Some(prompt), Some(counted)) = (self.job.prompt(), choice.version) else { return };
-        let newest = self.core.view.get().wanted(&prompt.model).map_or(0, |w| w.version);
-        let version = reply.version.unwrap_or(newest.max(counted + 1));
-        self.core.pool.lock().learnt(&choice.replica.id, &prompt.model, version);
-    }
-
-    fn note(&self, outcome: &str, replica: &str) {
-        self.core.metrics.sends.with_label_values(&[outcome]).inc();
-        tracing::debug!(request = &*self.job.told.id, replica, outcome, "send");
-    }
-
-    fn log_send(&self, outcome: &str, choice: &Choice, why: &str) {
-        self.core.metrics.sends.with_label_values(&[outcome]).inc();
-        let age = self.core.now().since(self.core.view.get().age.replicas).as_millis() as u64;
-        info!(
-            request = &*self.job.told.id,
-            replica = &*choice.replica.id,
-            version = choice.version,
-            known_ms = age,
-            outcome,
-            why,
-            "send"
-        );
-    }
-
     /// The number of replicas that may have run the request.
     pub(crate) fn ran(&self) -> u32 {
         self.ran
     }
 }
 
-/// How long after newer weights are named the stores still serve those before: until most replicas
-/// have the newer ones, reading everything again would take all engines.
-const OLD_STORE_TERM: Duration = Duration::from_millis(6500);
-/// Stores are used only while the newest weights are known to be no older than this: parts of older
-/// ones are freed some time after newer ones are named.
-const STORE_AGE: Duration = Duration::from_millis(1200);
 /// Share of the fixed allowance of repeats that is used; the rest covers instances that are not
 /// known of.
 const EXTRA_SHARE: f64 = 0.7;
-/// Least number of connections that an instance may have to one replica.
-const MIN_CONNS: u32 = 6;
 
 /// Forwards a request and returns the answer to pass on.
 pub(crate) async fn forward(core: Arc<Core>, job: Arc<Job>) -> Result<Response<Body>, Refusal> {
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -10,6 +10,7 @@
 use hyper::{HeaderMap, Method, Uri};
 use ident::Time;
 use place::Prompt;
+use tokio::sync::OwnedSemaphorePermit;
 
 use crate::{core::Core, dialect::Told};
 
@@ -50,6 +51,8 @@
     pub start: Time,
     /// When its answer must have ended.
     pub deadline: Time,
+    /// Memory that its body takes.
+    pub _room: OwnedSemaphorePermit,
     /// The process does not end while it is in progress.
     pub _active: Active,
 }
@@ -85,14 +88,9 @@
 
     /// Its rank at an engine: short prompts first, since they delay nobody.
     pub fn rank(&self) -> Option<u8> {
-        let prompt = self.prompt()?;
-        let (reading, medium, long) = (prompt.input, 4_096, 16_384);
-        Some(match reading {
-            n if n < 1_024 => 2,
-            n if n < medium => 4,
-            n if n < long => 5,
-            _ => 6,
-        })
+        let tokens = self.prompt()?.input;
+        let shorter = RANKS.iter().find(|(below, _)| tokens < *below);
+        Some(shorter.map_or(LAST_RANK, |(_, rank)| *rank))
     }
 
     /// The oldest version of the model's weights that may be used.
@@ -103,6 +101,11 @@
     }
 }
 
+/// Ranks at an engine by prompt tokens below a bound. The second bound is what engines read in one
+/// piece between two tokens of others, the third four such pieces; 5 is the engines' own default.
+const RANKS: [(u64, u8); 3] = [(1_024, 2), (4_096, 4), (16_384, 5)];
+/// The rank of all longer prompts.
+const LAST_RANK: u8 = 6;
 /// Share of the time allowed for new weights after which older ones are no longer used. A request
 /// begins to run only after it has waited at the replica.
 const RETIRE_SHARE: f64 = 0.75;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod outside;
 mod peers;
 mod relay;
+mod send;
 mod serve;
 
 pub use crate::{
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -13,7 +13,8 @@
     answer::{Body, Piece, piped},
     conns::Conn,
     events::Splitter,
-    forward::{Begun, Course, Load},
+    forward::Course,
+    send::{Begun, Load},
 };
 
 /// Pieces that wait for a slow client before the replica's connection is left unread.
