Give up old parts one after the other, date a late naming by the last knowledge

Cause: reading the bounds again: an instance may learn of newer weights 1.2 s after the holder and a fetch may last 1.8 s, but parts were freed 2.3 s after their last use; and an instance that learnt of a naming after a gap took it for new and went on reading parts that were about to be freed, and using weights that were to be retired.

Change: each part has its own term from 2.5 to 7.5 s by its id, freed 3.2 s later; a naming counts from the last moment at which there was known to be none; nothing is saved for weights that go.

Measured: old_parts_are_given_up_one_after_the_other.

--- a/crates/place/src/catalog.rs
+++ b/crates/place/src/catalog.rs
@@ -132,12 +132,12 @@
         self.epoch
     }
 
-    /// The parts that are held under salts for which `dead` says yes.
+    /// The parts for which `dead` says yes.
     pub fn dead<F>(&self, dead: F) -> Vec<Held>
     where
-        F: Fn(&str) -> bool,
+        F: Fn(&Held) -> bool,
     {
-        self.held.iter().filter(|h| dead(&h.salt)).cloned().collect()
+        self.held.iter().filter(|h| dead(h)).cloned().collect()
     }
 
     /// Notes that a request is to save the part; false when one lately was.
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -12,7 +12,7 @@
 pub use crate::{
     budget::{Budget, Budgets},
     catalog::{Catalog, Change, Held},
-    plan::{Plan, Source, Transfer, salt, salted},
+    plan::{Plan, Source, Transfer, free_term, old_term, salt, salted},
     pool::{Ask, Choice, Denied, Outcome, PeerLoad, Pool, Room, Work},
     prompt::{Part, Prompt},
 };
--- a/crates/place/src/plan.rs
+++ b/crates/place/src/plan.rs
@@ -12,6 +12,13 @@
 /// Prompts whose shared parts are shorter than this stay in the replicas' memory: reading them again
 /// is quicker than a transfer that waits behind long ones.
 const MIN_KEPT: u64 = 1024;
+/// Shortest and longest time for which parts of older weights are still read from stores after newer
+/// ones are named. Reading everything again at once would take all engines; keeping everything
+/// would leave no room for parts of the newer ones.
+const OLD_TERMS: (Duration, Duration) = (Duration::from_millis(2500), Duration::from_millis(7500));
+/// A part of older weights is freed this long after it was last read: instances learn of newer
+/// weights up to 1.2 s apart or do not read from stores, and a fetch ends within 1.8 s.
+const FREE_MARGIN: Duration = Duration::from_millis(3200);
 /// Share of a store's room that is filled, so that saves under way find space.
 const FILL: f64 = 0.97;
 
@@ -31,6 +38,18 @@
     Some((model, words.next()?.parse().ok()?))
 }
 
+/// How long after newer weights are named an older part is still read from stores. It follows from
+/// the part's id, so that all instances agree and parts are given up one after the other.
+pub fn old_term(part: &str) -> Duration {
+    let share = xxhash_rust::xxh3::xxh3_64(part.as_bytes()) as f64 / u64::MAX as f64;
+    OLD_TERMS.0 + (OLD_TERMS.1 - OLD_TERMS.0).mul_f64(share)
+}
+
+/// When such a part may be freed.
+pub fn free_term(part: &str) -> Duration {
+    old_term(part) + FREE_MARGIN
+}
+
 /// Where a part is fetched from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Source {
@@ -60,12 +79,13 @@
 
 impl Plan {
     /// Plans the transfers of `prompt` under `salt`. `home` is the replica that most likely has
-    /// the shared parts, where it isn't the one that will run the request. `stores` come with
-    /// their catalogues.
+    /// the shared parts, where it isn't the one that will run the request. `old` tells since when
+    /// newer weights than the salt's are named, if they are. `stores` come with their catalogues.
     pub fn new(
         prompt: &Prompt,
         salt: &Arc<str>,
         home: Option<SocketAddr>,
+        old: Option<Time>,
         stores: &mut [(Arc<Store>, &mut Catalog)],
         now: Time,
     ) -> Self {
@@ -73,14 +93,17 @@
         let long = prompt.shared_tokens() >= MIN_KEPT;
         let stores = if long { stores } else { &mut [] };
         for (at, part) in prompt.shared().iter().enumerate() {
-            let (fetch, save) = match kept(part, salt, stores, now) {
+            let given_up = old.is_some_and(|at| now.since(at) >= old_term(&part.id));
+            let found = kept(part, salt, stores, now).filter(|_| !given_up);
+            let (fetch, save) = match found {
                 Some((source, until)) => {
                     out.until = Some(out.until.map_or(until, |u| u.min(until)));
                     (Some(source), None)
                 }
                 None => {
                     let fetch = home.map(|addr| Source { addr, tokens: None });
-                    (fetch, keep(part, salt, stores, now))
+                    let save = if old.is_none() { keep(part, salt, stores, now) } else { None };
+                    (fetch, save)
                 }
             };
             out.parts[at] = Transfer { fetch, save };
--- a/crates/place/tests/transfer_plans.rs
+++ b/crates/place/tests/transfer_plans.rs
@@ -4,9 +4,9 @@
 
 use fleet::Store;
 use ident::Time;
-use place::{Catalog, Held, Part, Plan, Prompt, Source, salt, salted};
+use place::{Catalog, Held, Part, Plan, Prompt, Source, free_term, old_term, salt, salted};
 
-const NOW: Time = Time(1000);
+const NOW: Time = Time(100_000);
 
 fn prompt(shared: u64) -> Prompt {
     let part = |id: &str, tokens| Part { id: id.into(), tokens };
@@ -41,7 +41,7 @@
 
 fn plan(prompt: &Prompt, home: Option<u16>, stores: &mut [(Arc<Store>, &mut Catalog)]) -> Plan {
     let home = home.map(|port| ([127, 0, 0, 1], port).into());
-    Plan::new(prompt, &salt("m", 1, None), home, stores, NOW)
+    Plan::new(prompt, &salt("m", 1, None), home, None, stores, NOW)
 }
 
 #[test]
@@ -88,3 +88,26 @@
     assert_eq!(salted("m/2/t"), Some(("m", 2)));
     assert_eq!(salted("somebody else's"), None);
 }
+
+/// A part is freed only after the last fetch that any instance may have begun: instances learn of
+/// newer weights up to 1.2 s apart, and a fetch ends within 1.8 s.
+#[test]
+fn old_parts_are_given_up_one_after_the_other() {
+    let mut terms: Vec<u128> =
+        (0..100).map(|n| old_term(&format!("part-{n}")).as_millis()).collect();
+    terms.sort_unstable();
+    terms.dedup();
+    assert!(terms.len() > 90, "they are spread");
+    assert!(free_term("ctx") - old_term("ctx") >= std::time::Duration::from_millis(1200 + 1800));
+    let fetched = |named: u64| {
+        let mut kept = catalog(&[("ctx", 12_800)]);
+        let mut stores = [(store(1, 100_000), &mut kept)];
+        let now = Time(NOW.0 + 100);
+        let old = Some(now.before(std::time::Duration::from_millis(named)));
+        let out = Plan::new(&prompt(12_800), &salt("m", 1, None), None, old, &mut stores, now);
+        assert_eq!(out.parts[0].save, None, "nothing is saved for weights that go");
+        out.fetches()
+    };
+    assert!(fetched(100));
+    assert!(!fetched(old_term("ctx").as_millis() as u64 + 1));
+}
--- a/crates/relay/src/duty.rs
+++ b/crates/relay/src/duty.rs
@@ -6,7 +6,7 @@
 use fleet::{Replica, Snapshot};
 use ident::{Name, Time};
 use lease::{Held, LeaseError, Leases, Moves, Reading, Upgrade};
-use place::salted;
+use place::{Held as HeldPart, free_term, salted};
 use rand::Rng;
 use table::TableError;
 use tokio::time::timeout;
@@ -35,9 +35,6 @@
 const REST_ROUND: Duration = Duration::from_secs(4);
 /// No order is sent in the last part of a lease's term: it must arrive within it.
 const ORDER_MARGIN: Duration = Duration::from_millis(700);
-/// Cached parts of older weights are freed this long after newer ones were learnt of. By then no
-/// instance fetches them: see `forward::STORE_AGE`, and the limit that each fetch carries.
-const FREE_AFTER: Duration = Duration::from_millis(8800);
 /// Parts freed by one call.
 const FREE_BATCH: usize = 200;
 /// How long a freeing call may be under way, on the store's clock, in ms.
@@ -308,12 +305,10 @@
     /// Frees what was made by older weights.
     async fn free(&mut self, snapshot: &Snapshot) {
         let now = self.core.now();
-        let dead = |salt: &str| {
-            salted(salt).is_some_and(|(model, version)| {
-                snapshot
-                    .wanted(model)
-                    .is_some_and(|w| version < w.version && now.since(w.learnt) > FREE_AFTER)
-            })
+        let dead = |held: &HeldPart| {
+            let Some((model, version)) = salted(&held.salt) else { return false };
+            let newer = snapshot.wanted(model).filter(|w| version < w.version);
+            newer.is_some_and(|w| now.since(w.learnt) > free_term(&held.part))
         };
         let batches: Vec<_> = self
             .core
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -88,9 +88,10 @@
                     dial.own(batch.clock).unwrap_or(asked)
                 };
                 let changed = !batch.news.is_empty();
+                let known = self.core.view.get().age.weights;
                 // First: entries that vanish just after a gap may come back.
                 self.confirm(made.max(asked));
-                self.take_in(batch.news, whole);
+                self.take_in(batch.news, whole, known);
                 self.give_up();
                 if changed && self.topic != Topic::Operator {
                     tokio::time::sleep(REPLICA_PAUSE).await;
@@ -125,14 +126,14 @@
         }
     }
 
-    fn take_in(&mut self, news: Vec<News>, whole: bool) {
+    fn take_in(&mut self, news: Vec<News>, whole: bool, known: Time) {
         if whole {
             self.drop_absent(&news);
         }
         let mut replicas = false;
         for item in news {
             replicas |= matches!(item, News::Replica(_) | News::ReplicaGone(_));
-            self.apply(item);
+            self.apply(item, known);
         }
         if whole && self.topic == Topic::Operator {
             for weights in &self.core.view.get().weights {
@@ -144,13 +145,16 @@
         }
     }
 
-    fn apply(&mut self, item: News) {
+    /// Takes in one item; `known` is when the wanted weights were last known to be the newest.
+    fn apply(&mut self, item: News, known: Time) {
         let core = self.core.clone();
         match item {
             News::Setup(setup, bytes) => core.take_setup(*setup, bytes, "registry"),
             News::Weights { model, version } => {
-                if core.view.offer_weights(&model, version, core.now()) {
-                    info!(%model, version, "weights named");
+                // Named at some time since then; the earliest is the safe assumption.
+                let at = if known > Time(0) { known } else { core.now() };
+                if core.view.offer_weights(&model, version, at) {
+                    info!(%model, version, named = %at, "weights named");
                 }
             }
             News::Replica(replica) => {
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -20,9 +20,6 @@
 /// Stores are used only while the newest weights are known to be no older than this: parts of older
 /// ones are freed some time after newer ones are named.
 const STORE_AGE: Duration = Duration::from_millis(1200);
-/// How long after newer weights are named the stores still serve those before: until most replicas
-/// have the newer ones, reading everything again would take all engines.
-const OLD_STORE_TERM: Duration = Duration::from_millis(6500);
 /// Least number of connections that an instance may have to one replica.
 const MIN_CONNS: u32 = 6;
 /// Silence that tells something about a replica; a client may have less time.
@@ -83,15 +80,13 @@
         let prompt = self.job.prompt()?;
         let snapshot = self.core.view.get();
         let wanted = snapshot.wanted(&prompt.model);
-        let newest = wanted.map_or(0, |w| w.version);
-        let recent = wanted.is_some_and(|w| now.since(w.learnt) < OLD_STORE_TERM);
-        let stores_usable = now.since(snapshot.age.weights) < STORE_AGE
-            && (choice.version.is_some_and(|v| v >= newest) || recent);
+        let newer = wanted.filter(|w| choice.version < Some(w.version));
+        let stores_usable = now.since(snapshot.age.weights) < STORE_AGE;
         let mut shelves = self.core.shelves.lock();
         let usable = shelves.iter_mut().filter(|_| stores_usable);
         let mut stores: Vec<_> = usable.map(|s| (s.store.clone(), &mut s.catalog)).collect();
         let home = choice.home.as_ref().map(|r| r.addr);
-        let plan = Plan::new(prompt, salt, home, &mut stores, now);
+        let plan = Plan::new(prompt, salt, home, newer.map(|w| w.learnt), &mut stores, now);
         for (part, moved) in prompt.shared().iter().zip(&plan.parts) {
             let source = match moved.fetch {
                 None if choice.home.is_none() => "home",
