--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -2,6 +2,7 @@
 //! replicas, and news that a peer may miss while the platform is out of its reach.
 
 use std::{
+    cmp::Reverse,
     net::SocketAddr,
     sync::{Arc, atomic::Ordering},
     time::Duration,
@@ -83,6 +84,8 @@
 fn wire(core: &Core) -> Wire {
     let snapshot = core.view.get();
     let mut loads = core.pool.lock().loads();
+    // Where not all fit, the most loaded matter most.
+    loads.sort_by_key(|l| Reverse((l.work.memory, l.work.runs)));
     loads.truncate(MAX_LOADS);
     let load = |l: PeerLoad| (l.replica.to_string(), l.work.reading, l.work.memory, l.work.runs);
     let mut leaving: Vec<String> =
