--- a/crates/table/src/lib.rs
+++ b/crates/table/src/lib.rs
@@ -1,7 +1,7 @@
 //! The platform's transactional table service behind a narrow trait.
 //!
-//! Rows are addressed by partition and sort key; every row carries a version that grows by one
-//! with each write. The only mutation is a transaction of conditional writes.
+//! Rows are addressed by partition and sort key; every row carries a version that grows with
+//! each write. The only mutation is a transaction of conditional writes.
 
 mod dynamo;
 mod faulty;
@@ -25,7 +25,8 @@
     pub part: Arc<str>,
     /// Sort key, ordered bytewise within the partition.
     pub sort: Arc<str>,
-    /// Grows by one with each write; the first is 1.
+    /// Grows with each write: by one in some services, by the number of all writes between in
+    /// others.
     pub version: u64,
     /// The payload: JSON text, at most 256 KiB.
     pub body: Arc<str>,
