--- a/crates/node/tests/deployed_config.rs
+++ b/crates/node/tests/deployed_config.rs
@@ -21,15 +21,22 @@
 
 /// [`limit`], read with a prompt of `len` bytes.
 async fn limit_under(d: &Deployment, entry: &Entry, len: usize) -> Option<u64> {
+    limit_told(d, entry, len).await.ok()
+}
+
+/// The limit, or what was answered instead of naming one.
+async fn limit_told(d: &Deployment, entry: &Entry, len: usize) -> Result<u64, String> {
     let prompt = "x".repeat(len);
     let body = json!({"model": "writer", "prompt": prompt, "max_tokens": 1, "stream": true});
     let headers = [("authorization", "Bearer weddings-key")];
     let url = format!("{}/v1/completions", entry.instance.url());
     let bytes = bytes::Bytes::from(body.to_string());
-    let reply = d.platform.http.send(Method::POST, &url, &headers, bytes).await.ok()?;
-    let problem: Value = reply.json().ok()?;
-    let detail = problem["detail"].as_str()?;
-    detail.rsplit("limit is ").next()?.parse().ok()
+    let reply = d.platform.http.send(Method::POST, &url, &headers, bytes).await;
+    let reply = reply.map_err(|e| e.to_string())?;
+    let problem: Value = reply.json().map_err(|e| format!("{}: {e}", reply.status))?;
+    let detail = problem["detail"].as_str().unwrap_or_default();
+    let limit = detail.rsplit("limit is ").next().and_then(|n| n.parse().ok());
+    limit.ok_or_else(|| format!("{}: {problem}", reply.status))
 }
 
 async fn set_limit(d: &Deployment, entry: &Entry, limit: u64) -> Result<(), rig::RigError> {
@@ -170,7 +177,8 @@
     // Longer than a confirmation lasts.
     tokio::time::sleep(IN_FORCE).await;
     for entry in &d.entries {
-        assert_eq!(limit(&d, entry).await, Some(1_001_500), "{} serves on", entry.name);
+        let told = limit_told(&d, entry, 3_000_000).await;
+        assert_eq!(told, Ok(1_001_500), "{} serves on", entry.name);
     }
     set_limit(&d, &d.entries[0], 1_001_600).await.unwrap_err();
     // One that starts in the outage knows nothing and takes no work.
@@ -182,7 +190,8 @@
     d.platform.faults(&d.platform.table, json!({})).await.unwrap();
     d.wait_ready().await.unwrap();
     for entry in &d.entries {
-        assert_eq!(limit(&d, entry).await, Some(1_001_500), "nothing was accepted in the outage");
+        let told = limit_told(&d, entry, 3_000_000).await;
+        assert_eq!(told, Ok(1_001_500), "{}: nothing was accepted in the outage", entry.name);
     }
     set_limit(&d, &d.entries[0], 1_001_700).await.unwrap();
     wait_in_force(&d, 1_001_700, Instant::now()).await;
