Let an outage that ends confirm the configuration for a while

Cause: an instance that serves on in an outage of the table turns stale the moment it hears any neighbour reach the table, unless that neighbour's word confirms its revision. An instance that was started in the outage reaches the table before it has read the configuration, and its word confirms nothing. So instances that were ready a moment before refused with 503 "stale" until their own read.

Ruled out: a confirmation that expires in the outage itself (no instance turns stale then, `outage_serves_on`); readiness told too early (it is asked of the same function).

Change: before it becomes known that somebody reaches the table, the end of the outage is taken as a confirmation as old as the oldest word that counts: until then nobody could change the configuration.

--- a/crates/member/src/fresh.rs
+++ b/crates/member/src/fresh.rs
@@ -62,12 +62,23 @@
     /// succeeded, and the newest revision it showed. Apply the changes and call
     /// [`Members::set_rev`] first.
     pub fn table_read(&mut self, asked: Time, ok: bool, newest: Rev) {
+        if ok {
+            self.end_outage(asked);
+        }
         self.confirmation.table = ok;
         if ok && newest <= self.rev() {
             self.confirmation.raise(asked);
         }
     }
 
+    /// Call before it becomes known that somebody reaches the table. While nobody did, nobody could
+    /// change the configuration, so it was the newest when the oldest word that counts was heard.
+    pub(crate) fn end_outage(&mut self, now: Time) {
+        if self.confirmation.at.is_some() && self.outage(now) {
+            self.confirmation.raise(now.before(HEARD_TERM));
+        }
+    }
+
     /// Takes a peer's word on the newest revision, given after `asked`.
     ///
     /// The peer knew its revision to be the newest `age` before it answered, so no earlier than
--- a/crates/member/src/members.rs
+++ b/crates/member/src/members.rs
@@ -192,6 +192,9 @@
     /// Takes a message of an established life.
     fn hear(&mut self, at: usize, status: Status, news: &[News], now: Time) {
         let due = now.after(self.pause(&self.peers[at].name, now));
+        if status.table {
+            self.end_outage(now);
+        }
         let peer = &mut self.peers[at];
         peer.heard = now;
         peer.due = due;
--- a/crates/member/tests/fresh_cases.rs
+++ b/crates/member/tests/fresh_cases.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use ident::{Name, Rev, Time};
-use member::{CONFIRM_TERM, Config, Freshness, Me, Members};
+use member::{CONFIRM_TERM, Config, Freshness, HEARD_TERM, Me, Members};
 use sim::Sim;
 
 fn secs(n: u64) -> Duration {
@@ -135,6 +135,35 @@
     assert_eq!(count(&sim, Freshness::Stale), 7, "a newer revision exists and was not fetched");
 }
 
+/// An instance that starts in an outage reaches the table before it has read the configuration: it
+/// confirms nothing to its peers, yet they have time to read the table themselves.
+#[test]
+fn reader_without_word_leaves_time() {
+    let mut sim = Sim::new(8, 4, 6);
+    sim.fetch = false;
+    sim.run(secs(8));
+    tables(&mut sim, |_| false);
+    sim.run(secs(12));
+    assert_eq!(count(&sim, Freshness::Outage), 8);
+    let (heard, term) = (sim.now, CONFIRM_TERM - HEARD_TERM);
+    let last = Duration::from_millis(200);
+    while sim.now < heard.after(term - last) {
+        let now = sim.now;
+        sim.nodes[0].members.table_read(now, true, Rev(9));
+        sim.step();
+        assert_eq!((1..8).filter(|&i| fresh(&sim, i) == Freshness::Stale).count(), 0, "{now}");
+    }
+    // It goes on with a revision that the others do not get.
+    tables(&mut sim, |i| i == 0);
+    sim.nodes[0].members.set_rev(Rev(9));
+    for _ in 0..120 {
+        let now = sim.now;
+        sim.nodes[0].members.table_read(now, true, Rev(9));
+        sim.step();
+    }
+    assert_eq!((1..8).filter(|&i| fresh(&sim, i) == Freshness::Stale).count(), 7);
+}
+
 #[test]
 fn newer_revision_ends_outage() {
     let mut sim = Sim::new(8, 4, 6);
