Ask whether a call may be sent right before its first byte

Cause: a process stopped between the question whether a claimed call may still be sent and the write of its first byte sent it after its latest moment (`a_holder_frozen_at_any_moment_sends_nothing_late`). The HTTP client wrote from a task of its own, some polls after the question.

Ruled out: a larger margin (a pause has no bound); a deadline that the service checks (its protocol has none).

Change: the connection itself asks again before its first write and refuses it, and is driven in the call's own task. What remains is the time between that question and the system call.

Before: `no_byte_goes_out_once_the_time_is_over` fails where the second question says no (the call went out). After: both tests of `late_sends` pass. Nothing runs twice through what remains: the row stays claimed.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -1,6 +1,12 @@
 //! Calls to plain services, each non-idempotent one at most once.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use axum::{
     body::Bytes,
@@ -177,10 +183,12 @@
 ) -> Result<Response, Problem> {
     let (team, key) = (id.team().clone(), Digest::of(id.key().as_bytes()));
     core.record(EventKind::CallClaimed { team: team.clone(), key });
-    // Asked with the connection there, so that only the write itself can come after it.
+    // Asked with the connection there and again at the first byte, so that only the write itself
+    // can come after it.
+    let told = AtomicBool::new(false);
     let may_send = || {
         let may = claim.may_send(core.now());
-        if may {
+        if may && !told.swap(true, Ordering::Relaxed) {
             core.record(EventKind::CallSent { team: team.clone(), key });
         }
         may
--- a/crates/outbound/src/lib.rs
+++ b/crates/outbound/src/lib.rs
@@ -8,6 +8,7 @@
 mod client;
 mod engine;
 mod error;
+mod gate;
 mod list;
 mod service;
 mod store;
--- a/crates/outbound/src/service.rs
+++ b/crates/outbound/src/service.rs
@@ -1,6 +1,6 @@
 //! Calls to plain services.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, pin::pin, time::Duration};
 
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -17,6 +17,7 @@
 use crate::{
     CallError, Refusal,
     client::{CONNECT_TERM, read},
+    gate::{Closed, Gate},
 };
 
 /// Header by which a service says that it did not run a call.
@@ -50,7 +51,8 @@
     pub body: Bytes,
 }
 
-/// Whether a call may still be sent; asked once its connection is there, before its first byte.
+/// Whether a call may still be sent; asked once its connection is there, and again right before its
+/// first byte.
 pub type MaySend<'a> = &'a (dyn Fn() -> bool + Sync);
 
 /// A plain service.
@@ -81,31 +83,53 @@
         limit: Duration,
     ) -> Result<Reply, CallError> {
         let request = request(addr, call)?;
-        let mut sender = connect(addr).await?;
+        let stream = connect(addr).await?;
         if !may_send() {
             return Err(CallError::Late);
         }
-        let broken = |e: hyper::Error| CallError::Broken(e.to_string().into());
-        let whole = async {
-            let response = sender.send_request(request).await.map_err(broken)?;
-            reply(response).await
-        };
-        timeout(limit, whole).await.unwrap_or(Err(CallError::Silent))
+        let closed = Closed::default();
+        let gate = Gate::new(stream, may_send, &closed);
+        let handshake = http1::handshake(TokioIo::new(gate)).await;
+        let (sender, connection) =
+            handshake.map_err(|e| CallError::Connect(e.to_string().into()))?;
+        let whole = exchange(sender, connection, request);
+        match timeout(limit, whole).await {
+            Ok(Err(_)) if closed.get() => Err(CallError::Late),
+            Ok(answered) => answered,
+            Err(_) => Err(CallError::Silent),
+        }
     }
 }
 
 /// Opens a connection; nothing is sent on it yet.
-async fn connect(addr: SocketAddr) -> Result<SendRequest<Full<Bytes>>, CallError> {
+async fn connect(addr: SocketAddr) -> Result<TcpStream, CallError> {
     let failed = |e: &dyn std::error::Error| CallError::Connect(e.to_string().into());
-    let stream = match timeout(CONNECT_TERM, TcpStream::connect(addr)).await {
-        Ok(stream) => stream.map_err(|e| failed(&e))?,
-        Err(late) => return Err(failed(&late)),
+    match timeout(CONNECT_TERM, TcpStream::connect(addr)).await {
+        Ok(stream) => stream.map_err(|e| failed(&e)),
+        Err(late) => Err(failed(&late)),
+    }
+}
+
+/// Sends the request and reads the answer, with the connection driven in the same task: it ends
+/// with the call.
+async fn exchange<T>(
+    mut sender: SendRequest<Full<Bytes>>,
+    connection: http1::Connection<T, Full<Bytes>>,
+    request: Request<Full<Bytes>>,
+) -> Result<Reply, CallError>
+where
+    T: hyper::rt::Read + hyper::rt::Write + Unpin,
+{
+    let whole = async {
+        let response = sender.send_request(request).await;
+        reply(response.map_err(|e| CallError::Broken(e.to_string().into()))?).await
     };
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
-    let (sender, connection) = handshake.map_err(|e| failed(&e))?;
-    // Its errors come back through the sender as well.
-    tokio::spawn(connection);
-    Ok(sender)
+    let (mut whole, mut connection) = (pin!(whole), pin!(connection));
+    tokio::select! {
+        answered = &mut whole => answered,
+        // What became of it comes back through the sender.
+        _ = &mut connection => whole.await,
+    }
 }
 
 async fn reply(response: Response<Incoming>) -> Result<Reply, CallError> {
