--- a/crates/place/src/prompt.rs
+++ b/crates/place/src/prompt.rs
@@ -1,6 +1,6 @@
 //! What a request says about its prompt.
 
-use std::sync::Arc;
+use std::{fmt, sync::Arc};
 
 /// A part of a prompt that other requests may share.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -24,6 +24,17 @@
     pub parts: Vec<Part>,
 }
 
+/// The parts in order, each as its id and tokens.
+impl fmt::Display for Prompt {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (at, part) in self.parts.iter().enumerate() {
+            let comma = if at == 0 { "" } else { "," };
+            write!(f, "{comma}{}:{}", part.id, part.tokens)?;
+        }
+        Ok(())
+    }
+}
+
 impl Prompt {
     /// The parts that other requests may bring again.
     pub fn shared(&self) -> &[Part] {
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -167,7 +167,8 @@
         let now = self.core.now();
         let source = |part: &Transfer| match (part.fetch, part.save) {
             (Some(Source { tokens: Some(_), .. }), _) => 's',
-            (Some(_), _) => 'r',
+            (Some(_), None) => 'r',
+            (Some(_), Some(_)) => 'R',
             (None, Some(_)) => 'w',
             (None, None) => '-',
         };
@@ -185,8 +186,7 @@
             memory = choice.work.memory,
             requests = choice.requests,
             moved,
-            context = self.job.prompt().and_then(|p| p.context()).map(|c| &*c.id),
-            shared = self.job.prompt().map(|p| p.shared_tokens()),
+            parts = self.job.prompt().map(tracing::field::display),
             "sent"
         );
     }
