--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -24,7 +24,7 @@
 /// Share of an engine's memory that running requests may need where there is room to spare.
 const AMPLE_FILL: f64 = 0.75;
 /// Share that they may need where there is not.
-const TIGHT_FILL: f64 = 0.95;
+const TIGHT_FILL: f64 = 0.85;
 /// An engine whose requests need less than this share takes any other request.
 const IDLE_FILL: f64 = 0.2;
 /// Cost of weights that are no longer the newest, in ms.
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -30,9 +30,9 @@
 const AMPLE_SHARE: f64 = 0.25;
 /// The same for any room, as a multiple: a late answer is worth less, but a request that is sent to
 /// a full engine delays all others there.
-const TIGHT_SHARE: f64 = 2.5;
+const TIGHT_SHARE: f64 = 8.0;
 /// Share of a request's whole time that it waits for room at most.
-const WAIT_SHARE: f64 = 0.4;
+const WAIT_SHARE: f64 = 0.6;
 /// Longest wait for a replica that is left alone for now.
 const MAX_WAIT: Duration = Duration::from_millis(120);
 /// Sends of one request, those included that were refused.
