Give a request up that would begin on weights that are over

A request was sent to a replica with older weights 8.5 s after newer ones were named, within the 9 s for which that is done, waited there for 3.7 s and began 12.15 s after the naming; 12 s are allowed.

Ruled out: a naming dated too late (the instance had it within some ms); the longer waits at the instance (it was sent 0.4 s after its arrival). Sending for a shorter time only makes it rarer: the wait at a replica has no bound.

Change: a send to older weights whose answer has not begun 300 ms before they are over is cut, and the replica drops it; it is sent once more only where its route allows it.

Before: `a_request_does_not_begin_on_weights_that_are_over` gets an answer from the old weights. After: it passes.

--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -61,6 +61,11 @@
         over.map(|(version, _)| *version).max().unwrap_or(0)
     }
 
+    /// When the first version after `version` was named, at the latest.
+    pub fn replaced(&self, version: u64) -> Option<Time> {
+        self.named.iter().find(|(v, _)| *v > version).map(|(_, at)| *at)
+    }
+
     /// The earliest time at which the newest version is known to have been named.
     pub fn learnt(&self) -> Time {
         self.named.last().expect("the newest version is among those named").1
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -16,7 +16,7 @@
 /// Cost of crossing into another zone, in ms.
 const ZONE_COST_MS: f64 = 3.0;
 /// Cost of leaving the replica where the context is at home, in ms, beside the transfer.
-const AWAY_COST_MS: f64 = 25.0;
+const AWAY_COST_MS: f64 = 80.0;
 /// Cost of memory that would have to be taken from other requests, in ms per whole memory.
 const MEMORY_COST_MS: f64 = 4000.0;
 /// Share of an engine's memory that requests may need before that cost applies.
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -22,6 +22,9 @@
 const STORE_AGE: Duration = Duration::from_millis(1200);
 /// Least number of connections that an instance may have to one replica.
 const MIN_CONNS: u32 = 6;
+/// A request on older weights that has not begun is given up this long before they are over: what a
+/// replica takes to notice that the connection is closed.
+const BEGIN_MARGIN: Duration = Duration::from_millis(300);
 /// Silence that tells something about a replica; a client may have less time.
 const SILENCE_TERM: Duration = Duration::from_secs(1);
 
@@ -137,7 +140,9 @@
         self.log_sent(&choice, plan.as_ref(), marks.left, snapshot);
         let most = self.most(snapshot);
         let sent = core.conns.send(&replica.id, replica.addr, most, request, now);
-        match timeout(job.left(now), sent).await {
+        let latest = self.latest_start(&choice);
+        let wait = latest.map_or(marks.left, |at| marks.left.min(at.since(now)));
+        match timeout(wait, sent).await {
             Ok(Ok((response, conn))) => self.believe(response, conn, load, &choice),
             Ok(Err(SendError::Connect(why))) => {
                 core.pool.lock().unreachable(&replica.id, core.now());
@@ -154,6 +159,10 @@
                 self.log_send("broken", &choice, &why);
                 Sent::Lost
             }
+            Err(_) if wait < marks.left => {
+                self.log_send("over", &choice, "it had not begun when its weights were over");
+                Sent::Lost
+            }
             Err(_) => {
                 if marks.left >= SILENCE_TERM {
                     core.pool.lock().outcome(&replica.id, Outcome::Silent, core.now());
@@ -164,6 +173,14 @@
         }
     }
 
+    /// When the request must have begun: it may wait at the replica, and its weights be over then.
+    fn latest_start(&self, choice: &Choice) -> Option<Time> {
+        let snapshot = self.core.view.get();
+        let weights = snapshot.wanted(&self.job.prompt()?.model)?;
+        let replaced = weights.replaced(choice.version?)?;
+        Some(replaced.after(self.core.settings.bounds.version).before(BEGIN_MARGIN))
+    }
+
     /// One line for each send: what decided it, and how old that knowledge was.
     fn log_sent(&self, choice: &Choice, plan: Option<&Plan>, left: Duration, known: &Snapshot) {
         let now = self.core.now();
