Say where the cost of leaving home and the record of a send come from

Cause: read as a newcomer, the constant had no source, and a call recorded as sent that was refused at its first byte looked like a fault.

Ruled out: recording after the write: a process killed in between would leave a call that ran without a record. Change: comments only; no behaviour, no figures.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -184,7 +184,7 @@
     let (team, key) = (id.team().clone(), Digest::of(id.key().as_bytes()));
     core.record(EventKind::CallClaimed { team: team.clone(), key });
     // Asked with the connection there and again at the first byte, so that only the write itself
-    // can come after it.
+    // can come after it. Recorded at the first, so that no call is sent that the record lacks.
     let told = AtomicBool::new(false);
     let may_send = || {
         let may = claim.may_send(core.now());
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -17,7 +17,8 @@
 const SLOT_COST_MS: f64 = 100.0;
 /// Cost of crossing into another zone, in ms.
 const ZONE_COST_MS: f64 = 3.0;
-/// Cost of leaving the replica where the context is at home, in ms, beside the transfer.
+/// Cost of leaving the replica where the context is at home, in ms, beside the transfer. 25 and 160
+/// earned less on the users' bench, 300 answered less in time.
 const AWAY_COST_MS: f64 = 80.0;
 /// Cost of memory that would have to be taken from other requests, in ms per whole memory.
 const MEMORY_COST_MS: f64 = 4000.0;
