Log why an interrupted stream is not resumed, and how long its replica was silent

The record of the lost answer could not tell why no other replica took the stream: once a request may have run, its refusal drops the reason, and a failed resume drops the refusal. Nor could it tell how long the replica had been silent, and no counter told an interruption from a caller's leaving.

`no further attempt` names the reason with the counts that decided it; `stream interrupted` says since when nothing came; `lentil_streams_interrupted_total` counts by cause. No decision changes.

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -131,6 +131,15 @@
         if self.possible_runs == 0 {
             return Refusal::NotRun { why, retry_delay };
         }
+        // The caller's error does not tell the reason once the request may have run.
+        info!(
+            request = &*self.job.meta.id,
+            runs = self.possible_runs,
+            arrivals = self.arrivals,
+            sends = self.tried.len(),
+            why,
+            "no further attempt"
+        );
         let late = self.job.time_left(self.core.now()) < MIN_TIME_LEFT;
         if late { Refusal::TimedOut } else { Refusal::Lost }
     }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -17,6 +17,9 @@
     pub attempts: IntCounterVec,
     /// Streams that were resumed at another replica.
     pub resumed: IntCounter,
+    /// Answers of replicas that ended early, by cause: `silent`, `broken` (the connection) or
+    /// `malformed` (the events).
+    pub interrupted: IntCounterVec,
     /// Shared prompt tokens by their expected source. `home`: cached at the chosen replica;
     /// `read`: prefilled; `replica`, `store`: fetched from there.
     pub shared_tokens: IntCounterVec,
@@ -54,6 +57,11 @@
             platform_calls: family("lentil_platform_calls_total", "Platform calls", "outcome"),
             first_byte: seconds("lentil_first_byte_seconds", "Until the first byte is passed on"),
             answer_time: seconds("lentil_answer_seconds", "Until the end of an answer"),
+            interrupted: family(
+                "lentil_streams_interrupted_total",
+                "Answers of replicas that ended early by cause",
+                "cause",
+            ),
             resumed,
             registry,
         }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -1,11 +1,12 @@
 //! Relays a long answer to the caller as it arrives, and resumes a resumable stream at another
 //! replica.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{HeaderMap, Response, body::Incoming, header::CONTENT_LENGTH};
+use ident::Time;
 use place::Outcome;
 use tokio::{sync::mpsc, time::timeout};
 use tracing::info;
@@ -13,7 +14,7 @@
 use crate::{
     answer::{Body, Chunk, channel_body},
     conns::Conn,
-    events::EventSplitter,
+    events::{EventSplitter, StreamError},
     forward::Forwarder,
     send::{LoadGuard, ReplicaAnswer},
 };
@@ -26,12 +27,34 @@
 /// How copying a body ended.
 enum End {
     Complete,
-    Broken(Arc<str>),
+    Broken(Interruption),
     /// The caller closed the connection.
     Cancelled,
     TimedOut,
 }
 
+/// Why a replica's answer ended early.
+#[derive(Debug, thiserror::Error)]
+enum Interruption {
+    #[error("silent")]
+    Silent,
+    #[error(transparent)]
+    Conn(hyper::Error),
+    #[error(transparent)]
+    Events(#[from] StreamError),
+}
+
+impl Interruption {
+    /// The value of `cause` in metrics.
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Silent => "silent",
+            Self::Conn(_) => "broken",
+            Self::Events(_) => "malformed",
+        }
+    }
+}
+
 /// Starts to relay an answer. Returns its head with a body that is filled as chunks arrive.
 pub(crate) fn relay_answer(
     forwarder: Forwarder,
@@ -48,7 +71,8 @@
     let resumes = streamed && forwarder.job.route.resumable;
     let last = forwarder.job.meta.last_event;
     let splitter = resumes.then(|| EventSplitter::new(last));
-    let relay = StreamRelay { forwarder, sender, splitter, sent_bytes: 0 };
+    let heard_at = forwarder.core.now();
+    let relay = StreamRelay { forwarder, sender, splitter, sent_bytes: 0, heard_at };
     tokio::spawn(relay.run(answer));
     out
 }
@@ -61,6 +85,8 @@
     splitter: Option<EventSplitter>,
     /// Bytes passed to the caller so far.
     sent_bytes: u64,
+    /// When the replica's last bytes arrived.
+    heard_at: Time,
 }
 
 impl StreamRelay {
@@ -78,17 +104,22 @@
                 End::TimedOut => break "late",
                 End::Broken(why) => {
                     core.pool.lock().record_outcome(&replica, Outcome::NoAnswer, core.now());
+                    core.metrics.interrupted.with_label_values(&[why.name()]).inc();
                     info!(
                         request = &*job.meta.id,
                         replica = &*replica,
-                        why = &*why,
+                        %why,
+                        silent_ms = core.now().since(self.heard_at).as_millis() as u64,
                         bytes = self.sent_bytes,
                         "stream interrupted"
                     );
                 }
             }
             match self.resume().await {
-                Some(next) => answer = next,
+                Some(next) => {
+                    self.heard_at = core.now();
+                    answer = next;
+                }
                 None => break "broken",
             }
         };
@@ -127,8 +158,8 @@
                 Err(_) if self.forwarder.job.time_left(core.now()).is_zero() => {
                     return End::TimedOut;
                 }
-                Err(_) => return End::Broken("silent".into()),
-                Ok(Some(Err(e))) => return End::Broken(e.to_string().into()),
+                Err(_) => return End::Broken(Interruption::Silent),
+                Ok(Some(Err(e))) => return End::Broken(Interruption::Conn(e)),
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
                 Ok(None) => {
                     core.conns.keep(conn, headers, core.now());
@@ -136,6 +167,7 @@
                 }
             };
             load.prefill_done();
+            self.heard_at = core.now();
             let events = match &mut self.splitter {
                 None => Ok(Some(bytes)),
                 Some(splitter) => splitter.push(&bytes),
@@ -147,7 +179,7 @@
                         return End::Cancelled;
                     }
                 }
-                Err(e) => return End::Broken(e.to_string().into()),
+                Err(e) => return End::Broken(e.into()),
             }
         }
     }
