Keep the stream of a silent replica until another one takes over

Callers of resumable streams saw their answer end in the middle, with no refusal: a stream without a chunk for 2.5 s counted as broken. Its connection was closed, which cancels the run, and only then was another replica looked for. The replicas were sound: engines pause the least urgent run while memory is short.

Two errors of one class, then: silence taken for death, and work given up before its replacement was certain. Now a silent replica is asked for its report. If it responds, the stream waits on until the deadline. If it doesn't, the stream moves only once another replica is chosen and the attempt is taken from the retry budget; otherwise the stream waits, too. A sound replica that is silent no longer counts as failed either, so it is not excluded. The connection to the first replica is still closed before the second one is asked, so that no request runs at two replicas.

The check of a replica costs one report for each 2.5 s of silence.

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -37,6 +37,24 @@
 /// Delay after which callers should retry where a target has no replica.
 const NO_REPLICA_RETRY_DELAY: Duration = Duration::from_millis(800);
 
+/// An attempt that may be made: its replica, and the state on which the choice is based.
+pub(crate) struct Attempt {
+    pub(crate) snapshot: Arc<Snapshot>,
+    pub(crate) choice: Choice,
+}
+
+/// What can be done next for a request without an answer.
+pub(crate) enum Step {
+    Send(Attempt),
+    /// All replicas are full or excluded; one may be usable after the pause.
+    Wait(Duration),
+    /// No attempt is allowed or possible any more.
+    Stop {
+        why: &'static str,
+        retry_delay: Duration,
+    },
+}
+
 /// Forwards one request and keeps the record of its attempts.
 pub(crate) struct Forwarder {
     pub(crate) core: Arc<Core>,
@@ -57,45 +75,26 @@
         Self { core, job, target, tried: Vec::new(), possible_runs: 0, arrivals: 0 }
     }
 
-    /// Makes attempts until an answer begins or no further attempt is allowed. `last` is the event
-    /// after which a stream is resumed.
+    /// Makes attempts until an answer begins or no further attempt is allowed, beginning with
+    /// `first` if there is one. `last` is the event after which a stream is resumed.
     pub(crate) async fn send_until_answered(
         &mut self,
+        first: Option<Attempt>,
         last: Option<u64>,
     ) -> Result<ReplicaAnswer, Refusal> {
+        let mut prepared = first;
         loop {
-            let now = self.core.now();
-            if self.job.time_left(now) < MIN_TIME_LEFT {
-                return Err(self.refusal("the time is over", BUSY_RETRY_DELAY));
-            }
-            if self.possible_runs >= self.job.route.attempts || self.tried.len() >= MAX_ATTEMPTS {
-                return Err(self.refusal("all allowed replicas refused", BUSY_RETRY_DELAY));
-            }
-            let snapshot = self.core.view.snapshot();
-            let choice = match self.choose(&snapshot, now) {
-                Ok(choice) => choice,
-                Err(PlacementError::NoReplica) => {
-                    return Err(self.refusal("the target has no replica", NO_REPLICA_RETRY_DELAY));
-                }
-                Err(PlacementError::Overloaded) => {
-                    tokio::time::sleep(CAPACITY_CHECK_INTERVAL).await;
-                    continue;
-                }
-                Err(PlacementError::Excluded { until }) => {
-                    let wait = until.since(now);
-                    if wait > MAX_COOLDOWN_WAIT || self.job.time_left(now) < wait + MIN_TIME_LEFT {
-                        return Err(self.refusal("no replica is usable now", BUSY_RETRY_DELAY));
-                    }
-                    tokio::time::sleep(wait.max(Duration::from_millis(5))).await;
+            let step = prepared.take().map_or_else(|| self.next_step(), Step::Send);
+            let attempt = match step {
+                Step::Send(attempt) => attempt,
+                Step::Wait(pause) => {
+                    tokio::time::sleep(pause).await;
                     continue;
                 }
+                Step::Stop { why, retry_delay } => return Err(self.refusal(why, retry_delay)),
             };
-            if !self.within_budget(&snapshot, now) {
-                return Err(self.refusal("the budget of repeats is used up", BUSY_RETRY_DELAY));
-            }
-            let replica = choice.replica.id.clone();
-            self.tried.push(replica.clone());
-            match self.send(&snapshot, choice, last).await {
+            let replica = attempt.choice.replica.id.clone();
+            match self.send(attempt, last).await {
                 AttemptOutcome::Answered(answer) if self.should_retry(&answer) => {
                     (self.possible_runs, self.arrivals) =
                         (self.possible_runs + 1, self.arrivals + 1);
@@ -119,6 +118,39 @@
         }
     }
 
+    /// Chooses the replica for the next attempt and takes the attempt from the retry budget, or
+    /// returns why no attempt can be made now.
+    pub(crate) fn next_step(&mut self) -> Step {
+        let stop = |why, retry_delay| Step::Stop { why, retry_delay };
+        let now = self.core.now();
+        if self.job.time_left(now) < MIN_TIME_LEFT {
+            return stop("the time is over", BUSY_RETRY_DELAY);
+        }
+        if self.possible_runs >= self.job.route.attempts || self.tried.len() >= MAX_ATTEMPTS {
+            return stop("all allowed replicas refused", BUSY_RETRY_DELAY);
+        }
+        let snapshot = self.core.view.snapshot();
+        let choice = match self.choose(&snapshot, now) {
+            Ok(choice) => choice,
+            Err(PlacementError::NoReplica) => {
+                return stop("the target has no replica", NO_REPLICA_RETRY_DELAY);
+            }
+            Err(PlacementError::Overloaded) => return Step::Wait(CAPACITY_CHECK_INTERVAL),
+            Err(PlacementError::Excluded { until }) => {
+                let wait = until.since(now);
+                if wait > MAX_COOLDOWN_WAIT || self.job.time_left(now) < wait + MIN_TIME_LEFT {
+                    return stop("no replica is usable now", BUSY_RETRY_DELAY);
+                }
+                return Step::Wait(wait.max(Duration::from_millis(5)));
+            }
+        };
+        if !self.within_budget(&snapshot, now) {
+            return stop("the budget of repeats is used up", BUSY_RETRY_DELAY);
+        }
+        self.tried.push(choice.replica.id.clone());
+        Step::Send(Attempt { snapshot, choice })
+    }
+
     /// Whether to retry at another replica after a replica answered with a server error.
     fn should_retry(&self, answer: &ReplicaAnswer) -> bool {
         let attempts_left =
@@ -204,7 +236,7 @@
 pub(crate) async fn forward(core: Arc<Core>, job: Arc<Job>) -> Result<Response<Body>, Refusal> {
     let mut forwarder = Forwarder::new(core.clone(), job.clone());
     loop {
-        let answer = forwarder.send_until_answered(None).await?;
+        let answer = forwarder.send_until_answered(None, None).await?;
         let first = core.now().since(job.start);
         core.metrics.first_byte.observe(first.as_secs_f64());
         let streamed = answer.status.is_success() && is_stream(&answer.headers);
@@ -233,7 +265,7 @@
     let ReplicaAnswer { status, mut headers, body, conn, replica, .. } = answer;
     let read = timeout(job.time_left(core.now()), body.collect()).await;
     let Ok(Ok(read)) = read else {
-        core.pool.lock().record_outcome(&replica, Outcome::NoAnswer, core.now());
+        core.pool.lock().record_outcome(&replica.id, Outcome::NoAnswer, core.now());
         return Err(status.as_u16());
     };
     let bytes: Bytes = read.to_bytes();
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -20,6 +20,8 @@
     /// Answers of replicas that ended early, by cause: `silent`, `broken` (the connection) or
     /// `malformed` (the events).
     pub interrupted: IntCounterVec,
+    /// Checks of replicas whose stream was silent, by outcome: `kept` or `moved` to another replica.
+    pub silent: IntCounterVec,
     /// Shared prompt tokens by their expected source. `home`: cached at the chosen replica;
     /// `read`: prefilled; `replica`, `store`: fetched from there.
     pub shared_tokens: IntCounterVec,
@@ -62,6 +64,11 @@
                 "Answers of replicas that ended early by cause",
                 "cause",
             ),
+            silent: family(
+                "lentil_streams_silent_total",
+                "Checks of replicas whose stream was silent by outcome",
+                "outcome",
+            ),
             resumed,
             registry,
         }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -4,8 +4,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use fleet::Replica;
 use http_body_util::BodyExt;
-use hyper::{HeaderMap, Response, body::Incoming, header::CONTENT_LENGTH};
+use hyper::{
+    Response,
+    body::{Frame, Incoming},
+    header::CONTENT_LENGTH,
+};
 use ident::Time;
 use place::Outcome;
 use tokio::{sync::mpsc, time::timeout};
@@ -13,21 +18,23 @@
 
 use crate::{
     answer::{Body, Chunk, channel_body},
-    conns::Conn,
     events::{EventSplitter, StreamError},
-    forward::Forwarder,
-    send::{LoadGuard, ReplicaAnswer},
+    forward::{Attempt, Forwarder, Step},
+    send::ReplicaAnswer,
+    services::CallError,
 };
 
 /// Chunks queued for a slow caller before reading from the replica's connection pauses.
 const MAX_QUEUED_CHUNKS: usize = 4;
-/// Longest silence within a resumable stream before it is resumed at another replica.
+/// Silence within a resumable stream after which its replica is asked whether it still responds.
 const STREAM_SILENCE_TIMEOUT: Duration = Duration::from_millis(2500);
 
 /// How copying a body ended.
 enum End {
     Complete,
-    Broken(Interruption),
+    /// The replica's answer ended early. Holds the attempt that is to continue it, if one was
+    /// prepared.
+    Broken(Interruption, Option<Attempt>),
     /// The caller closed the connection.
     Cancelled,
     TimedOut,
@@ -36,6 +43,7 @@
 /// Why a replica's answer ended early.
 #[derive(Debug, thiserror::Error)]
 enum Interruption {
+    /// The replica no longer responds.
     #[error("silent")]
     Silent,
     #[error(transparent)]
@@ -94,28 +102,29 @@
         let core = self.forwarder.core.clone();
         let job = self.forwarder.job.clone();
         let outcome = loop {
-            let ReplicaAnswer { headers, body, conn, load, replica, .. } = answer;
-            match self.copy_answer(body, load, &headers, conn).await {
+            let replica = answer.replica.clone();
+            let prepared = match self.copy_answer(answer).await {
                 End::Complete => {
                     let _ = self.sender.send(Chunk::End).await;
                     break "complete";
                 }
                 End::Cancelled => break "left",
                 End::TimedOut => break "late",
-                End::Broken(why) => {
-                    core.pool.lock().record_outcome(&replica, Outcome::NoAnswer, core.now());
+                End::Broken(why, prepared) => {
+                    core.pool.lock().record_outcome(&replica.id, Outcome::NoAnswer, core.now());
                     core.metrics.interrupted.with_label_values(&[why.name()]).inc();
                     info!(
                         request = &*job.meta.id,
-                        replica = &*replica,
+                        replica = &*replica.id,
                         %why,
-                        silent_ms = core.now().since(self.heard_at).as_millis() as u64,
+                        silent_ms = self.silence().as_millis() as u64,
                         bytes = self.sent_bytes,
                         "stream interrupted"
                     );
+                    prepared
                 }
-            }
-            match self.resume().await {
+            };
+            match self.resume(prepared).await {
                 Some(next) => {
                     self.heard_at = core.now();
                     answer = next;
@@ -138,31 +147,21 @@
 
     /// Copies one replica's answer until it ends. A connection whose answer is complete returns to
     /// the pool.
-    async fn copy_answer(
-        &mut self,
-        mut body: Incoming,
-        mut load: LoadGuard,
-        headers: &HeaderMap,
-        conn: Conn,
-    ) -> End {
+    async fn copy_answer(&mut self, answer: ReplicaAnswer) -> End {
         let core = self.forwarder.core.clone();
+        let sender = self.sender.clone();
+        let ReplicaAnswer { headers, mut body, conn, mut load, replica, .. } = answer;
         loop {
-            let left = self.forwarder.job.time_left(core.now());
-            let limit =
-                if self.splitter.is_some() { left.min(STREAM_SILENCE_TIMEOUT) } else { left };
             let frame = tokio::select! {
-                frame = timeout(limit, body.frame()) => frame,
-                () = self.sender.closed() => return End::Cancelled,
+                frame = self.next_frame(&mut body, &replica) => frame,
+                () = sender.closed() => return End::Cancelled,
             };
             let bytes = match frame {
-                Err(_) if self.forwarder.job.time_left(core.now()).is_zero() => {
-                    return End::TimedOut;
-                }
-                Err(_) => return End::Broken(Interruption::Silent),
-                Ok(Some(Err(e))) => return End::Broken(Interruption::Conn(e)),
+                Err(end) => return end,
+                Ok(Some(Err(e))) => return End::Broken(Interruption::Conn(e), None),
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
                 Ok(None) => {
-                    core.conns.keep(conn, headers, core.now());
+                    core.conns.keep(conn, &headers, core.now());
                     return self.finish().await;
                 }
             };
@@ -179,11 +178,84 @@
                         return End::Cancelled;
                     }
                 }
-                Err(e) => return End::Broken(e.into()),
+                Err(e) => return End::Broken(e.into(), None),
+            }
+        }
+    }
+
+    /// Waits for the next frame of a replica's answer, until the deadline. A run may pause, for
+    /// example while its engine serves more urgent requests, so a silent replica keeps the stream
+    /// unless it does not respond to other calls either and another replica can take over.
+    async fn next_frame(
+        &mut self,
+        body: &mut Incoming,
+        replica: &Replica,
+    ) -> Result<Option<hyper::Result<Frame<Bytes>>>, End> {
+        let (core, job) = (self.forwarder.core.clone(), self.forwarder.job.clone());
+        let resumable = self.splitter.is_some();
+        loop {
+            let left = job.time_left(core.now());
+            let limit = if resumable { left.min(STREAM_SILENCE_TIMEOUT) } else { left };
+            if let Ok(frame) = timeout(limit, body.frame()).await {
+                return Ok(frame);
+            }
+            let left = job.time_left(core.now());
+            if left.is_zero() || !resumable {
+                return Err(End::TimedOut);
+            }
+            let replacement = tokio::select! {
+                biased;
+                frame = body.frame() => return Ok(frame),
+                replacement = timeout(left, self.replacement(replica)) => replacement,
+            };
+            if let Ok(Some(attempt)) = replacement {
+                return Err(End::Broken(Interruption::Silent, Some(attempt)));
+            }
+        }
+    }
+
+    /// Prepares an attempt at another replica if `replica` does not respond, and waits for one with
+    /// free capacity. Returns `None` if `replica` responds or no attempt is allowed.
+    async fn replacement(&mut self, replica: &Replica) -> Option<Attempt> {
+        let report = self.forwarder.core.adapters.engines.report(replica.addr).await;
+        // Any other error means that something responds at the address, or that connections to it
+        // break, which the stream's own connection shows by itself.
+        if report != Err(CallError::TimedOut) {
+            self.log_silence(replica, "kept", "the replica responds");
+            return None;
+        }
+        loop {
+            match self.forwarder.next_step() {
+                Step::Send(attempt) => {
+                    self.log_silence(replica, "moved", "the replica does not respond");
+                    return Some(attempt);
+                }
+                Step::Wait(pause) => tokio::time::sleep(pause).await,
+                Step::Stop { why, .. } => {
+                    self.log_silence(replica, "kept", why);
+                    return None;
+                }
             }
         }
     }
 
+    fn log_silence(&self, replica: &Replica, outcome: &str, why: &str) {
+        self.forwarder.core.metrics.silent.with_label_values(&[outcome]).inc();
+        info!(
+            request = &*self.forwarder.job.meta.id,
+            replica = &*replica.id,
+            silent_ms = self.silence().as_millis() as u64,
+            outcome,
+            why,
+            "stream silent"
+        );
+    }
+
+    /// The time since the replica's last bytes arrived.
+    fn silence(&self) -> Duration {
+        self.forwarder.core.now().since(self.heard_at)
+    }
+
     /// Delivers the bytes after the last event of an answer that is complete.
     async fn finish(&mut self) -> End {
         let rest = self.splitter.as_mut().map(EventSplitter::take_rest).unwrap_or_default();
@@ -199,15 +271,15 @@
         matches!(timeout(left, self.sender.send(Chunk::Data(bytes))).await, Ok(Ok(())))
     }
 
-    /// Requests the rest of the stream from another replica. Returns `None` where the stream can't
-    /// be resumed.
-    async fn resume(&mut self) -> Option<ReplicaAnswer> {
+    /// Requests the rest of the stream from another replica, first by the prepared attempt if there
+    /// is one. Returns `None` where the stream can't be resumed.
+    async fn resume(&mut self, prepared: Option<Attempt>) -> Option<ReplicaAnswer> {
         let splitter = self.splitter.as_mut()?;
         splitter.discard();
         let last = splitter.last();
         let sender = self.sender.clone();
         let answer = tokio::select! {
-            answer = self.forwarder.send_until_answered(last) => answer.ok()?,
+            answer = self.forwarder.send_until_answered(prepared, last) => answer.ok()?,
             () = sender.closed() => return None,
         };
         if !answer.status.is_success() {
@@ -216,7 +288,7 @@
         self.forwarder.core.metrics.resumed.inc();
         info!(
             request = &*self.forwarder.job.meta.id,
-            replica = &*answer.replica,
+            replica = &*answer.replica.id,
             after = last,
             "stream resumed"
         );
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use fleet::Snapshot;
+use fleet::{Replica, Snapshot};
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming, header::CONTENT_ENCODING};
 use ident::Time;
@@ -13,7 +13,7 @@
 use crate::{
     conns::{Conn, SendError},
     core::Core,
-    forward::Forwarder,
+    forward::{Attempt, Forwarder},
     protocol::{ForwardHeaders, ResponseMeta},
 };
 
@@ -64,7 +64,7 @@
     pub(crate) body: Incoming,
     pub(crate) conn: Conn,
     pub(crate) load: LoadGuard,
-    pub(crate) replica: Arc<str>,
+    pub(crate) replica: Arc<Replica>,
 }
 
 /// How one attempt ended.
@@ -107,15 +107,10 @@
         Some(plan)
     }
 
-    /// Makes one attempt at the chosen replica. `last` is the event after which a stream is
-    /// resumed.
-    pub(crate) async fn send(
-        &self,
-        snapshot: &Snapshot,
-        choice: Choice,
-        last: Option<u64>,
-    ) -> AttemptOutcome {
+    /// Makes one attempt. `last` is the event after which a stream is resumed.
+    pub(crate) async fn send(&self, attempt: Attempt, last: Option<u64>) -> AttemptOutcome {
         let (core, job) = (&self.core, &self.job);
+        let Attempt { snapshot, choice } = attempt;
         let now = core.now();
         let replica = &choice.replica;
         let model = job.prompt().map(|p| p.model.clone());
@@ -141,8 +136,8 @@
         *request.headers_mut() = job.headers.clone();
         core.adapters.protocol.set_forward_headers(request.headers_mut(), &forward_headers);
         let guard = LoadGuard::new(core, &replica.id, load);
-        self.log_attempt(&choice, plan.as_ref(), forward_headers.time_left, snapshot);
-        let max_conns = self.max_conns(snapshot);
+        self.log_attempt(&choice, plan.as_ref(), forward_headers.time_left, &snapshot);
+        let max_conns = self.max_conns(&snapshot);
         let sent = core.conns.send(&replica.id, replica.addr, max_conns, request, now);
         let latest = self.latest_start(&choice);
         let wait = latest
@@ -274,7 +269,7 @@
             false => Outcome::Answered,
         };
         core.pool.lock().record_outcome(id, outcome, now);
-        let (status, headers, replica) = (head.status, head.headers, id.clone());
+        let (status, headers, replica) = (head.status, head.headers, choice.replica.clone());
         AttemptOutcome::Answered(Box::new(ReplicaAnswer {
             status,
             headers,
