Count a caller that leaves during a resume as left, not as broken

On-call engineers read `broken` as answers that this instance ended.

a_caller_that_leaves_during_a_resume_does_not_count_as_broken failed before (`left: (0, 1)`), and passes now.

--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -129,6 +129,7 @@
                     self.heard_at = core.now();
                     answer = next;
                 }
+                None if self.sender.is_closed() => break "left",
                 None => break "broken",
             }
         };
