Close a silent replica's connection only once another one continues its stream

Callers could still see an answer cut in the middle: a silent replica that did not report in time was left as soon as another one was chosen, and that one could refuse. A sound replica with a late report, or one that hung for some seconds, lost its stream to a full neighbour.

The first connection now stays open while others are asked, and is closed as soon as one of them answers or may have run the request, so that no request is at work at two replicas for longer than an answer's head takes. It is not read meanwhile: whichever replica goes on does so after the last event that was passed on. If all refuse, the stream waits on, and its replica is asked again after half a second. A replica that does not report counts as failed then, whether or not its stream moves, and the limit of that call is below the client's own timeouts, so that a connection that can't be opened counts as no response.

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -75,17 +75,14 @@
         Self { core, job, target, tried: Vec::new(), possible_runs: 0, arrivals: 0 }
     }
 
-    /// Makes attempts until an answer begins or no further attempt is allowed, beginning with
-    /// `first` if there is one. `last` is the event after which a stream is resumed.
+    /// Makes attempts until an answer begins or no further attempt is allowed. `last` is the event
+    /// after which a stream is resumed.
     pub(crate) async fn send_until_answered(
         &mut self,
-        first: Option<Attempt>,
         last: Option<u64>,
     ) -> Result<ReplicaAnswer, Refusal> {
-        let mut prepared = first;
         loop {
-            let step = prepared.take().map_or_else(|| self.next_step(), Step::Send);
-            let attempt = match step {
+            let attempt = match self.next_step() {
                 Step::Send(attempt) => attempt,
                 Step::Wait(pause) => {
                     tokio::time::sleep(pause).await;
@@ -93,31 +90,30 @@
                 }
                 Step::Stop { why, retry_delay } => return Err(self.refusal(why, retry_delay)),
             };
-            let replica = attempt.choice.replica.id.clone();
-            match self.send(attempt, last).await {
+            match self.attempt(attempt, last).await {
                 AttemptOutcome::Answered(answer) if self.should_retry(&answer) => {
-                    (self.possible_runs, self.arrivals) =
-                        (self.possible_runs + 1, self.arrivals + 1);
-                    self.count_outcome("failed", &replica);
-                }
-                AttemptOutcome::Answered(answer) => {
-                    (self.possible_runs, self.arrivals) =
-                        (self.possible_runs + 1, self.arrivals + 1);
-                    return Ok(*answer);
-                }
-                AttemptOutcome::NotRun => self.arrivals += 1,
-                AttemptOutcome::Unsent => {}
-                AttemptOutcome::Lost => {
-                    (self.possible_runs, self.arrivals) =
-                        (self.possible_runs + 1, self.arrivals + 1);
-                    if !self.job.route.repeatable() {
-                        return Err(Refusal::Lost);
-                    }
+                    self.count_outcome("failed", &answer.replica.id);
                 }
+                AttemptOutcome::Answered(answer) => return Ok(*answer),
+                AttemptOutcome::Lost if !self.job.route.repeatable() => return Err(Refusal::Lost),
+                AttemptOutcome::NotRun | AttemptOutcome::Unsent | AttemptOutcome::Lost => {}
             }
         }
     }
 
+    /// Makes one attempt and counts it. `last` is the event after which a stream is resumed.
+    pub(crate) async fn attempt(&mut self, attempt: Attempt, last: Option<u64>) -> AttemptOutcome {
+        let outcome = self.send(attempt, last).await;
+        let (arrivals, runs) = match &outcome {
+            AttemptOutcome::Answered(_) | AttemptOutcome::Lost => (1, 1),
+            AttemptOutcome::NotRun => (1, 0),
+            AttemptOutcome::Unsent => (0, 0),
+        };
+        self.arrivals += arrivals;
+        self.possible_runs += runs;
+        outcome
+    }
+
     /// Chooses the replica for the next attempt and takes the attempt from the retry budget, or
     /// returns why no attempt can be made now.
     pub(crate) fn next_step(&mut self) -> Step {
@@ -154,7 +150,7 @@
     /// Whether to retry at another replica after a replica answered with a server error.
     fn should_retry(&self, answer: &ReplicaAnswer) -> bool {
         let attempts_left =
-            self.possible_runs + 1 < self.job.route.attempts && self.tried.len() < MAX_ATTEMPTS;
+            self.possible_runs < self.job.route.attempts && self.tried.len() < MAX_ATTEMPTS;
         answer.status.is_server_error() && self.job.route.repeatable() && attempts_left
     }
 
@@ -236,7 +232,7 @@
 pub(crate) async fn forward(core: Arc<Core>, job: Arc<Job>) -> Result<Response<Body>, Refusal> {
     let mut forwarder = Forwarder::new(core.clone(), job.clone());
     loop {
-        let answer = forwarder.send_until_answered(None, None).await?;
+        let answer = forwarder.send_until_answered(None).await?;
         let first = core.now().since(job.start);
         core.metrics.first_byte.observe(first.as_secs_f64());
         let streamed = answer.status.is_success() && is_stream(&answer.headers);
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use fleet::Replica;
+use futures_util::FutureExt;
 use http_body_util::BodyExt;
 use hyper::{
     Response,
@@ -19,22 +20,30 @@
 use crate::{
     answer::{Body, Chunk, channel_body},
     events::{EventSplitter, StreamError},
-    forward::{Attempt, Forwarder, Step},
-    send::ReplicaAnswer,
-    services::CallError,
+    forward::{Forwarder, Step},
+    send::{AttemptOutcome, ReplicaAnswer},
 };
 
 /// Chunks queued for a slow caller before reading from the replica's connection pauses.
 const MAX_QUEUED_CHUNKS: usize = 4;
-/// Silence within a resumable stream after which its replica is asked whether it still responds.
+/// Silence within a resumable stream after which its replica is asked for a report.
 const STREAM_SILENCE_TIMEOUT: Duration = Duration::from_millis(2500);
+/// Longest wait for the report of a silent replica. Shorter than the timeouts of the client that
+/// fetches it.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(700);
+/// Pause before a replica that did not respond is asked again.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// A frame of a body, `None` at its end, or how the wait for it ended.
+type NextFrame = Result<Option<hyper::Result<Frame<Bytes>>>, End>;
 
 /// How copying a body ended.
 enum End {
     Complete,
-    /// The replica's answer ended early. Holds the attempt that is to continue it, if one was
-    /// prepared.
-    Broken(Interruption, Option<Attempt>),
+    /// The replica's answer ended early.
+    Broken(Interruption),
+    /// The replica does not respond, and another one continues the stream.
+    Replaced(Box<ReplicaAnswer>),
     /// The caller closed the connection.
     Cancelled,
     TimedOut,
@@ -43,7 +52,7 @@
 /// Why a replica's answer ended early.
 #[derive(Debug, thiserror::Error)]
 enum Interruption {
-    /// The replica no longer responds.
+    /// The replica does not respond, and another one may have run the request since.
     #[error("silent")]
     Silent,
     #[error(transparent)]
@@ -103,32 +112,24 @@
         let job = self.forwarder.job.clone();
         let outcome = loop {
             let replica = answer.replica.clone();
-            let prepared = match self.copy_answer(answer).await {
+            let why = match self.copy_answer(answer).await {
                 End::Complete => {
                     let _ = self.sender.send(Chunk::End).await;
                     break "complete";
                 }
                 End::Cancelled => break "left",
                 End::TimedOut => break "late",
-                End::Broken(why, prepared) => {
-                    core.pool.lock().record_outcome(&replica.id, Outcome::NoAnswer, core.now());
-                    core.metrics.interrupted.with_label_values(&[why.name()]).inc();
-                    info!(
-                        request = &*job.meta.id,
-                        replica = &*replica.id,
-                        %why,
-                        silent_ms = self.silence().as_millis() as u64,
-                        bytes = self.sent_bytes,
-                        "stream interrupted"
-                    );
-                    prepared
+                End::Replaced(next) => {
+                    self.log_interruption(&replica, &Interruption::Silent);
+                    answer = self.switch_to(*next);
+                    continue;
                 }
+                End::Broken(why) => why,
             };
-            match self.resume(prepared).await {
-                Some(next) => {
-                    self.heard_at = core.now();
-                    answer = next;
-                }
+            core.pool.lock().record_outcome(&replica.id, Outcome::NoAnswer, core.now());
+            self.log_interruption(&replica, &why);
+            match self.resume().await {
+                Some(next) => answer = self.switch_to(next),
                 None if self.sender.is_closed() => break "left",
                 None => break "broken",
             }
@@ -159,7 +160,7 @@
             };
             let bytes = match frame {
                 Err(end) => return end,
-                Ok(Some(Err(e))) => return End::Broken(Interruption::Conn(e), None),
+                Ok(Some(Err(e))) => return End::Broken(Interruption::Conn(e)),
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
                 Ok(None) => {
                     core.conns.keep(conn, &headers, core.now());
@@ -179,24 +180,21 @@
                         return End::Cancelled;
                     }
                 }
-                Err(e) => return End::Broken(e.into(), None),
+                Err(e) => return End::Broken(e.into()),
             }
         }
     }
 
     /// Waits for the next frame of a replica's answer, until the deadline. A run may pause, for
-    /// example while its engine serves more urgent requests, so a silent replica keeps the stream
-    /// unless it does not respond to other calls either and another replica can take over.
-    async fn next_frame(
-        &mut self,
-        body: &mut Incoming,
-        replica: &Replica,
-    ) -> Result<Option<hyper::Result<Frame<Bytes>>>, End> {
+    /// example while its engine serves more urgent requests, so silence alone ends no stream: its
+    /// replica must fail to respond to another call, too, and another one must take over.
+    async fn next_frame(&mut self, body: &mut Incoming, replica: &Replica) -> NextFrame {
         let (core, job) = (self.forwarder.core.clone(), self.forwarder.job.clone());
         let resumable = self.splitter.is_some();
+        let mut wait = STREAM_SILENCE_TIMEOUT;
         loop {
             let left = job.time_left(core.now());
-            let limit = if resumable { left.min(STREAM_SILENCE_TIMEOUT) } else { left };
+            let limit = if resumable { left.min(wait) } else { left };
             if let Ok(frame) = timeout(limit, body.frame()).await {
                 return Ok(frame);
             }
@@ -204,42 +202,63 @@
             if left.is_zero() || !resumable {
                 return Err(End::TimedOut);
             }
-            let replacement = tokio::select! {
+            let report = core.adapters.engines.report(replica.addr);
+            let responds = tokio::select! {
                 biased;
                 frame = body.frame() => return Ok(frame),
-                replacement = timeout(left, self.replacement(replica)) => replacement,
+                // An error is an answer as well, or connections to the replica break, which the
+                // stream's own connection then shows.
+                report = timeout(left.min(REPORT_TIMEOUT), report) => report.is_ok(),
             };
-            if let Ok(Some(attempt)) = replacement {
-                return Err(End::Broken(Interruption::Silent, Some(attempt)));
+            if responds {
+                self.log_silence(replica, "kept", "the replica responds");
+                wait = STREAM_SILENCE_TIMEOUT;
+                continue;
+            }
+            core.pool.lock().record_outcome(&replica.id, Outcome::NoAnswer, core.now());
+            if let Some(next) = self.replace(body, replica).await {
+                return next;
             }
+            wait = RECHECK_INTERVAL;
         }
     }
 
-    /// Prepares an attempt at another replica if `replica` does not respond, and waits for one with
-    /// free capacity. Returns `None` if `replica` responds or no attempt is allowed.
-    async fn replacement(&mut self, replica: &Replica) -> Option<Attempt> {
-        let report = self.forwarder.core.adapters.engines.report(replica.addr).await;
-        // Any other error means that something responds at the address, or that connections to it
-        // break, which the stream's own connection shows by itself.
-        if report != Err(CallError::TimedOut) {
-            self.log_silence(replica, "kept", "the replica responds");
-            return None;
-        }
+    /// Asks other replicas to continue the stream of `replica`, whose connection stays open until
+    /// one of them may have run the request. It is not read while one of them is asked, since
+    /// whichever continues must do so after the last event that was passed on. Returns `None` if
+    /// all refuse.
+    async fn replace(&mut self, body: &mut Incoming, replica: &Replica) -> Option<NextFrame> {
+        let last = self.splitter.as_ref().and_then(EventSplitter::last);
         loop {
-            match self.forwarder.next_step() {
-                Step::Send(attempt) => {
-                    self.log_silence(replica, "moved", "the replica does not respond");
-                    return Some(attempt);
-                }
-                Step::Wait(pause) => tokio::time::sleep(pause).await,
+            let attempt = match self.forwarder.next_step() {
+                Step::Send(attempt) => attempt,
+                Step::Wait(pause) => match timeout(pause, body.frame()).await {
+                    Ok(frame) => return Some(Ok(frame)),
+                    Err(_) => continue,
+                },
                 Step::Stop { why, .. } => {
                     self.log_silence(replica, "kept", why);
                     return None;
                 }
+            };
+            match self.forwarder.attempt(attempt, last).await {
+                AttemptOutcome::Answered(answer) if answer.status.is_success() => {
+                    self.log_silence(replica, "moved", "the replica does not respond");
+                    return Some(Err(End::Replaced(answer)));
+                }
+                AttemptOutcome::Answered(_) | AttemptOutcome::Lost => {
+                    return Some(Err(End::Broken(Interruption::Silent)));
+                }
+                AttemptOutcome::NotRun | AttemptOutcome::Unsent => {
+                    if let Some(frame) = body.frame().now_or_never() {
+                        return Some(Ok(frame));
+                    }
+                }
             }
         }
     }
 
+    /// Logs a check of a replica whose stream is silent.
     fn log_silence(&self, replica: &Replica, outcome: &str, why: &str) {
         self.forwarder.core.metrics.silent.with_label_values(&[outcome]).inc();
         info!(
@@ -252,6 +271,34 @@
         );
     }
 
+    fn log_interruption(&self, replica: &Replica, why: &Interruption) {
+        self.forwarder.core.metrics.interrupted.with_label_values(&[why.name()]).inc();
+        info!(
+            request = &*self.forwarder.job.meta.id,
+            replica = &*replica.id,
+            %why,
+            silent_ms = self.silence().as_millis() as u64,
+            bytes = self.sent_bytes,
+            "stream interrupted"
+        );
+    }
+
+    /// Continues the stream with the answer of another replica.
+    fn switch_to(&mut self, answer: ReplicaAnswer) -> ReplicaAnswer {
+        let core = &self.forwarder.core;
+        let splitter = self.splitter.as_mut().expect("only resumable streams are continued");
+        splitter.discard();
+        self.heard_at = core.now();
+        core.metrics.resumed.inc();
+        info!(
+            request = &*self.forwarder.job.meta.id,
+            replica = &*answer.replica.id,
+            after = splitter.last(),
+            "stream resumed"
+        );
+        answer
+    }
+
     /// The time since the replica's last bytes arrived.
     fn silence(&self) -> Duration {
         self.forwarder.core.now().since(self.heard_at)
@@ -272,27 +319,15 @@
         matches!(timeout(left, self.sender.send(Chunk::Data(bytes))).await, Ok(Ok(())))
     }
 
-    /// Requests the rest of the stream from another replica, first by the prepared attempt if there
-    /// is one. Returns `None` where the stream can't be resumed.
-    async fn resume(&mut self, prepared: Option<Attempt>) -> Option<ReplicaAnswer> {
-        let splitter = self.splitter.as_mut()?;
-        splitter.discard();
-        let last = splitter.last();
+    /// Requests the rest of the stream from another replica. Returns `None` where the stream can't
+    /// be resumed.
+    async fn resume(&mut self) -> Option<ReplicaAnswer> {
+        let last = self.splitter.as_ref()?.last();
         let sender = self.sender.clone();
         let answer = tokio::select! {
-            answer = self.forwarder.send_until_answered(prepared, last) => answer.ok()?,
+            answer = self.forwarder.send_until_answered(last) => answer.ok()?,
             () = sender.closed() => return None,
         };
-        if !answer.status.is_success() {
-            return None;
-        }
-        self.forwarder.core.metrics.resumed.inc();
-        info!(
-            request = &*self.forwarder.job.meta.id,
-            replica = &*answer.replica.id,
-            after = last,
-            "stream resumed"
-        );
-        Some(answer)
+        answer.status.is_success().then_some(answer)
     }
 }
--- a/crates/relay/src/services.rs
+++ b/crates/relay/src/services.rs
@@ -10,12 +10,10 @@
 /// An error of a call to a service.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum CallError {
-    /// There was no connection, or it broke. The call may have taken effect.
+    /// There was no connection, it broke, or no answer came in time. The call may have taken
+    /// effect.
     #[error("no answer: {0}")]
     Silent(Arc<str>),
-    /// No answer came in time. The call may have taken effect.
-    #[error("no answer: no progress before the deadline")]
-    TimedOut,
     /// The service refused the call with this HTTP status.
     #[error("refused with status {0}")]
     Refused(u16),
