Cut no answer because its caller does not read for a second

A caller that left a long answer unread for a second and a half, on a slow link for example, saw its connection reset. `TCP_USER_TIMEOUT` of 0.9 s was set on callers' connections as on those to replicas, and Linux counts a closed window as unacknowledged although the peer answers each probe: again a slow peer taken for a dead one.

Callers now have 5 s. The price is that a caller that vanishes without a close is noticed after 5 s in place of 2; its request still ends at its deadline.

a_caller_that_does_not_read_for_seconds_loses_nothing failed before: ConnectionReset after 6379 bytes of 5.4 MB. With the pause of 3 s it passes.

--- a/crates/relay/src/conns.rs
+++ b/crates/relay/src/conns.rs
@@ -26,8 +26,11 @@
 
 /// Timeout for opening a connection. A replica without power does not answer at all.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// How long sent bytes may stay unacknowledged (`TCP_USER_TIMEOUT`).
+/// How long bytes sent to a replica or peer may stay unacknowledged (`TCP_USER_TIMEOUT`).
 const UNACKED_TIMEOUT: Duration = Duration::from_millis(900);
+/// The same for callers. It also limits how long a caller may leave what it received unread, since
+/// a closed window counts as unacknowledged.
+pub(crate) const CALLER_UNACKED_TIMEOUT: Duration = Duration::from_secs(5);
 /// Silence before the first TCP keepalive probe, and pause between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// How long an unused connection is kept if the replica names no keep-alive timeout.
@@ -200,7 +203,7 @@
         Ok(Err(e)) => return Err(e.to_string().into()),
         Err(_) => return Err("no answer in time".into()),
     };
-    set_socket_options(&stream).map_err(|e| Arc::<str>::from(e.to_string()))?;
+    set_socket_options(&stream, UNACKED_TIMEOUT).map_err(|e| Arc::<str>::from(e.to_string()))?;
     let (sender, conn) = http1::Builder::new()
         .handshake(TokioIo::new(stream))
         .await
@@ -236,11 +239,12 @@
     timeout(limit, exchange).await.unwrap_or_else(|_| Err(timed_out()))
 }
 
-/// Sets socket options so that a connection whose other end is silent fails within about a second.
-pub(crate) fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
+/// Sets socket options so that a connection whose other end no longer acknowledges anything fails
+/// after about `unacked`.
+pub(crate) fn set_socket_options(stream: &TcpStream, unacked: Duration) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT))?;
+    socket.set_tcp_user_timeout(Some(unacked))?;
     let probes =
         TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL);
     socket.set_tcp_keepalive(&probes.with_retries(1))
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -13,7 +13,7 @@
 use crate::{
     accept::accept,
     answer::{Body, full_body, json_response},
-    conns::set_socket_options,
+    conns::{CALLER_UNACKED_TIMEOUT, set_socket_options},
     core::Core,
     directory,
     forward::forward,
@@ -72,7 +72,7 @@
     from: SocketAddr,
     kind: ListenerKind,
 ) {
-    if let Err(e) = set_socket_options(&stream) {
+    if let Err(e) = set_socket_options(&stream, CALLER_UNACKED_TIMEOUT) {
         warn!(error = %e, %from, "socket options of connection could not be set");
     }
     let limits = core.view.snapshot().config.as_ref().map(|s| s.limits);
