Give a running generation up only once its replacement runs

Callers of completions saw a stream end with `event: problem` 5 s after the engine's last event: 502 "upstream" where the retry budget was used up, 503 "no-replica" where no other replica could take the job. The engine had the generation, answered the resume and went on with it.

Cause: `Relay::relaunch` reported the replica as failed and cancelled the generation, and only then asked for a retry and for a replica. A silence of 2.5 s does not show that a generation has ended.

`Relay::replace` now chooses the replica, takes the retry and starts the replacement first, and only then ends and cancels the old generation. A silent generation is resumed before it is replaced. If its replica answers that it still has it and there is no replacement, the resumed stream is read on, until the deadline of the request. The replica is chosen before the retry is taken, so that waiting for room uses up no retries; a choice that may not be used is released. A replica that does not answer the resume at all (frozen, killed) still ends the stream with a problem, so that the caller goes elsewhere.

A generation that may go on is no longer cancelled at once when its stream ends with a problem, but after the same 5 s as that of a caller that has gone away, if nobody reads it then. So the caller can resume it at another instance. One with wrong weights, or whose stream broke twice at the same token, is cancelled at once as before. The event `retried` is now recorded for replacements that started.

--- a/crates/entry/src/launch.rs
+++ b/crates/entry/src/launch.rs
@@ -119,10 +119,21 @@
     job: &Job,
     failed: &[Name],
     constraint: WeightsConstraint,
+) -> Result<ActiveGeneration, Problem> {
+    let placement = place(core, job, failed, &constraint).await?;
+    launch_at(core, job, placement, failed, constraint).await
+}
+
+/// Like [`launch`], but the first replica is already chosen.
+pub(crate) async fn launch_at(
+    core: &Core,
+    job: &Job,
+    mut placement: Placement,
+    failed: &[Name],
+    constraint: WeightsConstraint,
 ) -> Result<ActiveGeneration, Problem> {
     let mut tried = failed.to_vec();
     for left in (0..MAX_ATTEMPTS).rev() {
-        let placement = place(core, job, &tried, &constraint).await?;
         let (target, replica) = (placement.target.clone(), placement.choice.replica.clone());
         let error = match start_on_replica(core, job, placement).await {
             Ok(active) => return Ok(active),
@@ -134,6 +145,7 @@
         if left == 0 || !core.admission.try_retry(core.now()) {
             break;
         }
+        placement = place(core, job, &tried, &constraint).await?;
     }
     Err(Problem::after(ProblemKind::NoReplica, NO_REPLICA_RETRY_DELAY))
 }
--- a/crates/entry/src/placement.rs
+++ b/crates/entry/src/placement.rs
@@ -6,7 +6,7 @@
 use ident::Name;
 use kv::{PieceKey, Record};
 use outbound::CallError;
-use route::{Choice, CostWeights, Reason, RouteError, RoutingRequest, StoredPieces, Ticket};
+use route::{Choice, CostWeights, End, Reason, RouteError, RoutingRequest, StoredPieces, Ticket};
 use tokio::time::timeout;
 
 use crate::{
@@ -32,6 +32,15 @@
     pub(crate) context_age: Option<Duration>,
 }
 
+impl Placement {
+    /// Ends the placement of a job that is not started.
+    pub(crate) fn release(self, core: &Core) {
+        if let Some(ticket) = self.ticket {
+            core.pools.ended(&self.target, ticket, End::RefusedOther, core.now());
+        }
+    }
+}
+
 /// Saved pieces of a prompt in the context's store.
 pub(crate) struct StoreLookup {
     pub(crate) keys: Arc<[PieceKey]>,
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -13,7 +13,8 @@
     core::Core,
     handle::{HandlePayload, StreamPosition},
     job::Job,
-    launch::{ActiveGeneration, WeightsConstraint, launch},
+    launch::{ActiveGeneration, WeightsConstraint, launch_at},
+    placement::place,
     problem::{Problem, ProblemKind},
     running::WorkGuard,
     save,
@@ -22,8 +23,8 @@
 
 /// Maximum number of items buffered for a slow caller.
 const BUFFERED_ITEMS: usize = 64;
-/// How long a generation continues after its caller has gone away; the caller may resume the stream
-/// at another instance.
+/// How long a generation continues after its stream has ended early; the caller may resume it at
+/// another instance.
 const RESUME_GRACE: Duration = Duration::from_secs(5);
 /// Retry delay sent to a caller when the retry budget is used up.
 const NO_BUDGET_RETRY_DELAY: Duration = Duration::from_millis(500);
@@ -60,13 +61,36 @@
 
 /// Reason why the relay stopped reading from a stream.
 enum StreamFailure {
-    /// The stream broke, timed out or has a gap. The same generation may be resumed. Holds the
-    /// cause, as a metric label.
+    /// Nothing arrived for a while. The generation may just be slow.
+    Silent,
+    /// The stream broke or has a gap. The same generation may be resumed. Holds the cause, as a
+    /// metric label.
     Broken(&'static str),
     /// The replica served another weights version. Nothing of its answer is used.
     WrongWeights,
 }
 
+impl StreamFailure {
+    /// The cause, as a metric label.
+    fn label(&self) -> &'static str {
+        match self {
+            Self::Silent => "silent",
+            Self::Broken(cause) => cause,
+            Self::WrongWeights => "weights",
+        }
+    }
+}
+
+impl From<CallError> for StreamFailure {
+    fn from(error: CallError) -> Self {
+        match error {
+            CallError::Silent => Self::Silent,
+            CallError::Malformed(_) => Self::Broken("malformed"),
+            _ => Self::Broken("broken"),
+        }
+    }
+}
+
 enum Step {
     Continue,
     Done,
@@ -155,7 +179,7 @@
         let token = match next {
             Ok(Some(token)) => token,
             Ok(None) => return Err(StreamFailure::Broken("ended early")),
-            Err(e) => return Err(StreamFailure::Broken(stream_failure_label(&e))),
+            Err(e) => return Err(e.into()),
         };
         match self.sequence.check(&token) {
             Verdict::Accept => Ok(self.accept(token).await),
@@ -253,30 +277,41 @@
     }
 
     /// Recovers from a failed stream. Resumes the generation on a new connection to the same
-    /// replica. Restarts it on another replica if the resume fails, if no token has arrived since
-    /// the last resume, or if the weights version was wrong.
+    /// replica. Replaces it if the resume fails, if no token has arrived since the last resume, or
+    /// if the weights version was wrong. If it can't be replaced, a silent generation that its
+    /// replica still has is waited for until the deadline of the request.
     async fn recover(&mut self, failure: StreamFailure) -> Step {
-        let cause = match failure {
-            StreamFailure::Broken(cause) => cause,
-            StreamFailure::WrongWeights => "weights",
+        let core = self.core.clone();
+        let cause = failure.label();
+        core.metrics.retries.with_label_values(&[cause]).inc();
+        let progressed = self.last_resume_offset != Some(self.sequence.next_offset());
+        let may_go_on = match failure {
+            StreamFailure::Silent => true,
+            // A stream that breaks again without a token would be resumed without a pause.
+            StreamFailure::Broken(_) => progressed,
+            StreamFailure::WrongWeights => false,
         };
-        self.core.metrics.retries.with_label_values(&[cause]).inc();
-        let resumable = matches!(failure, StreamFailure::Broken(_));
-        if resumable
-            && self.last_resume_offset != Some(self.sequence.next_offset())
-            && self.resume().await
-        {
+        let resumed = may_go_on && self.resume().await;
+        if resumed && progressed {
             return Step::Continue;
         }
-        match self.relaunch(cause).await {
-            Ok(()) => Step::Continue,
-            Err(problem) => {
-                self.core.record_problem(&self.job.meta, &problem);
-                // The result is ignored: a caller that has gone away needs no answer.
-                let _ = self.out.send(AnswerItem::Failed(problem)).await;
-                Step::Done
-            }
+        let problem = match self.replace(cause).await {
+            Ok(()) => return Step::Continue,
+            Err(problem) => problem,
+        };
+        if resumed && !self.job.meta.deadline.passed(core.now()) {
+            return Step::Continue;
         }
+        self.active.failed(&core);
+        core.record_problem(&self.job.meta, &problem);
+        // The result is ignored: a caller that has gone away needs no answer.
+        let _ = self.out.send(AnswerItem::Failed(problem)).await;
+        if may_go_on {
+            cancel_later(&core, &self.active);
+        } else {
+            self.active.cancel(&core);
+        }
+        Step::Done
     }
 
     async fn resume(&mut self) -> bool {
@@ -294,20 +329,10 @@
         }
     }
 
-    async fn relaunch(&mut self, cause: &str) -> Result<(), Problem> {
+    /// Starts the answer anew on another replica. The running generation is given up only once
+    /// that has succeeded.
+    async fn replace(&mut self, cause: &str) -> Result<(), Problem> {
         let core = self.core.clone();
-        self.active.failed(&core);
-        self.active.cancel(&core);
-        self.failed_replicas.push(self.active.replica.clone());
-        core.record(EventKind::Retried {
-            request: self.job.meta.id,
-            replica: self.active.replica.clone(),
-            // `ended early` is no valid name; the event then has the replica's name as its cause.
-            cause: Name::new(cause).unwrap_or_else(|_| self.active.replica.clone()),
-        });
-        if !core.admission.try_retry(core.now()) {
-            return Err(Problem::after(ProblemKind::Upstream, NO_BUDGET_RETRY_DELAY));
-        }
         let held = self.catch_up.held();
         // An answer that the caller has in part keeps its weights version. One that the caller has
         // nothing of may use the current version.
@@ -316,7 +341,25 @@
         } else {
             WeightsConstraint::Unconstrained
         };
-        self.active = launch(&core, &self.job, &self.failed_replicas, constraint).await?;
+        let mut failed = self.failed_replicas.clone();
+        failed.push(self.active.replica.clone());
+        // Placed first, so that the lack of a replica uses up no retry.
+        let placement = place(&core, &self.job, &failed, &constraint).await?;
+        if !core.admission.try_retry(core.now()) {
+            placement.release(&core);
+            return Err(Problem::after(ProblemKind::Upstream, NO_BUDGET_RETRY_DELAY));
+        }
+        let next = launch_at(&core, &self.job, placement, &failed, constraint).await?;
+        let mut old = std::mem::replace(&mut self.active, next);
+        old.failed(&core);
+        old.cancel(&core);
+        core.record(EventKind::Retried {
+            request: self.job.meta.id,
+            // `ended early` is no valid name; the event then has the replica's name as its cause.
+            cause: Name::new(cause).unwrap_or_else(|_| old.replica.clone()),
+            replica: old.replica,
+        });
+        self.failed_replicas = failed;
         self.sequence = Sequence::new(self.active.engine_request, self.active.weights.clone(), 0);
         self.catch_up = CatchUp::restarted(held);
         self.handle_prefix = sign_handle(&core, &self.job, &self.active);
@@ -324,29 +367,26 @@
         Ok(())
     }
 
-    /// Handles a caller that has gone away. It may resume at another instance, so the generation is
-    /// only cancelled after [`RESUME_GRACE`], and only if no stream of it is open then.
+    /// Handles a caller that has gone away.
     async fn abandon(self) {
         let Self { core, job, mut active, .. } = self;
         // Recorded when the caller goes away, even if the stream is resumed later.
         core.record(EventKind::Cancelled { request: job.meta.id });
         active.done(&core);
-        let engine = core.backends.engine.clone();
-        drop(active.source);
-        tokio::spawn(async move {
-            tokio::time::sleep(RESUME_GRACE).await;
-            // The result is ignored: the engine drops the generation by itself if this call fails.
-            let _ = engine.cancel(active.addr, active.engine_request, true).await;
-        });
+        cancel_later(&core, &active);
     }
 }
 
-fn stream_failure_label(error: &CallError) -> &'static str {
-    match error {
-        CallError::Silent => "silent",
-        CallError::Malformed(_) => "malformed",
-        _ => "broken",
-    }
+/// Cancels a generation after [`RESUME_GRACE`] if no stream of it is open then: the caller may
+/// resume it at another instance.
+fn cancel_later(core: &Core, active: &ActiveGeneration) {
+    let engine = core.backends.engine.clone();
+    let (addr, request) = (active.addr, active.engine_request);
+    tokio::spawn(async move {
+        tokio::time::sleep(RESUME_GRACE).await;
+        // The result is ignored: the engine drops the generation by itself if this call fails.
+        let _ = engine.cancel(addr, request, true).await;
+    });
 }
 
 fn sign_handle(core: &Core, job: &Job, active: &ActiveGeneration) -> Arc<str> {
