Make the era of the table service part of every row's version

A table service that returns from an older copy of its content gives version numbers out again. A bare number then says nothing: a condition may match by chance, a cursor may skip changes, a row from before may look newer than the true one.

`table::Version` holds era and number, ordered; `Table::era` and `Registry::era` tell the highest era in which the service answered. Rows, conditions and the registry's position carry it; a condition of an earlier era never matches. `Memory` can return to an older copy, for tests. Services without eras, the platform's store among them until its adapter reads the header, stay in era 0, so that nothing else changes.

Tests compare the same numbers as before, in era 0.

--- a/crates/conf/src/store/accept.rs
+++ b/crates/conf/src/store/accept.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use ident::{RequestId, Rev};
-use table::{Expect, TableError, Write};
+use table::{Expect, TableError, Version, Write};
 
 use super::{
     DOC_PARTITION, HEAD_PARTITION, ID_PARTITION, LOG_PARTITION, LoadError, Store, decode, encode,
@@ -132,7 +132,12 @@
         let doc_expect = old.map_or(Expect::Absent, |row| Expect::Version(row.version));
         let writes = vec![
             write(LOG_PARTITION, log_key(rev).into(), Expect::Absent, log),
-            write(HEAD_PARTITION, "head".into(), head_expect(view.rev()), rev_body.clone()),
+            write(
+                HEAD_PARTITION,
+                "head".into(),
+                head_expect(view.rev(), self.table.era()),
+                rev_body.clone(),
+            ),
             write(DOC_PARTITION, sort, doc_expect, encode(&item)),
             write(ID_PARTITION, requested.id.to_string().into(), Expect::Absent, rev_body),
         ];
@@ -145,11 +150,12 @@
     Write { part: part.into(), sort, expect, body: Some(body) }
 }
 
-/// Condition on the head row that no change was accepted after `rev`.
-fn head_expect(rev: Rev) -> Expect {
+/// Condition on the head row that no change was accepted after `rev`. Each change writes the row
+/// once, so that its version is the revision.
+fn head_expect(rev: Rev, era: u64) -> Expect {
     match rev.0 {
         0 => Expect::Absent,
-        n => Expect::Version(n),
+        number => Expect::Version(Version { era, number }),
     }
 }
 
--- a/crates/conf/src/store/snapshot.rs
+++ b/crates/conf/src/store/snapshot.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use ident::Rev;
-use table::{Expect, TableError, Write};
+use table::{Expect, TableError, Version, Write};
 
 use super::{HEAD_PARTITION, LoadError, PAGE_SIZE, Store, decode, encode};
 use crate::{
@@ -67,7 +67,7 @@
 
     /// Revision and digest of the newest snapshot, and the version of the pointer row; `None` if
     /// there is no snapshot.
-    async fn pointer(&self) -> Result<Option<(Rev, ident::Digest, u64)>, TableError> {
+    async fn pointer(&self) -> Result<Option<(Rev, ident::Digest, Version)>, TableError> {
         let Some(row) = self.table.get(HEAD_PARTITION, POINTER_KEY).await? else { return Ok(None) };
         let wire: PointerWire = decode(&row)?;
         Ok(Some((Rev(wire.rev), wire.digest, row.version)))
--- a/crates/conf/tests/row_upgrade.rs
+++ b/crates/conf/tests/row_upgrade.rs
@@ -5,13 +5,13 @@
 use common::{World, model, name};
 use conf::LoadError;
 use ident::{RequestId, Rev};
-use table::{Expect, Table, TableError, Write};
+use table::{Expect, Table, TableError, Version, Write};
 
 async fn replace(w: &World, body: &str) {
     let write = Write {
         part: "conf/log".into(),
         sort: format!("{:020}", 1).into(),
-        expect: Expect::Version(1),
+        expect: Expect::Version(Version::first_era(1)),
         body: Some(body.into()),
     };
     w.table.commit(vec![write]).await.unwrap();
--- a/crates/fakes/tests/own_clients.rs
+++ b/crates/fakes/tests/own_clients.rs
@@ -16,7 +16,7 @@
     TokenSource,
 };
 use serde_json::json;
-use table::{Dynamo, Expect, Table, TableError, Write};
+use table::{Dynamo, Expect, Table, TableError, Version, Write};
 
 fn name(text: &str) -> Name {
     Name::new(text).unwrap()
@@ -71,9 +71,9 @@
     let both = vec![write("a", Expect::Absent, Some("1")), write("b", Expect::Absent, Some("2"))];
     table.commit(both.clone()).await.unwrap();
     assert_eq!(table.commit(both).await, Err(TableError::Conflict));
-    table.commit(vec![write("a", Expect::Version(1), None)]).await.unwrap();
+    table.commit(vec![write("a", Expect::Version(Version::first_era(1)), None)]).await.unwrap();
     let rows = table.range("p", " ", 10).await.unwrap();
-    assert_eq!((rows.len(), &*rows[0].sort, rows[0].version), (1, "b", 1));
+    assert_eq!((rows.len(), &*rows[0].sort, rows[0].version), (1, "b", Version::first_era(1)));
     assert_eq!(table.get("p", "a").await, Ok(None));
     fake.set_faults(json!({"lose_answers": 1}));
     let lost = table.commit(vec![write("c", Expect::Absent, Some("3"))]).await;
--- a/crates/lease/src/held.rs
+++ b/crates/lease/src/held.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use ident::{Fence, Name, Time};
-use table::{Expect, TableError};
+use table::{Expect, TableError, Version};
 
 use crate::row::{Holder, RowWire};
 
@@ -36,7 +36,7 @@
     pub(crate) sort: Arc<str>,
     pub(crate) holder: Holder,
     /// Version of the row as this process last wrote or read it.
-    pub(crate) version: u64,
+    pub(crate) version: Version,
     pub(crate) duration: Duration,
     fence: Fence,
     /// When the lease expires, on this process's clock.
@@ -48,7 +48,7 @@
         sort: Arc<str>,
         holder: Holder,
         fence: Fence,
-        version: u64,
+        version: Version,
         duration: Duration,
         start: Time,
     ) -> Self {
@@ -80,7 +80,7 @@
         RowWire { holder: self.holder.clone(), fence: self.fence, duration, released }
     }
 
-    pub(crate) fn extend(&mut self, version: u64, duration: Duration, start: Time) {
+    pub(crate) fn extend(&mut self, version: Version, duration: Duration, start: Time) {
         assert!(version > self.version, "a renewal must increase the version of the row");
         (self.version, self.duration, self.until) = (version, duration, start.after(duration));
     }
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -26,7 +26,7 @@
 
 use ident::{Clock, Fence, Name, Time};
 use parking_lot::Mutex;
-use table::{Expect, Row, Table, TableError};
+use table::{Expect, Row, Table, TableError, Version};
 
 pub use crate::{
     held::{HeldLease, LeaseError},
@@ -116,7 +116,7 @@
             let wire = RowWire { holder: holder.clone(), fence, duration, released: false };
             match self.table.commit(vec![wire.write(&sort, expect)]).await {
                 Ok(()) => {
-                    let version = row.map_or(1, |r| r.version + 1);
+                    let version = row.map_or(Version::first_era(1), |r| r.version.next());
                     return Ok(HeldLease::new(sort, holder, fence, version, duration, now));
                 }
                 Err(TableError::Refused(text)) => return Err(TableError::Refused(text).into()),
@@ -138,7 +138,7 @@
         for _ in 0..MAX_TRIES {
             match self.table.commit(vec![wire.write(&held.sort, held.expect())]).await {
                 Ok(()) => {
-                    held.extend(held.version + 1, duration, now);
+                    held.extend(held.version.next(), duration, now);
                     return Ok(());
                 }
                 Err(TableError::Refused(text)) => return Err(TableError::Refused(text).into()),
--- a/crates/lease/src/observations.rs
+++ b/crates/lease/src/observations.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use ident::Time;
+use table::Version;
 
 /// An observer waits the lease duration plus this fraction of it (one sixteenth), because the
 /// clocks of two instances may run at different rates.
@@ -11,7 +12,7 @@
 #[derive(Debug)]
 struct Observation {
     sort: Arc<str>,
-    version: u64,
+    version: Version,
     /// From this point on the row may be taken over, if it is still at `version`.
     free_at: Time,
 }
@@ -28,7 +29,7 @@
     pub(crate) fn observe(
         &mut self,
         sort: &Arc<str>,
-        version: u64,
+        version: Version,
         duration: Duration,
         now: Time,
     ) -> Time {
--- a/crates/ledger/src/call.rs
+++ b/crates/ledger/src/call.rs
@@ -5,7 +5,7 @@
 use blob::BlobError;
 use bytes::Bytes;
 use ident::{Digest, Name, RequestId, Time};
-use table::{Expect, TableError};
+use table::{Expect, TableError, Version};
 
 use crate::row::{Entry, State};
 
@@ -95,10 +95,10 @@
 
 impl ClaimRecord {
     /// Version of the row once the claim is written.
-    pub(crate) fn version(&self) -> u64 {
+    pub(crate) fn version(&self) -> Version {
         match self.expect {
-            Expect::Absent => 1,
-            Expect::Version(v) => v + 1,
+            Expect::Absent => Version::first_era(1),
+            Expect::Version(v) => v.next(),
         }
     }
 
@@ -110,7 +110,7 @@
     /// The row of the claim in `state`.
     pub(crate) fn entry(&self, state: State) -> Entry {
         Entry {
-            version: 0,
+            version: Version::default(),
             holder: self.holder.clone(),
             request_digest: self.request_digest,
             state,
--- a/crates/ledger/src/row.rs
+++ b/crates/ledger/src/row.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use ident::{Digest, Name, RequestId, Time};
 use serde::{Deserialize, Serialize};
-use table::{Expect, Row, TableError, Write};
+use table::{Expect, Row, TableError, Version, Write};
 
 use crate::{CallId, Ledger, LedgerError, Outcome, call::Holder};
 
@@ -48,8 +48,8 @@
 /// Decoded row of a call.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) struct Entry {
-    /// Version of the row when it was read; 0 in an entry to be written.
-    pub(crate) version: u64,
+    /// Version of the row when it was read; the default in an entry to be written.
+    pub(crate) version: Version,
     pub(crate) holder: Holder,
     /// Digest of the request.
     pub(crate) request_digest: Digest,
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -5,6 +5,7 @@
 use fleet::{Announcement, Instance, Replica};
 use ident::Time;
 use rand::Rng;
+use table::Version;
 use tracing::{info, warn};
 
 use crate::{
@@ -40,7 +41,7 @@
     core: Arc<Core>,
     topic: Topic,
     /// Position after the last change received; `None` where everything must be read.
-    next: Option<u64>,
+    next: Option<Version>,
     /// Number of failed polls in a row.
     failures: u32,
     /// Replicas whose entries are missing, and when each is dropped. Sorted by that time.
--- a/crates/relay/src/services.rs
+++ b/crates/relay/src/services.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use fleet::{Config, Instance, Replica};
 use place::{Change, HeldPart};
+use table::Version;
 
 /// An error of a call to a service.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
@@ -64,7 +65,7 @@
     /// Changes in the order in which they were made.
     pub updates: Vec<Update>,
     /// Position from which to follow further changes.
-    pub next: u64,
+    pub next: Version,
     /// The registry's monotonic clock, in ms.
     pub clock: u64,
 }
@@ -72,12 +73,16 @@
 /// The platform's registry.
 #[async_trait]
 pub trait Registry: Send + Sync {
+    /// The highest era in which the registry has answered; see [`table::Table::era`].
+    fn era(&self) -> u64;
+
     /// Reads all rows of `topic`.
     async fn read(&self, topic: Topic) -> Result<Batch, CallError>;
 
     /// Waits up to `wait` for changes after position `next`. Fails with [`CallError::History`]
-    /// where they are no longer kept.
-    async fn follow(&self, topic: Topic, next: u64, wait: Duration) -> Result<Batch, CallError>;
+    /// where they are no longer kept, or where the position is of an earlier era.
+    async fn follow(&self, topic: Topic, next: Version, wait: Duration)
+    -> Result<Batch, CallError>;
 
     /// Decodes a configuration from the bytes that a peer served.
     fn config(&self, bytes: &[u8]) -> Result<Config, CallError>;
--- a/crates/table/src/dynamo.rs
+++ b/crates/table/src/dynamo.rs
@@ -107,7 +107,7 @@
         }
         let (version, old) = match write.expect {
             Expect::Absent => (1, None),
-            Expect::Version(v) => (v + 1, Some(v)),
+            Expect::Version(v) => (v.number + 1, Some(v.number)),
         };
         let put = Put::builder()
             .table_name(&*self.table)
@@ -122,7 +122,7 @@
     fn delete(&self, write: &Write) -> Result<TransactWriteItem, TableError> {
         let old = match write.expect {
             Expect::Absent => None,
-            Expect::Version(v) => Some(v),
+            Expect::Version(v) => Some(v.number),
         };
         let delete = Delete::builder()
             .table_name(&*self.table)
--- a/crates/table/src/faulty.rs
+++ b/crates/table/src/faulty.rs
@@ -142,6 +142,10 @@
 
 #[async_trait]
 impl Table for Faulty {
+    fn era(&self) -> u64 {
+        self.table.era()
+    }
+
     async fn get(&self, part: &str, sort: &str) -> Result<Option<Row>, TableError> {
         self.interleave().await;
         self.maybe_fail_read()?;
--- a/crates/table/src/item.rs
+++ b/crates/table/src/item.rs
@@ -4,7 +4,7 @@
 
 use aws_sdk_dynamodb::types::AttributeValue;
 
-use crate::{Row, TableError, Write};
+use crate::{Row, TableError, Version, Write};
 
 /// Attribute names and values, as the SDK represents an item.
 type Item = HashMap<String, AttributeValue>;
@@ -45,7 +45,8 @@
     Ok(Row {
         part: text(item, "pk")?,
         sort: text(item, "sk")?,
-        version: version.ok_or_else(|| missing("ver"))?,
+        // The service never returns from an older copy.
+        version: version.map(Version::first_era).ok_or_else(|| missing("ver"))?,
         body: text(item, "body")?,
     })
 }
--- a/crates/table/src/lib.rs
+++ b/crates/table/src/lib.rs
@@ -7,6 +7,7 @@
 mod faulty;
 mod item;
 mod memory;
+mod version;
 
 use std::sync::Arc;
 
@@ -15,7 +16,8 @@
 pub use crate::{
     dynamo::{AccessKey, Dynamo},
     faulty::{Faulty, Odds},
-    memory::Memory,
+    memory::{Content, Memory},
+    version::Version,
 };
 
 /// A row as the table stores it.
@@ -27,7 +29,7 @@
     pub sort: Arc<str>,
     /// Version of the row. It grows with each write: by one in some services, by the number of all
     /// writes since the last one in others.
-    pub version: u64,
+    pub version: Version,
     /// Payload: JSON text of at most 256 KiB.
     pub body: Arc<str>,
 }
@@ -37,8 +39,8 @@
 pub enum Expect {
     /// The row does not exist.
     Absent,
-    /// The row exists and has exactly this version.
-    Version(u64),
+    /// The row exists and has exactly this version. A version of an earlier era never matches.
+    Version(Version),
 }
 
 /// One conditional write of a transaction.
@@ -84,6 +86,13 @@
 /// A transactional table service.
 #[async_trait]
 pub trait Table: Send + Sync {
+    /// The highest era in which the service has answered. It never falls. A rise means that the
+    /// service has returned from an older copy of its content: what was read or written before may
+    /// be gone, and must be read again.
+    fn era(&self) -> u64 {
+        0
+    }
+
     /// Reads one row with strong consistency. Returns `None` if the row does not exist.
     async fn get(&self, part: &str, sort: &str) -> Result<Option<Row>, TableError>;
 
--- a/crates/table/src/memory.rs
+++ b/crates/table/src/memory.rs
@@ -5,10 +5,10 @@
 use async_trait::async_trait;
 use parking_lot::Mutex;
 
-use crate::{Expect, Row, Table, TableError, Write};
+use crate::{Expect, Row, Table, TableError, Version, Write};
 
 /// Rows of one partition.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct Partition {
     name: Arc<str>,
     /// Sorted by sort key.
@@ -32,9 +32,14 @@
 struct Inner {
     /// Sorted by name.
     partitions: Vec<Partition>,
+    era: u64,
     faults: Faults,
 }
 
+/// The content of a [`Memory`] table at one moment.
+#[derive(Debug, Clone)]
+pub struct Content(Vec<Partition>);
+
 /// A table held in memory. At the start no fault is injected.
 #[derive(Debug, Default)]
 pub struct Memory {
@@ -78,6 +83,22 @@
         self.inner.lock().faults.writes
     }
 
+    /// Copies the content, to return to it later.
+    pub fn copy(&self) -> Content {
+        Content(self.inner.lock().partitions.clone())
+    }
+
+    /// Returns to an older copy of the content. A new era begins, in which the numbers of later
+    /// versions are given out again.
+    pub fn restore(&self, copy: Content) {
+        let mut inner = self.inner.lock();
+        inner.era += 1;
+        let era = inner.era;
+        inner.partitions = copy.0;
+        let rows = inner.partitions.iter_mut().flat_map(|p| &mut p.rows);
+        rows.for_each(|row| row.version.era = era);
+    }
+
     /// Returns all rows of a partition, ordered by sort key, regardless of injected faults.
     pub fn rows(&self, part: &str) -> Vec<Row> {
         self.inner.lock().part(part).map(|p| p.rows.clone()).unwrap_or_default()
@@ -143,18 +164,20 @@
     }
 
     fn apply(&mut self, write: Write) {
+        let era = self.era;
         let rows = &mut self.part_mut(&write.part).rows;
         let found = rows.binary_search_by(|r| r.sort.cmp(&write.sort));
         match (found, write.body) {
             (Ok(at), Some(body)) => {
-                rows[at].version += 1;
+                rows[at].version = rows[at].version.next();
                 rows[at].body = body;
             }
             (Ok(at), None) => {
                 rows.remove(at);
             }
             (Err(at), Some(body)) => {
-                rows.insert(at, Row { part: write.part, sort: write.sort, version: 1, body });
+                let version = Version { era, number: 1 };
+                rows.insert(at, Row { part: write.part, sort: write.sort, version, body });
             }
             (Err(_), None) => {}
         }
@@ -163,6 +186,10 @@
 
 #[async_trait]
 impl Table for Memory {
+    fn era(&self) -> u64 {
+        self.inner.lock().era
+    }
+
     async fn get(&self, part: &str, sort: &str) -> Result<Option<Row>, TableError> {
         let mut inner = self.inner.lock();
         inner.faults.read()?;
--- a/crates/table/tests/dynamo_errors.rs
+++ b/crates/table/tests/dynamo_errors.rs
@@ -4,7 +4,7 @@
 
 use parking_lot::Mutex;
 use serde_json::{Value, json};
-use table::{Dynamo, Expect, Table, TableError, Write};
+use table::{Dynamo, Expect, Table, TableError, Version, Write};
 use tokio::{
     io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
     net::{TcpListener, TcpStream},
@@ -89,7 +89,12 @@
 
 fn put() -> Vec<Write> {
     let (part, sort) = ("p".into(), "s".into());
-    vec![Write { part, sort, expect: Expect::Version(3), body: Some("{}".into()) }]
+    vec![Write {
+        part,
+        sort,
+        expect: Expect::Version(Version::first_era(3)),
+        body: Some("{}".into()),
+    }]
 }
 
 /// Returns the result of a commit and the number of requests that were sent.
@@ -207,7 +212,7 @@
     let (url, _) = start(Reply::Json(200, json!({"Item": item, "Items": [item]}))).await;
     let t = Dynamo::new(&url, "conf", CALL_TIMEOUT).unwrap();
     let row = t.get("p", "s").await.unwrap().unwrap();
-    assert_eq!((row.version, &*row.body), (9, "x"));
+    assert_eq!((row.version, &*row.body), (Version::first_era(9), "x"));
     assert_eq!(t.range("p", "", 1).await.unwrap(), [row]);
     let (url, _) = start(Reply::Json(200, json!({"Item": {"pk": {"S": "p"}}}))).await;
     let t = Dynamo::new(&url, "conf", CALL_TIMEOUT).unwrap();
