Return whole answers from the HTTP client

Adapters got a status and a body of an answer, and nothing of its headers. Client::answer returns answers of any status with their headers; json and bytes are made on top of the same call.

Ran: cargo nextest run -p outbound and the crates that use it, clippy for outbound.

--- a/crates/outbound/src/client.rs
+++ b/crates/outbound/src/client.rs
@@ -124,6 +124,18 @@
         self.call_bytes(call.request()?, call.connection, limit, refuse).await
     }
 
+    /// Like [`Client::bytes`], but returns answers of any status, with their headers.
+    pub async fn answer<A>(
+        &self,
+        call: JsonCall<'_, A>,
+        limit: Duration,
+    ) -> Result<Response<Bytes>, CallError>
+    where
+        A: Serialize + Sync,
+    {
+        self.call_answer(call.request()?, call.connection, limit).await
+    }
+
     /// Sends a prepared request over a pooled connection and parses the JSON answer, within
     /// `limit`.
     pub async fn send_json<B, F>(
@@ -150,11 +162,24 @@
     where
         F: Fn(StatusCode, &[u8]) -> CallError,
     {
+        let answer = self.call_answer(request, connection, limit).await?;
+        let status = answer.status();
+        if status.is_success() {
+            Ok(answer.into_body())
+        } else {
+            Err(refuse(status, answer.body()))
+        }
+    }
+
+    async fn call_answer(
+        &self,
+        request: Request<Full<Bytes>>,
+        connection: Connection,
+        limit: Duration,
+    ) -> Result<Response<Bytes>, CallError> {
         let answer = async {
-            let response = self.send(request, connection, limit).await?;
-            let status = response.status();
-            let body = read(response).await?;
-            if status.is_success() { Ok(body) } else { Err(refuse(status, &body)) }
+            let (head, body) = self.send(request, connection, limit).await?.into_parts();
+            Ok(Response::from_parts(head, read(body).await?))
         };
         timeout(limit, answer).await.unwrap_or(Err(CallError::Silent))
     }
@@ -193,8 +218,8 @@
 }
 
 /// Reads the body of an answer, up to [`MAX_ANSWER_BYTES`].
-pub(crate) async fn read(response: Response<Incoming>) -> Result<Bytes, CallError> {
-    match Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await {
+pub(crate) async fn read(body: Incoming) -> Result<Bytes, CallError> {
+    match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
         Ok(body) => Ok(body.to_bytes()),
         Err(e) => Err(CallError::Broken(e.to_string().into())),
     }
--- a/crates/outbound/src/engine.rs
+++ b/crates/outbound/src/engine.rs
@@ -183,7 +183,7 @@
         if status.is_success() {
             return Ok(Box::new(EventTokens::new(response, stream_idle)));
         }
-        Err(refusal(status, &read(response).await?))
+        Err(refusal(status, &read(response.into_body()).await?))
     }
 }
 
--- a/crates/outbound/src/service.rs
+++ b/crates/outbound/src/service.rs
@@ -139,7 +139,7 @@
         return Err(Refusal::NotRun.into());
     }
     let content_type = response.headers().get(CONTENT_TYPE).cloned();
-    Ok(Reply { status, content_type, body: read(response).await? })
+    Ok(Reply { status, content_type, body: read(response.into_body()).await? })
 }
 
 fn request(addr: SocketAddr, call: &ServiceCall) -> Result<Request<Full<Bytes>>, CallError> {
