Bind a lease to the era of the table service

A table service that returns from an older copy gives out again what it had acknowledged. The row of a lease is then back at an earlier holder, or gone; its next holder took a fence that the lost one had used, and a late claim of the old era became a lease.

- A held lease ends when the table has answered in a later era: `HeldLease::is_valid`, and before each order of the duties `LeaseState::may_act`.
- Above era 0 a process acquires only after it has seen the era for the lease duration and the margin for clock rates, also a released lease, one of its own earlier process, and one whose row is gone.
- A fence is the era in the high 32 bits and a counter.
A row with a fence of a later era than its version is malformed; a claim after a write without an answer needs a fence of the row's era.
- A row with a fence of an earlier era is observed even if it is released.
It may be a late write of that era over the row of a holder of this one, since the service compares numbers only.
For the same reason the counter goes on from the version's number after such a row, and not from 1 as the design said: nobody can read the overwritten fence.

`LeaseError::Taken` has no holder where nobody can know one. Era 0 is as before.

--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -8,6 +8,10 @@
 //! and a margin for clocks that run at different rates. A holder that was paused may still believe
 //! that it holds the lease. The fencing number grows with each new holder, so a target can refuse
 //! the orders of an earlier one.
+//!
+//! The table service may return from an older copy of its content, which begins a new era. A lease
+//! ends with its era, and the first holder of the next one waits until all leases of earlier eras
+//! have expired. `docs/design/restored-store.md` gives the reasons.
 
 mod held;
 mod rollout;
@@ -58,16 +62,25 @@
     /// For each row that this process did not get: the version last seen, and when the row may be
     /// taken over if that does not change.
     observations: Mutex<Observations>,
+    era_seen: Mutex<EraSeen>,
     /// Whether a lease of an earlier process of `node` may be taken over at once. This requires
     /// that only one process of `node` runs at any time.
     own_takeover: bool,
 }
 
+/// The newest era of the table service that this process has seen.
+#[derive(Debug, Clone, Copy)]
+struct EraSeen {
+    era: u64,
+    since: Time,
+}
+
 impl Leases {
     /// Creates the leases of the instance `node`.
     pub fn new(table: Arc<dyn Table>, clock: Arc<dyn Clock>, node: Name) -> Self {
         let (started, claim, observations) = (clock.now(), AtomicU64::new(1), Mutex::default());
-        Self { table, clock, node, started, claim, observations, own_takeover: false }
+        let era_seen = Mutex::new(EraSeen { era: table.era(), since: started });
+        Self { table, clock, node, started, claim, observations, era_seen, own_takeover: false }
     }
 
     /// Allows taking over a lease of an earlier process of this instance without waiting until it
@@ -79,6 +92,9 @@
     /// Acquires the lease `name` for `duration` if nobody ever held it, or if it was released or
     /// has expired. Expiry of another holder's lease is only observed across calls: call this
     /// repeatedly.
+    ///
+    /// After the table service has returned from an older copy, nobody acquires any lease until it
+    /// has seen the new era for the duration and a margin for clock rates.
     pub async fn acquire(&self, name: &Name, duration: Duration) -> Result<HeldLease, LeaseError> {
         self.acquire_row(row::lease_key(name), duration).await
     }
@@ -93,14 +109,24 @@
         // When the first write with an unknown outcome began. That write may have taken effect.
         let mut unknown_since: Option<Time> = None;
         for _ in 0..MAX_TRIES {
+            let era_before = self.table.era();
             let row = self.table.get(row::PARTITION, &sort).await?;
-            let now = self.clock.now();
+            let (now, era) = (self.clock.now(), self.table.era());
+            let since = self.era_since(era, now);
+            // An absent row has no version that says in which era it was absent.
+            if row.as_ref().map_or(era_before, |r| r.version.era) != era {
+                continue;
+            }
             let (expect, fence) = match &row {
-                None => (Expect::Absent, Fence(1)),
+                None => {
+                    check_era_age(era, since, duration, now)?;
+                    (Expect::Absent, row::first_fence(era)?)
+                }
                 Some(row) => {
                     let wire = RowWire::read(row)?;
-                    if let Some(start) = unknown_since.filter(|_| wire.holder == holder) {
-                        return Ok(HeldLease::new(
+                    let own = wire.holder == holder && wire.is_of_era(row.version);
+                    if let Some(start) = unknown_since.filter(|_| own) {
+                        return Ok(self.held(
                             sort,
                             holder,
                             wire.fence,
@@ -110,14 +136,18 @@
                         ));
                     }
                     self.check_free(row, &wire, now)?;
-                    (Expect::Version(row.version), Fence(wire.fence.0 + 1))
+                    check_era_age(era, since, duration.max(wire.duration), now)?;
+                    (Expect::Version(row.version), row::next_fence(&wire, row.version)?)
                 }
             };
             let wire = RowWire { holder: holder.clone(), fence, duration, released: false };
-            match self.table.commit(vec![wire.write(&sort, expect)]).await {
+            let answer = self.table.commit(vec![wire.write(&sort, expect)]).await;
+            match answer {
+                // Answered in a later era: nobody knows in which one it took effect.
+                Ok(()) if self.table.era() != era => {}
                 Ok(()) => {
-                    let version = row.map_or(Version::first_era(1), |r| r.version.next());
-                    return Ok(HeldLease::new(sort, holder, fence, version, duration, now));
+                    let version = row.map_or(Version { era, number: 1 }, |r| r.version.next());
+                    return Ok(self.held(sort, holder, fence, version, duration, now));
                 }
                 Err(TableError::Refused(text)) => return Err(TableError::Refused(text).into()),
                 Err(e) if !e.definite() => unknown_since = unknown_since.or(Some(now)),
@@ -127,8 +157,21 @@
         Err(TableError::Conflict.into())
     }
 
+    fn held(
+        &self,
+        sort: Arc<str>,
+        holder: Holder,
+        fence: Fence,
+        version: Version,
+        duration: Duration,
+        start: Time,
+    ) -> HeldLease {
+        HeldLease::new(self.table.clone(), sort, holder, fence, version, duration, start)
+    }
+
     /// Renews a lease for `duration` from now. [`LeaseError::Lost`] is final. After any other error
-    /// the lease stays valid until [`HeldLease::expires`], and the caller may renew it again.
+    /// the lease stays valid until [`HeldLease::expires`] or the end of its era, and the caller may
+    /// renew it again.
     pub async fn renew(&self, held: &mut HeldLease, duration: Duration) -> Result<(), LeaseError> {
         let now = self.clock.now();
         if !held.is_valid(now) {
@@ -136,7 +179,9 @@
         }
         let wire = held.wire(duration, false);
         for _ in 0..MAX_TRIES {
-            match self.table.commit(vec![wire.write(&held.sort, held.expect())]).await {
+            let answer = self.table.commit(vec![wire.write(&held.sort, held.expect())]).await;
+            self.check_era(held)?;
+            match answer {
                 Ok(()) => {
                     held.extend(held.version.next(), duration, now);
                     return Ok(());
@@ -146,9 +191,11 @@
             }
             // Only the holder writes the row of a lease that has not expired. So a higher version
             // with the same holder is from this renewal or from an earlier one without an answer.
-            let row = self.table.get(row::PARTITION, &held.sort).await?.ok_or(LeaseError::Lost)?;
+            let row = self.table.get(row::PARTITION, &held.sort).await;
+            self.check_era(held)?;
+            let row = row?.ok_or(LeaseError::Lost)?;
             let current = RowWire::read(&row)?;
-            if current.holder != held.holder || current.released {
+            if current.holder != held.holder || current.released || row.version.era != held.era() {
                 held.expire();
                 return Err(LeaseError::Lost);
             }
@@ -159,7 +206,8 @@
 
     /// Releases a lease, so that another instance need not wait until it expires. After an error
     /// another instance has to wait.
-    pub async fn release(&self, held: HeldLease) -> Result<(), LeaseError> {
+    pub async fn release(&self, mut held: HeldLease) -> Result<(), LeaseError> {
+        self.check_era(&mut held)?;
         let wire = held.wire(held.duration, true);
         match self.table.commit(vec![wire.write(&held.sort, held.expect())]).await {
             Err(TableError::Conflict) => Err(LeaseError::Lost),
@@ -167,16 +215,48 @@
         }
     }
 
+    /// Ends a lease of an earlier era.
+    fn check_era(&self, held: &mut HeldLease) -> Result<(), LeaseError> {
+        let era = self.table.era();
+        if era == held.era() {
+            return Ok(());
+        }
+        self.era_since(era, self.clock.now());
+        held.expire();
+        Err(LeaseError::Lost)
+    }
+
+    /// Returns since when this process has seen `era`, or a later one, which may begin `now`.
+    fn era_since(&self, era: u64, now: Time) -> Time {
+        let mut seen = self.era_seen.lock();
+        if era > seen.era {
+            *seen = EraSeen { era, since: now };
+        }
+        seen.since
+    }
+
     /// Checks that this process may take over the row at `now`.
     fn check_free(&self, row: &Row, wire: &RowWire, now: Time) -> Result<(), LeaseError> {
         let earlier_process = wire.holder.node == self.node && wire.holder.started != self.started;
-        if wire.released || (self.own_takeover && earlier_process) {
+        let given_up = wire.released || (self.own_takeover && earlier_process);
+        // A row of an earlier era may hide a holder of this one, so it is observed in any case.
+        if given_up && wire.is_of_era(row.version) {
             return Ok(());
         }
         let free = self.observations.lock().observe(&row.sort, row.version, wire.duration, now);
         match free.passed(now) {
             true => Ok(()),
-            false => Err(LeaseError::Taken { holder: wire.holder.node.clone(), until: free }),
+            false => Err(LeaseError::Taken { holder: Some(wire.holder.node.clone()), until: free }),
         }
     }
 }
+
+/// Checks that an era seen since `since` is old enough for a lease of `duration`: each lease of an
+/// earlier era was last renewed before then, and has expired. Era 0 follows no other.
+fn check_era_age(era: u64, since: Time, duration: Duration, now: Time) -> Result<(), LeaseError> {
+    let until = observations::free_at(since, duration);
+    match era == 0 || until.passed(now) {
+        true => Ok(()),
+        false => Err(LeaseError::Taken { holder: None, until }),
+    }
+}
--- a/crates/lease/src/observations.rs
+++ b/crates/lease/src/observations.rs
@@ -9,6 +9,11 @@
 /// clocks of two instances may run at different rates.
 const CLOCK_MARGIN_DIVISOR: u32 = 16;
 
+/// When a lease of `duration` has certainly expired, if its holder last renewed it before `since`.
+pub(crate) fn free_at(since: Time, duration: Duration) -> Time {
+    since.after(duration).after(duration / CLOCK_MARGIN_DIVISOR)
+}
+
 #[derive(Debug)]
 struct Observation {
     sort: Arc<str>,
@@ -33,7 +38,7 @@
         duration: Duration,
         now: Time,
     ) -> Time {
-        let free_at = now.after(duration).after(duration / CLOCK_MARGIN_DIVISOR);
+        let free_at = free_at(now, duration);
         match self.list.binary_search_by(|w| w.sort.cmp(sort)) {
             Ok(at) if self.list[at].version == version => self.list[at].free_at,
             Ok(at) => {
--- a/crates/relay/src/duty.rs
+++ b/crates/relay/src/duty.rs
@@ -122,7 +122,8 @@
             return Some(held);
         }
         if !held.is_valid(now) {
-            info!(fence = held.fence().0, until = %held.expires(), "duty lease expired");
+            let (fence, era) = (held.fence().0, held.era());
+            info!(fence, era, until = %held.expires(), "duty lease expired, or its era ended");
             return None;
         }
         if renew.passed(now) {
@@ -130,7 +131,7 @@
             match renewed.unwrap_or_else(|_| Err(timed_out())) {
                 Ok(()) => renew = now.after(duration.mul_f64(RENEW_SHARE)),
                 Err(LeaseError::Lost) => {
-                    info!(fence = held.fence().0, "duty lease lost to another instance");
+                    info!(fence = held.fence().0, "duty lease lost to another instance or era");
                     return None;
                 }
                 Err(error) => {
@@ -152,6 +153,8 @@
 struct LeaseState {
     core: Arc<Core>,
     fence: Fence,
+    /// Era of the table in which the lease was acquired. A later one ends it.
+    era: u64,
     /// When the lease expires. Invariant: never later than the held lease says.
     until: Mutex<Time>,
     /// No order or free call is sent before this time: one of the previous holder may still be in
@@ -167,13 +170,15 @@
         let must_wait = held.fence().0 > 1 && !bounds.fenced;
         let act_after = if must_wait { now.after(bounds.lease) } else { now };
         let (until, act_after) = (Mutex::new(held.expires()), Mutex::new(act_after));
-        Self { core, fence: held.fence(), until, act_after }
+        Self { core, fence: held.fence(), era: held.era(), until, act_after }
     }
 
     /// Whether an order or a free call may be sent now.
     fn may_act(&self) -> bool {
         let now = self.core.now();
-        self.act_after.lock().passed(now) && !self.until.lock().passed(now.after(ACT_MARGIN))
+        self.core.adapters.table.era() == self.era
+            && self.act_after.lock().passed(now)
+            && !self.until.lock().passed(now.after(ACT_MARGIN))
     }
 
     /// Allows no further order or free call, because a newer holder sends them.
