Forward the era through the table that counts its operations

`CountedTable` kept the trait's default, era 0, whatever the table behind it said. Nothing depends on it yet: the only table behind it never returns from an older copy.

--- a/crates/node/src/counted_table.rs
+++ b/crates/node/src/counted_table.rs
@@ -33,6 +33,10 @@
 
 #[async_trait]
 impl Table for CountedTable {
+    fn era(&self) -> u64 {
+        self.table.era()
+    }
+
     async fn get(&self, part: &str, sort: &str) -> Result<Option<Row>, TableError> {
         let result = self.table.get(part, sort).await;
         self.count_result("get", &result);
