Start anew from a whole read when the registry returns from an older copy

After such a return, an instance kept its position in the feed. Where the version counter had passed it before the next poll, everything written in between was missed for good. Where it had not, the answer 410 led to a whole read whose rows were all taken for true: a leaving replica got requests again, a removed one was back, a replica whose entry the copy lacked was dropped at once. An instance whose row was gone with all others never registered again: it took the empty list for one that had not been read. It then sent no datagrams, and was named to no caller.

`returns::Returns` holds the era that this instance has seen. A rise, seen by any topic's poll or by a write of the own row, ends the polls of all topics; each reads everything at a random moment within a second, and waits for missing replicas from the rise. Rows of instances that are missing are kept while datagrams of the instance come. Each instance writes its row once in an era, at a random moment within 2 s, until that succeeds.

The registry's clock is read anew in each era, as it may have gone back. Datagrams end with the era of the sender's clock; times of another era are not used. Earlier releases ignore the addition, and count as era 0. Stored dates of weights name the era of their clock and are stored anew where it differs.

Metrics: lentil_store_returns_total, lentil_store_era.

--- a/crates/fleet/tests/view_rules.rs
+++ b/crates/fleet/tests/view_rules.rs
@@ -88,6 +88,22 @@
     assert_eq!(view.snapshot().announced("m").map(|w| w.version), Some(2));
 }
 
+/// What a store says that has returned from an older copy, and what the operator repeats later.
+#[test]
+fn an_older_copy_and_its_repeat_change_nothing() {
+    let view = View::default();
+    view.offer_config(config(7, vec![route("new", "a", "/x/")]));
+    view.offer_weights("m", announcement(1, 1_000), Time(1_000));
+    view.offer_weights("m", announcement(2, 5_000), Time(5_000));
+    let before = view.snapshot();
+    assert!(!view.offer_config(config(6, vec![route("old", "a", "/x/")])));
+    assert!(!view.offer_weights("m", announcement(1, 9_000), Time(9_000)));
+    assert!(!view.offer_config(config(7, vec![route("new", "a", "/x/")])));
+    assert!(!view.offer_weights("m", announcement(2, 12_000), Time(12_000)));
+    let after = view.snapshot();
+    assert_eq!((&after.config, &after.weights), (&before.config, &before.weights));
+}
+
 /// Parts of older weights are fetched for some time after an announcement, and are freed by another
 /// instance after that. A starting instance must not take an old announcement for a new one.
 #[test]
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -10,7 +10,7 @@
 };
 
 use bytes::Bytes;
-use fleet::{Config, Snapshot, Store, View};
+use fleet::{Config, Replica, Snapshot, Store, View};
 use ident::{Clock, Time};
 use parking_lot::Mutex;
 use place::{Catalog, Pool, RetryBudgets};
@@ -23,7 +23,9 @@
     dates::RegistryClock,
     kept,
     metrics::Metrics,
+    peers::HEARD_TTL,
     protocol::Protocol,
+    returns::{RETURN_SPAN, Returns},
     services::{Engines, Registry},
 };
 
@@ -107,6 +109,19 @@
 /// older registry entry does not mark it as available again.
 const DEPARTED_TTL: Duration = Duration::from_secs(4);
 
+/// A replica that began to leave or disappeared.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Departed {
+    /// Identifier of the replica.
+    pub id: Arc<str>,
+    /// Its [`fleet::Replica::started_ms`]; 0 if unknown, or if its entry may only have expired.
+    pub started_ms: u64,
+    /// Whether it began to leave; otherwise its entry was removed.
+    pub leaving: bool,
+    /// When this instance observed it.
+    pub at: Time,
+}
+
 /// The state that all tasks of an instance share.
 pub struct Core {
     /// Settings of the instance.
@@ -141,8 +156,13 @@
     pub last_heard: Mutex<Vec<(Arc<str>, Time)>>,
     /// Bytes of the configuration in force, served to peers that can't reach the registry.
     pub config_bytes: Mutex<Bytes>,
-    /// Replicas that lately began to leave or disappeared, and when this instance observed it.
-    pub departed: Mutex<Vec<(Arc<str>, Time)>>,
+    /// Peers with the time of the last datagram, ready or not, kept as long as in `last_heard`.
+    /// Sorted by name.
+    pub last_datagrams: Mutex<Vec<(Arc<str>, Time)>>,
+    /// Replicas that began to leave or disappeared, for at least [`RETURN_SPAN`].
+    pub departed: Mutex<Vec<Departed>>,
+    /// The era of the registry.
+    pub returns: Returns,
     /// Maps the registry's clock to this instance's clock.
     pub registry_clock: Mutex<RegistryClock>,
     /// Set while the configuration is fetched from a peer.
@@ -176,7 +196,9 @@
             live_instances: AtomicU32::new(1),
             last_heard: Mutex::default(),
             config_bytes: Mutex::default(),
+            last_datagrams: Mutex::default(),
             departed: Mutex::default(),
+            returns: Returns::default(),
             registry_clock: Mutex::default(),
             fetching_config: AtomicBool::new(false),
             loading: Mutex::default(),
@@ -211,19 +233,73 @@
         }
     }
 
-    /// Records that a replica is leaving or gone.
+    /// Records that a replica is leaving.
     pub fn record_departure(&self, id: &Arc<str>) {
-        let now = self.now();
+        let started_ms = self.view.snapshot().replica(id).map_or(0, |r| r.started_ms);
+        self.push_departed(id, started_ms, true);
+    }
+
+    /// Records that a replica is gone. `started_ms` is 0 if its entry may only have expired.
+    pub(crate) fn record_removal(&self, id: &Arc<str>, started_ms: u64) {
+        self.push_departed(id, started_ms, false);
+    }
+
+    fn push_departed(&self, id: &Arc<str>, started_ms: u64, leaving: bool) {
+        let at = self.now();
+        // Nothing is forgotten while the registry returns again and again.
+        let forget = !self.returns.is_recent(at);
         let mut departed = self.departed.lock();
-        departed.retain(|(known, at)| known != id && now.since(*at) < DEPARTED_TTL);
-        departed.push((id.clone(), now));
+        departed.retain(|d| d.id != *id && !(forget && at.since(d.at) >= RETURN_SPAN));
+        departed.push(Departed { id: id.clone(), started_ms, leaving, at });
+    }
+
+    /// Records that a replica that had departed is registered again.
+    pub(crate) fn forget_departure(&self, id: &str) {
+        let mut departed = self.departed.lock();
+        departed.iter_mut().filter(|d| *d.id == *id).for_each(|d| d.started_ms = 0);
+    }
+
+    /// Whether `replica` departed before the registry returned from an older copy, in which its
+    /// entry may be as it was before. That is forgotten [`RETURN_SPAN`] after the rise of the era.
+    pub(crate) fn departed_before_return(&self, replica: &Replica) -> bool {
+        let Some((first, last)) = self.returns.series() else { return false };
+        if replica.started_ms == 0 || self.now().since(last) >= RETURN_SPAN {
+            return false;
+        }
+        // A replica that was removed after a rise may have registered again since. One that is
+        // leaving stays so, whenever a peer or an answer said it.
+        let counts = |d: &Departed| (d.leaving || d.at <= last) && first.since(d.at) < RETURN_SPAN;
+        let same = |d: &Departed| d.id == replica.id && d.started_ms == replica.started_ms;
+        self.departed.lock().iter().any(|d| same(d) && counts(d))
     }
 
     /// Whether a replica began to leave or disappeared within [`DEPARTED_TTL`].
     pub fn recently_departed(&self, id: &str) -> bool {
         let now = self.now();
         let departed = self.departed.lock();
-        departed.iter().any(|(known, at)| &**known == id && now.since(*at) < DEPARTED_TTL)
+        departed.iter().any(|d| *d.id == *id && now.since(d.at) < DEPARTED_TTL)
+    }
+
+    /// Replicas that departed within [`DEPARTED_TTL`].
+    pub(crate) fn lately_departed(&self) -> Vec<Arc<str>> {
+        let now = self.now();
+        let departed = self.departed.lock();
+        let lately = departed.iter().filter(|d| now.since(d.at) < DEPARTED_TTL);
+        lately.map(|d| d.id.clone()).collect()
+    }
+
+    /// Whether a datagram of a peer, ready or not, came lately.
+    pub(crate) fn is_heard(&self, name: &str) -> bool {
+        let now = self.now();
+        let heard = self.last_datagrams.lock();
+        let found = heard.binary_search_by(|(n, _)| (**n).cmp(name));
+        found.is_ok_and(|at| now.since(heard[at].1) < HEARD_TTL)
+    }
+
+    /// Records the era of the registry's newest answer.
+    pub(crate) fn observe_era(&self) {
+        let confirmed = self.view.snapshot().confirmed.registry;
+        self.returns.observe(self.adapters.registry.era(), confirmed, self.now(), &self.metrics);
     }
 
     /// Number of instances among which limits for the whole deployment are divided, at least 1.
--- a/crates/relay/src/dates.rs
+++ b/crates/relay/src/dates.rs
@@ -20,6 +20,9 @@
 /// Versions and the time from which each counts as announced, in ms on the registry's clock.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 struct AnnouncedWire {
+    /// Era of the registry's clock; 0 in rows of earlier releases.
+    #[serde(default)]
+    era: u64,
     named: Vec<(u64, u64)>,
 }
 
@@ -37,6 +40,8 @@
 /// than the shortest delay of an answer so far.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct RegistryClock {
+    /// Era of the reading. The clock may go back with the registry's content.
+    era: u64,
     reading: Option<(u64, Time)>,
 }
 
@@ -45,8 +50,15 @@
 const MAX_EXTRA_DELAY_MS: i128 = 30_000;
 
 impl RegistryClock {
-    /// Records a reading of the registry's clock that arrived at the local time `now`.
-    pub fn observe(&mut self, clock: u64, now: Time) {
+    /// Records a reading of the registry's clock that arrived at the local time `now`. A reading of
+    /// a later era replaces all earlier ones; a reading of an earlier era is ignored.
+    pub fn observe(&mut self, era: u64, clock: u64, now: Time) {
+        if era < self.era {
+            return;
+        }
+        if era > self.era {
+            *self = Self { era, reading: None };
+        }
         let offset = |clock: u64, now: Time| i128::from(now.0) - i128::from(clock);
         let better = self.reading.is_none_or(|(c, t)| {
             let (old, new) = (offset(c, t), offset(clock, now));
@@ -57,6 +69,11 @@
         }
     }
 
+    /// Era of the readings; 0 before the first one.
+    pub fn era(&self) -> u64 {
+        self.era
+    }
+
     /// The registry's time in ms at the local time `at`; `None` before the first reading.
     pub fn to_registry(&self, at: Time) -> Option<u64> {
         let (clock, now) = self.reading?;
@@ -85,9 +102,12 @@
     match AnnouncedWire::try_from(&row) {
         Ok(dates) => {
             for (version, clock) in dates.named {
-                let at = core.registry_clock.lock().to_local(clock);
-                if let Some(at) = at {
-                    let announcement = Announcement { version, at, certain: true };
+                let registry_clock = *core.registry_clock.lock();
+                // Times on the clock of an earlier era may be later here than they were.
+                let certain = registry_clock.era() == dates.era;
+                if let Some(at) = registry_clock.to_local(clock) {
+                    let at = at.min(core.now());
+                    let announcement = Announcement { version, at, certain };
                     core.view.offer_weights(&model, announcement, core.now());
                     let age = core.now().since(at).as_millis() as u64;
                     info!(%model, version, age_ms = age, "announcement time of weights loaded");
@@ -103,11 +123,11 @@
     let row = core.adapters.table.get(PARTITION, &weights.model).await?;
     let clock = *core.registry_clock.lock();
     let named = weights.announced.iter().filter_map(|(v, at)| Some((*v, clock.to_registry(*at)?)));
-    let wire = AnnouncedWire { named: named.collect() };
+    let wire = AnnouncedWire { era: clock.era(), named: named.collect() };
     let expect = row.as_ref().map_or(Expect::Absent, |r| Expect::Version(r.version));
     let stored = row.as_ref().and_then(|r| AnnouncedWire::try_from(r).ok()).unwrap_or_default();
     let newest = |w: &AnnouncedWire| w.named.iter().map(|(v, _)| *v).max();
-    if newest(&stored) >= newest(&wire) {
+    if stored.era == wire.era && newest(&stored) >= newest(&wire) {
         return Ok(());
     }
     let body =
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -6,7 +6,7 @@
 use ident::Time;
 use rand::Rng;
 use table::Version;
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 use crate::{
     core::Core,
@@ -26,9 +26,14 @@
 const MIN_BACKOFF: Duration = Duration::from_millis(150);
 /// Longest pause after failed polls.
 const MAX_BACKOFF: Duration = Duration::from_millis(700);
-/// How long after the end of an outage an entry may be missing before its replica is dropped.
+/// How long after the end of an outage, or after the registry's return from an older copy, an entry
+/// may be missing before its replica is dropped.
 const OUTAGE_GRACE: Duration = Duration::from_millis(2200);
 
+/// After a rise of the era, everything is read anew at a random moment within this time: all
+/// instances see the rise at the same moment.
+const RETURN_SPREAD: Duration = Duration::from_secs(1);
+
 /// Follows one topic until the process ends.
 pub(crate) async fn follow(core: Arc<Core>, topic: Topic) {
     let mut follower = Follower::new(core, topic);
@@ -46,11 +51,14 @@
     failures: u32,
     /// Replicas whose entries are missing, and when each is dropped. Sorted by that time.
     missing: Vec<(Arc<str>, Time)>,
+    /// Instances whose entries are missing since a return of the registry, and which are kept while
+    /// they are heard.
+    heard: Vec<Arc<str>>,
 }
 
 impl Follower {
     fn new(core: Arc<Core>, topic: Topic) -> Self {
-        Self { core, topic, next: None, failures: 0, missing: Vec::new() }
+        Self { core, topic, next: None, failures: 0, missing: Vec::new(), heard: Vec::new() }
     }
 
     async fn poll(&mut self) {
@@ -70,12 +78,28 @@
                     // Polls without waiting show whether the registry is back.
                     _ => Duration::ZERO,
                 };
-                registry.follow(self.topic, next, wait).await
+                let mut rises = self.core.returns.subscribe();
+                let rise = async { rises.wait_for(|era| *era > next.era).await.is_ok() };
+                tokio::select! {
+                    answer = registry.follow(self.topic, next, wait) => answer,
+                    // Another call was answered in a later era: this position is void.
+                    true = rise => return self.restart().await,
+                }
             }
         };
+        let outcome = if answer.is_ok() { "answered" } else { "failed" };
+        self.core.metrics.platform_calls.with_label_values(&[outcome]).inc();
+        if answer.is_ok() || self.core.returns.era().is_some() {
+            self.core.observe_era();
+        }
+        let era = self.core.returns.era().unwrap_or(0);
+        let answered_in = answer.as_ref().map_or(era, |batch| batch.next.era);
+        // The answer to a complete reading may itself be the first of a new era.
+        if answered_in < era || self.next.is_some_and(|next| next.era < era) {
+            return self.restart().await;
+        }
         match answer {
             Ok(batch) => {
-                self.core.metrics.platform_calls.with_label_values(&["answered"]).inc();
                 if self.failures > 0 {
                     let steady_since = self.core.view.snapshot().confirmed.steady_since;
                     let steady_ms = self.core.now().since(steady_since).as_millis() as u64;
@@ -84,9 +108,10 @@
                 }
                 self.failures = 0;
                 self.next = Some(batch.next);
+                self.core.returns.note_position(self.topic, batch.next, full, self.core.now());
                 let made_at = {
                     let mut clock = self.core.registry_clock.lock();
-                    clock.observe(batch.clock, self.core.now());
+                    clock.observe(batch.next.era, batch.clock, self.core.now());
                     clock.to_local(batch.clock).unwrap_or(asked_at)
                 };
                 let changed = !batch.updates.is_empty();
@@ -96,6 +121,7 @@
                 self.confirm(made_at.max(asked_at));
                 self.apply_batch(batch.updates, full, weights_confirmed);
                 self.drop_missing();
+                self.drop_unheard();
                 if changed && self.topic != Topic::Operator {
                     tokio::time::sleep(CHANGE_POLL_INTERVAL).await;
                 }
@@ -104,8 +130,16 @@
         }
     }
 
+    /// Prepares a complete reading after a rise of the era.
+    async fn restart(&mut self) {
+        self.next = None;
+        // Entries that are still missing are waited for from this rise.
+        self.missing.clear();
+        let spread = rand::rng().random_range(0.0..1.0);
+        tokio::time::sleep(RETURN_SPREAD.mul_f64(spread)).await;
+    }
+
     async fn back_off(&mut self, error: CallError) {
-        self.core.metrics.platform_calls.with_label_values(&["failed"]).inc();
         if self.failures == 0 {
             let age =
                 self.core.now().since(self.core.view.snapshot().confirmed.replicas).as_millis()
@@ -158,8 +192,11 @@
             Update::Config(config, bytes) => core.apply_config(*config, bytes, "registry"),
             Update::Weights { model, version } => {
                 // The version was announced at some time after `weights_confirmed`. Assuming that
-                // time is safe: older weights are retired rather too early than too late.
-                let (certain, now) = (weights_confirmed > Time(0), core.now());
+                // time is safe: older weights are retired rather too early than too late. After the
+                // registry returned from an older copy it may have been announced before that time,
+                // and again now.
+                let now = core.now();
+                let certain = weights_confirmed > Time(0) && !core.returns.is_recent(now);
                 let at = if certain { weights_confirmed } else { now };
                 if core.view.offer_weights(&model, Announcement { version, at, certain }, now) {
                     info!(%model, version, named = %at, "new weights version announced");
@@ -190,6 +227,13 @@
         if known_leaving && !leaving && core.recently_departed(&id) {
             return;
         }
+        if !leaving && core.departed_before_return(&replica) {
+            debug!(replica = %id, "entry from before the replica departed ignored");
+            return;
+        }
+        if !leaving {
+            core.forget_departure(&id);
+        }
         let new = previous.is_none_or(|k| k.leaving != leaving || k.addr != addr);
         if core.view.put_replica(replica) && new {
             info!(replica = %id, leaving, %addr, "replica registered");
@@ -199,8 +243,9 @@
         }
     }
 
-    fn put_instance(&self, instance: Instance) {
+    fn put_instance(&mut self, instance: Instance) {
         let (name, leaving) = (instance.name.clone(), instance.leaving);
+        self.heard.retain(|known| *known != name);
         if self.core.view.put_instance(instance) {
             info!(instance = %name, leaving, "instance registered");
         }
@@ -210,18 +255,40 @@
     /// once. Just after an outage it is dropped after a grace period, since entries may have
     /// expired meanwhile.
     fn replica_missing(&mut self, id: Arc<str>) {
-        let deadline = self.core.view.snapshot().confirmed.steady_since.after(OUTAGE_GRACE);
+        let snapshot = self.core.view.snapshot();
+        let steady_since =
+            snapshot.confirmed.steady_since.max(self.core.returns.rose_at().unwrap_or(Time(0)));
+        let deadline = steady_since.after(OUTAGE_GRACE);
         if !deadline.passed(self.core.now()) {
             info!(replica = %id, "replica entry missing after registry outage");
+            self.missing.retain(|(known, _)| *known != id);
             self.missing.push((id, deadline));
             return;
         }
+        let started_ms = snapshot.replica(&id).map_or(0, |r| r.started_ms);
         if self.core.view.remove_replica(&id) {
-            self.core.record_departure(&id);
+            self.core.record_removal(&id, started_ms);
             info!(replica = %id, "replica removed");
         }
     }
 
+    /// Whether an instance is this one, or is heard.
+    fn is_running(&self, name: &str) -> bool {
+        *self.core.settings.name == *name || self.core.is_heard(name)
+    }
+
+    /// Drops instances whose entries are missing and which are no longer heard.
+    fn drop_unheard(&mut self) {
+        let heard = std::mem::take(&mut self.heard);
+        let (kept, lost): (Vec<_>, Vec<_>) = heard.into_iter().partition(|n| self.is_running(n));
+        self.heard = kept;
+        for name in lost {
+            if self.core.view.remove_instance(&name) {
+                info!(instance = %name, "instance removed, entry missing and not heard");
+            }
+        }
+    }
+
     fn drop_missing(&mut self) {
         let now = self.core.now();
         let (expired, rest) = self.missing.drain(..).partition(|(_, until)| until.passed(now));
@@ -229,7 +296,8 @@
         let expired: Vec<(Arc<str>, Time)> = expired;
         for (id, _) in &expired {
             if self.core.view.remove_replica(id) {
-                self.core.record_departure(id);
+                // The replica may live and register again.
+                self.core.record_removal(id, 0);
                 info!(replica = %id, "replica removed, entry still missing after registry outage");
             }
         }
@@ -254,8 +322,14 @@
                 let listed = |name: &str| {
                     updates.iter().any(|n| matches!(n, Update::Instance(i) if *i.name == *name))
                 };
+                self.heard.clear();
+                let returned = self.core.returns.is_recent(self.core.now());
                 for absent in snapshot.instances.iter().filter(|i| !listed(&i.name)) {
-                    self.core.view.remove_instance(&absent.name);
+                    if returned && self.is_running(&absent.name) {
+                        self.heard.push(absent.name.clone());
+                    } else {
+                        self.core.view.remove_instance(&absent.name);
+                    }
                 }
             }
         }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -22,6 +22,7 @@
 mod peers;
 pub mod protocol;
 mod relay;
+pub mod returns;
 mod send;
 mod serve;
 pub mod services;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -1,7 +1,8 @@
 //! Counters and latency histograms.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, Opts, Registry, TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 
 /// Upper bounds of the latency histograms' buckets, in seconds.
@@ -27,6 +28,10 @@
     pub shared_tokens: IntCounterVec,
     /// Polls of the platform's registry by outcome.
     pub platform_calls: IntCounterVec,
+    /// Returns of the platform's registry from an older copy of its content.
+    pub store_returns: IntCounter,
+    /// Highest era in which the platform's registry has answered.
+    pub store_era: IntGauge,
     /// Seconds from the request to the head of a replica's answer, before its body is read.
     pub first_byte: Histogram,
     /// Seconds from the request to the end of a relayed answer.
@@ -52,6 +57,15 @@
         let resumed = IntCounter::new("lentil_streams_resumed_total", "Streams resumed elsewhere");
         let resumed = resumed.expect("the metric name is valid");
         registry.register(Box::new(resumed.clone())).expect("metric names are unique");
+        let store_returns = IntCounter::new(
+            "lentil_store_returns_total",
+            "Returns of the platform's registry from an older copy",
+        );
+        let store_returns = store_returns.expect("the metric name is valid");
+        registry.register(Box::new(store_returns.clone())).expect("metric names are unique");
+        let store_era = IntGauge::new("lentil_store_era", "Era of the platform's registry");
+        let store_era = store_era.expect("the metric name is valid");
+        registry.register(Box::new(store_era.clone())).expect("metric names are unique");
         Self {
             requests: family("lentil_requests_total", "Requests by outcome", "outcome"),
             attempts: family("lentil_sends_total", "Sends to replicas by outcome", "outcome"),
@@ -70,6 +84,8 @@
                 "outcome",
             ),
             resumed,
+            store_returns,
+            store_era,
             registry,
         }
     }
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -7,10 +7,12 @@
 };
 
 use fleet::Instance;
+use rand::Rng;
 use socket2::{Domain, Socket, Type};
 use tokio::{
     net::{TcpListener, UdpSocket},
     signal::unix::{SignalKind, signal},
+    time::timeout,
 };
 use tracing::{info, warn};
 
@@ -35,6 +37,9 @@
 /// Pause between attempts to register the instance. Once it is registered, its entry is checked at
 /// six times this interval.
 const REGISTER_INTERVAL: Duration = Duration::from_millis(500);
+/// The instance registers again at a random moment within this time after the registry returned
+/// from an older copy, so that the instances don't write all at once.
+const RETURN_SPREAD: Duration = Duration::from_secs(2);
 
 /// An error that keeps an instance from starting or running.
 #[derive(Debug, thiserror::Error)]
@@ -104,7 +109,7 @@
     tokio::spawn(listen(core.clone(), peer_listener, ListenerKind::Peer));
     tokio::spawn(peers::receive_loop(core.clone(), socket.clone()));
     tokio::spawn(peers::send_loop(core.clone(), socket.clone()));
-    for topic in [Topic::Operator, Topic::Replicas, Topic::Instances] {
+    for topic in Topic::ALL {
         tokio::spawn(follow::follow(core.clone(), topic));
     }
     tokio::spawn(register(core.clone()));
@@ -159,7 +164,8 @@
     listener().map_err(|cause| RunError::Listen { addr, cause })
 }
 
-/// Registers this instance, and registers it again when its entry is missing.
+/// Registers this instance, and registers it again when its entry is missing, and once when the
+/// registry has returned from an older copy.
 async fn register(core: Arc<Core>) {
     let me = Instance {
         name: core.settings.name.clone(),
@@ -169,19 +175,36 @@
         leaving: false,
         boot: core.now().0,
     };
-    let mut registered = false;
+    let mut rises = core.returns.subscribe();
+    // Era in which the entry was last written.
+    let mut registered = None;
     while !core.is_leaving() {
-        let snapshot = core.view.snapshot();
-        // An empty list means that the instances have not been read yet.
-        let listed = snapshot.instances.iter().any(|i| **i == me);
-        if !listed && (!registered || !snapshot.instances.is_empty()) {
+        if core.returns.era().is_some() {
+            core.observe_era();
+        }
+        let era = core.returns.era();
+        let listed = core.view.snapshot().instances.iter().any(|i| **i == me);
+        let missing = !listed && core.returns.is_read(Topic::Instances);
+        if registered.is_none() || registered < era || missing {
             match core.adapters.registry.register(&me).await {
-                Ok(()) => registered = true,
+                Ok(()) => {
+                    // The answer may be of a later era than the write.
+                    let era = era.unwrap_or_else(|| core.adapters.registry.era());
+                    registered = Some(era);
+                    core.returns.note_own_row(era, core.now());
+                }
                 Err(error) => warn!(%error, "instance could not be registered"),
             }
         }
-        let pause = if registered { REGISTER_INTERVAL * 6 } else { REGISTER_INTERVAL };
-        tokio::time::sleep(pause).await;
+        let Some(known) = registered.filter(|r| Some(*r) >= core.returns.era()) else {
+            tokio::time::sleep(REGISTER_INTERVAL).await;
+            continue;
+        };
+        let rise = async { rises.wait_for(|era| *era > known).await.is_ok() };
+        if timeout(REGISTER_INTERVAL * 6, rise).await == Ok(true) {
+            let spread = rand::rng().random_range(0.0..1.0);
+            tokio::time::sleep(RETURN_SPREAD.mul_f64(spread)).await;
+        }
     }
 }
 
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -16,11 +16,13 @@
 use tokio::{net::UdpSocket, time::timeout};
 use tracing::{info, warn};
 
-use crate::{conns::fetch_from_peer, core::Core};
+use crate::{conns::fetch_from_peer, core::Core, dates::RegistryClock};
 
 /// How long after its last datagram a peer is listed to callers. Where limits are divided among
 /// the instances, a peer counts four times as long.
 pub(crate) const PEER_TTL: Duration = Duration::from_millis(1600);
+/// How long after its last datagram a peer counts as running.
+pub(crate) const HEARD_TTL: Duration = PEER_TTL.saturating_mul(4);
 /// Shortest interval between two datagrams to the same peer.
 const SEND_INTERVAL: Duration = Duration::from_millis(200);
 /// Most datagrams that an instance sends per second; with more peers the interval gets longer.
@@ -86,20 +88,22 @@
     Format(u8),
 }
 
-impl TryFrom<&[u8]> for Datagram {
-    type Error = DatagramError;
-
-    fn try_from(bytes: &[u8]) -> Result<Self, DatagramError> {
-        let datagram: Self = postcard::from_bytes(bytes).map_err(|_| DatagramError::Malformed)?;
-        if datagram.format == FORMAT {
-            Ok(datagram)
-        } else {
-            Err(DatagramError::Format(datagram.format))
-        }
+/// Decodes a datagram and the era of the registry's clock in it. The era follows the datagram, so
+/// that earlier releases, which send none, read the datagram too.
+fn parse(bytes: &[u8]) -> Result<(Datagram, u64), DatagramError> {
+    let (datagram, rest): (Datagram, _) =
+        postcard::take_from_bytes(bytes).map_err(|_| DatagramError::Malformed)?;
+    if datagram.format != FORMAT {
+        return Err(DatagramError::Format(datagram.format));
+    }
+    if rest.is_empty() {
+        return Ok((datagram, 0));
     }
+    let era = postcard::from_bytes(rest).map_err(|_| DatagramError::Malformed)?;
+    Ok((datagram, era))
 }
 
-fn datagram(core: &Core) -> Datagram {
+fn datagram(core: &Core, clock: &RegistryClock) -> Datagram {
     let snapshot = core.view.snapshot();
     let mut loads = core.pool.lock().own_loads();
     // Keeps the most loaded replicas if not all fit: they matter most for placement.
@@ -108,8 +112,7 @@
     let load = |l: PeerLoad| {
         (l.replica.to_string(), l.load.prefill_tokens, l.load.memory_tokens, l.load.requests)
     };
-    let mut leaving: Vec<String> =
-        core.departed.lock().iter().map(|(id, _)| id.to_string()).collect();
+    let mut leaving: Vec<String> = core.lately_departed().iter().map(|id| id.to_string()).collect();
     leaving.truncate(MAX_LEAVING);
     Datagram {
         format: FORMAT,
@@ -119,14 +122,18 @@
         loads: loads.into_iter().map(load).collect(),
         leaving,
         loading: core.loading.lock().iter().map(|id| id.to_string()).collect(),
-        weights: announced_weights(core, &snapshot),
-        confirmed: core.registry_clock.lock().to_registry(snapshot.confirmed.weights).unwrap_or(0),
+        weights: announced_weights(core, clock, &snapshot),
+        confirmed: clock.to_registry(snapshot.confirmed.weights).unwrap_or(0),
     }
 }
 
 /// The newest versions of each model and when they were announced.
-fn announced_weights(core: &Core, snapshot: &Snapshot) -> Vec<AnnouncedVersion> {
-    let (now, clock) = (core.now(), *core.registry_clock.lock());
+fn announced_weights(
+    core: &Core,
+    clock: &RegistryClock,
+    snapshot: &Snapshot,
+) -> Vec<AnnouncedVersion> {
+    let now = core.now();
     let announced = snapshot.weights.iter().flat_map(|w| {
         let last = w.announced.iter().rev().take(MAX_VERSIONS);
         last.map(move |(version, at)| {
@@ -154,7 +161,8 @@
 
 /// Sends one datagram to each peer.
 pub(crate) async fn send(core: &Core, socket: &UdpSocket, peers: &[SocketAddr]) {
-    let Ok(bytes) = postcard::to_stdvec(&datagram(core)) else { return };
+    let clock = *core.registry_clock.lock();
+    let Ok(bytes) = postcard::to_stdvec(&(datagram(core, &clock), clock.era())) else { return };
     if bytes.len() > MAX_DATAGRAM_BYTES {
         warn!(bytes = bytes.len(), "datagram for peers is too long and was not sent");
         return;
@@ -183,8 +191,8 @@
                 continue;
             }
         };
-        match Datagram::try_from(&buffer[..length]) {
-            Ok(datagram) => apply(&core, datagram),
+        match parse(&buffer[..length]) {
+            Ok((datagram, era)) => apply(&core, datagram, era),
             Err(e) => warn!(error = %e, "datagram from a peer dropped"),
         }
     }
@@ -217,7 +225,7 @@
     });
 }
 
-fn apply(core: &Arc<Core>, datagram: Datagram) {
+fn apply(core: &Arc<Core>, datagram: Datagram, era: u64) {
     let now = core.now();
     let name: Arc<str> = datagram.name.as_str().into();
     let mut loads: Vec<PeerLoad> = datagram
@@ -243,16 +251,20 @@
         }
     }
     // Dated by the registry's clock: a datagram may have waited while this instance was suspended.
+    // The registry's clock may have gone back with its content.
+    let registry_clock = *core.registry_clock.lock();
+    let clock_known = registry_clock.era() == era;
     for AnnouncedVersion { model, version, clock, age } in &datagram.weights {
-        let local = core.registry_clock.lock().to_local(*clock).filter(|_| *clock > 0);
+        let local = registry_clock.to_local(*clock);
+        let local = local.filter(|_| clock_known && *clock > 0);
         let at = local.unwrap_or(now.before(Duration::from_millis(*age)));
         let announcement = Announcement { version: *version, at, certain: local.is_some() };
         if core.view.offer_weights(model, announcement, now) {
             info!(%model, version, age_ms = age, peer = %name, "peer reported newer weights");
         }
     }
-    let confirmed = core.registry_clock.lock().to_local(datagram.confirmed);
-    if let Some(at) = confirmed.filter(|_| datagram.confirmed > 0) {
+    let confirmed = registry_clock.to_local(datagram.confirmed);
+    if let Some(at) = confirmed.filter(|_| clock_known && datagram.confirmed > 0) {
         core.view.confirm_weights(at.min(now));
         core.view.confirm_registry(at.min(now));
     }
@@ -262,6 +274,13 @@
 
 /// Records that a peer is ready, or removes one that is not.
 fn note_peer(core: &Core, name: Arc<str>, ready: bool, now: Time) {
+    let mut datagrams = core.last_datagrams.lock();
+    match datagrams.binary_search_by(|(n, _)| n.cmp(&name)) {
+        Ok(at) => datagrams[at].1 = now,
+        Err(at) => datagrams.insert(at, (name.clone(), now)),
+    }
+    datagrams.retain(|(_, at)| now.since(*at) < HEARD_TTL);
+    drop(datagrams);
     let mut last_heard = core.last_heard.lock();
     match (last_heard.binary_search_by(|(n, _)| n.cmp(&name)), ready) {
         (Ok(at), true) => last_heard[at].1 = now,
@@ -271,6 +290,6 @@
         }
         (Err(_), false) => {}
     }
-    last_heard.retain(|(_, at)| now.since(*at) < PEER_TTL * 4);
+    last_heard.retain(|(_, at)| now.since(*at) < HEARD_TTL);
     core.live_instances.store(last_heard.len() as u32 + 1, Ordering::Relaxed);
 }
--- a/crates/relay/src/services.rs
+++ b/crates/relay/src/services.rs
@@ -37,6 +37,11 @@
     Instances,
 }
 
+impl Topic {
+    /// All topics.
+    pub const ALL: [Self; 3] = [Self::Operator, Self::Replicas, Self::Instances];
+}
+
 /// A change in the registry, or one row of a complete reading.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Update {
