--- a/crates/relay/src/duty/chores.rs
+++ b/crates/relay/src/duty/chores.rs
@@ -29,8 +29,8 @@
 
 struct Housekeeping<'a> {
     core: &'a Core,
-    /// Models and newest versions whose announcement is stored.
-    stored: Vec<(Arc<str>, u64)>,
+    /// Models and newest versions whose announcement is stored, with the era of the registry's clock.
+    stored: Vec<(Arc<str>, u64, u64)>,
     /// When to look for lost instances next.
     next_cleanup: Time,
 }
@@ -38,14 +38,15 @@
 impl Housekeeping<'_> {
     /// Stores when new versions were announced.
     async fn store_announced(&mut self, snapshot: &Snapshot) {
+        let era = self.core.registry_clock.lock().era();
         for weights in &snapshot.weights {
-            let newest = (weights.model.clone(), weights.version);
+            let newest = (weights.model.clone(), weights.version, era);
             if self.stored.contains(&newest) {
                 continue;
             }
             match dates::store_announced(self.core, weights).await {
                 Ok(()) => {
-                    self.stored.retain(|(model, _)| *model != weights.model);
+                    self.stored.retain(|(model, ..)| *model != weights.model);
                     self.stored.push(newest);
                 }
                 Err(error) => {
