Log how the end of a relayed answer was marked, and where it came

`stream ended` and `stream interrupted` now have `framing` (length, chunks or connection) and `place` (event or inside), and lentil_answers_ended_total counts both.

--- a/crates/outbound/src/lib.rs
+++ b/crates/outbound/src/lib.rs
@@ -10,6 +10,7 @@
 mod client;
 mod engine;
 mod error;
+mod framing;
 mod list;
 mod service;
 mod store;
@@ -22,6 +23,7 @@
         StagedImport,
     },
     error::{CallError, Refusal},
+    framing::Framing,
     list::{InstanceList, InstanceListClient, ListEntry, ListState, Role},
     service::{MaySend, Reply, Service, ServiceCall, ServiceClient},
     store::{Store, StoreClient},
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -1,5 +1,5 @@
 //! Splits a stream of server-sent events, so that it can be resumed at another replica after the
-//! last complete event.
+//! last complete event, and tells whether a stream ended within an event.
 
 use bytes::{Bytes, BytesMut};
 
@@ -22,6 +22,80 @@
     },
 }
 
+/// A line of an event stream so far.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum Line {
+    #[default]
+    Empty,
+    /// The line begins with a colon; it belongs to no event.
+    Comment,
+    Field,
+}
+
+/// Finds the ends of events, however the bytes of the stream are cut. Lines end with LF, CRLF or
+/// CR.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct EventScanner {
+    line: Line,
+    /// Whether a field has ended since the last blank line.
+    in_event: bool,
+    /// Whether the last byte was a CR.
+    after_cr: bool,
+    /// Whether lines of this stream end with CR alone, so that a CR ends its line at once.
+    bare_cr: bool,
+}
+
+impl EventScanner {
+    /// Scans the next bytes. Returns the offset after the last blank line that ends within them.
+    pub fn scan(&mut self, bytes: &[u8]) -> Option<usize> {
+        let mut end = None;
+        for (at, byte) in bytes.iter().enumerate() {
+            let after_cr = std::mem::take(&mut self.after_cr);
+            if after_cr && !self.bare_cr && *byte != b'\n' {
+                self.bare_cr = true;
+                if self.end_line() {
+                    end = Some(at);
+                }
+            }
+            let ended = match byte {
+                // The CR before it has ended the line.
+                b'\n' if after_cr && self.bare_cr => false,
+                b'\n' => self.end_line(),
+                b'\r' => {
+                    self.after_cr = true;
+                    self.bare_cr && self.end_line()
+                }
+                _ => {
+                    if self.line == Line::Empty {
+                        self.line = if *byte == b':' { Line::Comment } else { Line::Field };
+                    }
+                    false
+                }
+            };
+            if ended {
+                end = Some(at + 1);
+            }
+        }
+        end
+    }
+
+    /// Whether the bytes so far end within an event.
+    pub fn is_inside(&self) -> bool {
+        self.in_event || self.line != Line::Empty
+    }
+
+    /// Ends a line and returns whether it was blank, which ends an event.
+    fn end_line(&mut self) -> bool {
+        let line = std::mem::take(&mut self.line);
+        match line {
+            Line::Empty => self.in_event = false,
+            Line::Comment => {}
+            Line::Field => self.in_event = true,
+        }
+        line == Line::Empty
+    }
+}
+
 /// Collects bytes and returns complete events.
 ///
 /// Invariant: `rest` holds no complete event.
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -10,6 +10,7 @@
     header::{CONTENT_LENGTH, CONTENT_TYPE},
 };
 use ident::Time;
+use outbound::Framing;
 use place::{Choice, Headroom, Load, Outcome, PlacementError, PlacementRequest};
 use tokio::time::timeout;
 use tracing::info;
@@ -264,6 +265,8 @@
         core.pool.lock().record_outcome(&replica.id, Outcome::NoAnswer, core.now());
         return Err(status.as_u16());
     };
+    let framing = Framing::of(&job.method, status, &headers);
+    core.metrics.ended.with_label_values(&[framing.name(), "event"]).inc();
     let bytes: Bytes = read.to_bytes();
     core.conns.keep(conn, &headers, core.now());
     core.adapters.protocol.strip_response(&mut headers);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -29,6 +29,6 @@
 
 pub use crate::{
     dates::RegistryClock,
-    events::{EventSplitter, StreamError},
+    events::{EventScanner, EventSplitter, StreamError},
     node::{RunError, run, run_until},
 };
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -21,6 +21,10 @@
     /// Answers of replicas that ended early, by cause: `silent`, `broken` (the connection) or
     /// `malformed` (the events).
     pub interrupted: IntCounterVec,
+    /// Ends of relayed answers that did not fail, by what marked the end (`length`, `chunks` or
+    /// `connection`) and its place: `event`, after a complete event, or `inside` one. Answers that
+    /// are no event streams count as `event`.
+    pub ended: IntCounterVec,
     /// Checks of replicas whose stream was silent, by outcome: `kept` or `moved` to another replica.
     pub silent: IntCounterVec,
     /// Shared prompt tokens by their expected source. `home`: cached at the chosen replica;
@@ -48,6 +52,12 @@
             registry.register(Box::new(out.clone())).expect("metric names are unique");
             out
         };
+        let ended = IntCounterVec::new(
+            Opts::new("lentil_answers_ended_total", "Ends of relayed answers by framing and place"),
+            &["framing", "place"],
+        );
+        let ended = ended.expect("metric names and labels are valid");
+        registry.register(Box::new(ended.clone())).expect("metric names are unique");
         let seconds = |name: &str, help: &str| {
             let opts = HistogramOpts::new(name, help).buckets(BUCKETS.to_vec());
             let out = Histogram::with_opts(opts).expect("bucket bounds are in ascending order");
@@ -83,6 +93,7 @@
                 "Checks of replicas whose stream was silent by outcome",
                 "outcome",
             ),
+            ended,
             resumed,
             store_returns,
             store_era,
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -13,13 +13,14 @@
     header::CONTENT_LENGTH,
 };
 use ident::Time;
+use outbound::Framing;
 use place::Outcome;
 use tokio::{sync::mpsc, time::timeout};
 use tracing::info;
 
 use crate::{
     answer::{Body, Chunk, channel_body},
-    events::{EventSplitter, StreamError},
+    events::{EventScanner, EventSplitter, StreamError},
     forward::{Forwarder, Step},
     send::{AttemptOutcome, ReplicaAnswer},
 };
@@ -89,7 +90,10 @@
     let last = forwarder.job.meta.last_event;
     let splitter = resumes.then(|| EventSplitter::new(last));
     let heard_at = forwarder.core.now();
-    let relay = StreamRelay { forwarder, sender, splitter, sent_bytes: 0, heard_at };
+    let scanner = streamed.then(EventScanner::default);
+    let framing = Framing::of(&forwarder.job.method, answer.status, &answer.headers);
+    let relay =
+        StreamRelay { forwarder, sender, splitter, scanner, framing, sent_bytes: 0, heard_at };
     tokio::spawn(relay.run(answer));
     out
 }
@@ -100,6 +104,10 @@
     sender: mpsc::Sender<Chunk>,
     /// Set where the stream can be resumed at another replica.
     splitter: Option<EventSplitter>,
+    /// Set for event streams; follows the replica that answers.
+    scanner: Option<EventScanner>,
+    /// Framing of the answer of the replica that answers.
+    framing: Framing,
     /// Bytes passed to the caller so far.
     sent_bytes: u64,
     /// When the replica's last bytes arrived.
@@ -143,6 +151,8 @@
             outcome,
             took_ms = took,
             bytes = self.sent_bytes,
+            framing = self.framing.name(),
+            place = self.place(),
             "stream ended"
         );
     }
@@ -152,7 +162,8 @@
     async fn copy_answer(&mut self, answer: ReplicaAnswer) -> End {
         let core = self.forwarder.core.clone();
         let sender = self.sender.clone();
-        let ReplicaAnswer { headers, mut body, conn, mut load, replica, .. } = answer;
+        let ReplicaAnswer { status, headers, mut body, conn, mut load, replica } = answer;
+        self.framing = Framing::of(&self.forwarder.job.method, status, &headers);
         loop {
             let frame = tokio::select! {
                 frame = self.next_frame(&mut body, &replica) => frame,
@@ -163,12 +174,16 @@
                 Ok(Some(Err(e))) => return End::Broken(Interruption::Conn(e)),
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
                 Ok(None) => {
+                    self.count_end();
                     core.conns.keep(conn, &headers, core.now());
                     return self.finish().await;
                 }
             };
             load.prefill_done();
             self.heard_at = core.now();
+            if let Some(scanner) = &mut self.scanner {
+                scanner.scan(&bytes);
+            }
             let events = match &mut self.splitter {
                 None => Ok(Some(bytes)),
                 Some(splitter) => splitter.push(&bytes),
@@ -271,6 +286,17 @@
         );
     }
 
+    /// Counts the normal end of a replica's answer.
+    fn count_end(&self) {
+        let ended = &self.forwarder.core.metrics.ended;
+        ended.with_label_values(&[self.framing.name(), self.place()]).inc();
+    }
+
+    /// Where the bytes from the replica that answers end: `inside` an event, or after an `event`.
+    fn place(&self) -> &'static str {
+        if self.scanner.is_some_and(|s| s.is_inside()) { "inside" } else { "event" }
+    }
+
     fn log_interruption(&self, replica: &Replica, why: &Interruption) {
         self.forwarder.core.metrics.interrupted.with_label_values(&[why.name()]).inc();
         info!(
@@ -279,6 +305,8 @@
             %why,
             silent_ms = self.silence().as_millis() as u64,
             bytes = self.sent_bytes,
+            framing = self.framing.name(),
+            place = self.place(),
             "stream interrupted"
         );
     }
@@ -288,6 +316,7 @@
         let core = &self.forwarder.core;
         let splitter = self.splitter.as_mut().expect("only resumable streams are continued");
         splitter.discard();
+        self.scanner = Some(EventScanner::default());
         self.heard_at = core.now();
         core.metrics.resumed.inc();
         info!(
