Tell a stream that was cut from one that ended

Cause: relay took the end of a replica's body for the end of its answer. Where a body has neither length nor chunks, HTTP knows no difference between a whole body and a cut one, and where it has, a replica may still end it early. relay then sent its own last chunk or length, which claims that the answer is whole.

Seven tests of answer_endings failed before: cuts at every byte of an event, by the end of the connection, an early last chunk and a length, reached the caller as whole. Answers that were reset did not.

Now a stream that ends inside an event has broken off, whatever its framing: it is resumed where the route allows it, else the caller sees it break off. Events may end with LF, CRLF or CR. An answer without length or chunks is passed on without them, so that the caller knows what the instance knows, and its replica's connection is not kept. If such an answer breaks off, the caller's connection is reset, since its ordinary end would look like the answer's; the same holds for callers that know no chunks, and if the process ends.

--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -136,6 +136,11 @@
     Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
 }
 
+/// A body that is complete from the start but does not tell its length.
+pub(crate) fn unsized_body(bytes: Bytes) -> Body {
+    StreamBody::new(stream::iter([Ok(Frame::data(bytes))])).boxed_unsync()
+}
+
 /// A body whose chunks arrive over a channel. It is complete only after [`Chunk::End`].
 pub fn channel_body(chunks: mpsc::Receiver<Chunk>) -> Body {
     let frames = stream::unfold(Some(chunks), |state| async {
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -9,6 +9,9 @@
 /// An error in a stream that keeps it from being relayed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum StreamError {
+    /// The stream ended within an event.
+    #[error("the stream ended within an event")]
+    Incomplete,
     /// An event is longer than [`MAX_EVENT_BYTES`].
     #[error("an event is longer than {MAX_EVENT_BYTES} bytes")]
     TooLong,
@@ -101,6 +104,7 @@
 /// Invariant: `rest` holds no complete event.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
+    scanner: EventScanner,
     rest: BytesMut,
     last: Option<u64>,
 }
@@ -108,14 +112,15 @@
 impl EventSplitter {
     /// Creates a splitter for a stream that follows event `last`; `None` for a new stream.
     pub fn new(last: Option<u64>) -> Self {
-        Self { rest: BytesMut::new(), last }
+        Self { last, ..Self::default() }
     }
 
     /// Adds bytes and returns the events that they complete. Returns `None` if they complete none,
     /// and an error if an event is too long or its number does not follow the last.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Option<Bytes>, StreamError> {
+        let end = self.scanner.scan(bytes).map(|end| self.rest.len() + end);
         self.rest.extend_from_slice(bytes);
-        let Some(end) = last_event_end(&self.rest) else {
+        let Some(end) = end else {
             return if self.rest.len() > MAX_EVENT_BYTES {
                 Err(StreamError::TooLong)
             } else {
@@ -142,6 +147,7 @@
     /// Drops the bytes of an incomplete event.
     pub fn discard(&mut self) {
         self.rest.clear();
+        self.scanner = EventScanner::default();
     }
 
     /// Removes and returns the bytes after the last complete event.
@@ -151,17 +157,8 @@
 }
 
 fn event_numbers(bytes: &[u8]) -> impl Iterator<Item = u64> + '_ {
-    bytes.split(|b| *b == b'\n').filter_map(|line| {
+    bytes.split(|b| matches!(b, b'\n' | b'\r')).filter_map(|line| {
         let text = std::str::from_utf8(line.strip_prefix(b"id:")?).ok()?;
         text.trim().parse().ok()
     })
 }
-
-/// The end of the last complete event, which is after a blank line.
-fn last_event_end(bytes: &[u8]) -> Option<usize> {
-    let ends_event = |at: &usize| {
-        let before = &bytes[..*at];
-        before.ends_with(b"\n\n") || before.ends_with(b"\n\r\n")
-    };
-    (1..=bytes.len()).rev().find(ends_event)
-}
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -16,7 +16,8 @@
 use tracing::info;
 
 use crate::{
-    answer::{Body, Refusal, full_body},
+    answer::{Body, Refusal, full_body, unsized_body},
+    caller_conn::end_with_connection,
     core::Core,
     job::Job,
     relay,
@@ -268,12 +269,19 @@
     let framing = Framing::of(&job.method, status, &headers);
     core.metrics.ended.with_label_values(&[framing.name(), "event"]).inc();
     let bytes: Bytes = read.to_bytes();
-    core.conns.keep(conn, &headers, core.now());
+    let unframed = framing == Framing::Connection;
+    if !unframed {
+        core.conns.keep(conn, &headers, core.now());
+    }
     core.adapters.protocol.strip_response(&mut headers);
     headers.remove(CONTENT_LENGTH);
-    let mut out = Response::new(full_body(bytes));
+    let body = if unframed { unsized_body(bytes) } else { full_body(bytes) };
+    let mut out = Response::new(body);
     *out.status_mut() = status;
     *out.headers_mut() = headers;
+    if unframed {
+        end_with_connection(&mut out);
+    }
     Ok(out)
 }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod accept;
 mod answer;
+mod caller_conn;
 mod conns;
 pub mod core;
 mod dates;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -20,6 +20,7 @@
 
 use crate::{
     answer::{Body, Chunk, channel_body},
+    caller_conn::end_with_connection,
     events::{EventScanner, EventSplitter, StreamError},
     forward::{Forwarder, Step},
     send::{AttemptOutcome, ReplicaAnswer},
@@ -68,6 +69,7 @@
         match self {
             Self::Silent => "silent",
             Self::Conn(_) => "broken",
+            Self::Events(StreamError::Incomplete) => "truncated",
             Self::Events(_) => "malformed",
         }
     }
@@ -92,6 +94,9 @@
     let heard_at = forwarder.core.now();
     let scanner = streamed.then(EventScanner::default);
     let framing = Framing::of(&forwarder.job.method, answer.status, &answer.headers);
+    if framing == Framing::Connection {
+        end_with_connection(&mut out);
+    }
     let relay =
         StreamRelay { forwarder, sender, splitter, scanner, framing, sent_bytes: 0, heard_at };
     tokio::spawn(relay.run(answer));
@@ -175,7 +180,12 @@
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
                 Ok(None) => {
                     self.count_end();
-                    core.conns.keep(conn, &headers, core.now());
+                    if self.scanner.is_some_and(|s| s.is_inside()) {
+                        return End::Broken(StreamError::Incomplete.into());
+                    }
+                    if self.framing != Framing::Connection {
+                        core.conns.keep(conn, &headers, core.now());
+                    }
                     return self.finish().await;
                 }
             };
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -13,6 +13,7 @@
 use crate::{
     accept::accept,
     answer::{Body, full_body, json_response},
+    caller_conn::{CallerConn, Incomplete},
     conns::{CALLER_UNACKED_TIMEOUT, set_socket_options},
     core::Core,
     directory,
@@ -79,7 +80,10 @@
     // hyper panics on a limit below 8192 bytes.
     let head = limits.map_or(DEFAULT_HEAD_BYTES, |l| l.head_bytes.max(8192));
     let mut closing = core.closing.subscribe();
-    let service = service_fn(move |request| respond(core.clone(), request, kind));
+    let incomplete = Incomplete::default();
+    let stream = CallerConn::new(stream, incomplete.clone());
+    let service =
+        service_fn(move |request| respond(core.clone(), request, kind, incomplete.clone()));
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new()).max_buf_size(head);
     // hyper's timer also covers the idle time before a request, so the longer limit applies.
@@ -101,9 +105,14 @@
     core: Arc<Core>,
     request: Request<Incoming>,
     kind: ListenerKind,
+    incomplete: Incomplete,
 ) -> Result<Response<Body>, Infallible> {
     let mut out = match kind {
-        ListenerKind::Front => serve_request(&core, request).await,
+        ListenerKind::Front => {
+            let (version, method) = (request.version(), request.method().clone());
+            let answer = serve_request(&core, request).await;
+            incomplete.follow(version, &method, answer)
+        }
         ListenerKind::Info => serve_info(&core, &request),
         ListenerKind::Peer => serve_peer(&core, &request),
     };
