Don't take an empty answer of the table service for a missing row

A caller could be told that a call has no outcome, and an instance could read a row as absent, where the service's answer had been cut.

`an_answer_cut_at_any_byte_is_malformed` failed at byte 0 before, for a row as for a page.

--- a/crates/table/src/dynamo.rs
+++ b/crates/table/src/dynamo.rs
@@ -6,9 +6,11 @@
 use aws_sdk_dynamodb::{
     Client,
     config::{
-        BehaviorVersion, Config, Credentials, Region, retry::RetryConfig, timeout::TimeoutConfig,
+        BehaviorVersion, Config, ConfigBag, Credentials, Intercept, Region, RuntimeComponents,
+        interceptors::AfterDeserializationInterceptorContextRef, retry::RetryConfig,
+        timeout::TimeoutConfig,
     },
-    error::{ProvideErrorMetadata, SdkError},
+    error::{BoxError, ProvideErrorMetadata, SdkError},
     operation::transact_write_items::TransactWriteItemsError,
     types::{AttributeValue, CancellationReason, Delete, Put, TransactWriteItem},
 };
@@ -47,6 +49,31 @@
     }
 }
 
+/// Fails a call whose answer is empty. The SDK takes that for an empty document, and so for a
+/// missing row, but the answer was cut.
+#[derive(Debug)]
+struct RejectEmpty;
+
+impl Intercept for RejectEmpty {
+    fn name(&self) -> &'static str {
+        "RejectEmpty"
+    }
+
+    fn read_after_deserialization(
+        &self,
+        context: &AfterDeserializationInterceptorContextRef<'_>,
+        _: &RuntimeComponents,
+        _: &mut ConfigBag,
+    ) -> Result<(), BoxError> {
+        let response = context.response();
+        let empty = response.body().bytes().is_some_and(<[u8]>::is_empty);
+        if empty && response.status().is_success() {
+            return Err("the answer is empty".into());
+        }
+        Ok(())
+    }
+}
+
 /// A client of the table service. The retries of the SDK are disabled, since only the caller can
 /// decide whether a call may be repeated. Each commit has a new client token, so that the service
 /// never treats two commits as one.
@@ -87,6 +114,7 @@
             .credentials_provider(key.credentials())
             .retry_config(RetryConfig::disabled())
             .timeout_config(timeouts)
+            .interceptor(RejectEmpty)
             .http_client(Builder::new().pool_idle_timeout(IDLE_TIMEOUT).build_http())
             .build();
         Ok(Self { client: Client::from_conf(config), table: table.into() })
--- a/crates/table/tests/dynamo_errors.rs
+++ b/crates/table/tests/dynamo_errors.rs
@@ -21,6 +21,8 @@
     NoAnswer,
     /// Each connection answers its first request and no further ones.
     OnePerConnection,
+    /// Answers without length or chunks and closes the connection.
+    Unframed(String),
     /// Closes the connection.
     Close,
 }
@@ -63,6 +65,11 @@
             Reply::Text(text) => (200, (*text).to_owned()),
             Reply::OnePerConnection if answered == 1 => (200, "{}".to_owned()),
             Reply::NoAnswer | Reply::OnePerConnection => continue,
+            Reply::Unframed(body) => {
+                let head = "HTTP/1.1 200 OK\r\ncontent-type: application/x-amz-json-1.0\r\n\r\n";
+                stream.write_all(format!("{head}{body}").as_bytes()).await.unwrap();
+                return;
+            }
             Reply::Close => return,
         };
         let head = format!(
@@ -218,3 +225,19 @@
     let t = Dynamo::new(&url, "conf", CALL_TIMEOUT).unwrap();
     assert!(matches!(t.get("p", "s").await, Err(TableError::Malformed(_))));
 }
+
+#[tokio::test]
+async fn an_answer_cut_at_any_byte_is_malformed() {
+    let row = json!({"Item": {"pk": {"S": "p"}, "sk": {"S": "s"}, "ver": {"N": "1"}, "body": {"S": "b"}}});
+    let page = json!({"Items": [row["Item"]]});
+    for document in [row.to_string(), page.to_string(), "{}".to_owned()] {
+        for cut in 0..=document.len() {
+            let (url, _) = start(Reply::Unframed(document[..cut].to_owned())).await;
+            let table = Dynamo::new(&url, "t", CALL_TIMEOUT).unwrap();
+            let whole = cut == document.len();
+            let case = format!("{document} cut at {cut}");
+            assert_eq!(table.get("p", "s").await.is_ok(), whole, "{case}");
+            assert_eq!(table.range("p", "", 5).await.is_ok(), whole, "{case}");
+        }
+    }
+}
