Don't frame the outcome of a call that may have been cut

If the service's connection ended early, a booking's outcome looked whole and wasn't.

`Reply` and the ledger's `Outcome` now say whether the body is known to be whole; rows of older instances count as whole, as they did. A body that isn't known to be whole is passed on, and repeated, without length or chunks. The service's stand-in has the fault `unframed`.

`an_outcome_that_may_have_been_cut_is_not_framed` fails with the change to `answer` taken out.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -9,8 +9,8 @@
 };
 
 use axum::{
-    body::Bytes,
-    http::{HeaderMap, HeaderValue, Method, StatusCode, header},
+    body::{Body, Bytes},
+    http::{HeaderMap, HeaderValue, Method, StatusCode, Version, header},
     response::{IntoResponse, Response},
 };
 use conf::TargetKind;
@@ -273,11 +273,15 @@
         status: reply.status.as_u16(),
         content_type: content.into(),
         body: reply.body.clone(),
+        framed: reply.framed,
     }
 }
 
 fn answer(reply: Reply) -> Response {
     let mut response = (reply.status, reply.body).into_response();
+    if !reply.framed {
+        end_with_connection(&mut response);
+    }
     match reply.content_type {
         Some(content) => response.headers_mut().insert(header::CONTENT_TYPE, content),
         None => response.headers_mut().remove(header::CONTENT_TYPE),
@@ -285,11 +289,21 @@
     response
 }
 
+/// Makes the end of the connection the only mark of the answer's end. hyper sends a body of unknown
+/// length in chunks unless the version is HTTP/1.0.
+fn end_with_connection(response: &mut Response) {
+    let body = std::mem::take(response.body_mut());
+    *response.body_mut() = Body::from_stream(body.into_data_stream());
+    *response.version_mut() = Version::HTTP_10;
+    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+}
+
 fn replayed(outcome: Outcome) -> Response {
     let status = StatusCode::from_u16(outcome.status).unwrap_or(StatusCode::OK);
     let content = HeaderValue::from_str(&outcome.content_type).ok();
     let content = content.filter(|c| !c.is_empty());
-    let mut response = answer(Reply { status, content_type: content, body: outcome.body });
+    let (body, framed) = (outcome.body, outcome.framed);
+    let mut response = answer(Reply { status, content_type: content, body, framed });
     response.headers_mut().insert(REPLAYED_HEADER, HeaderValue::from_static("true"));
     response
 }
--- a/crates/fakes/src/fault.rs
+++ b/crates/fakes/src/fault.rs
@@ -102,6 +102,8 @@
     pub stall_ms: u64,
     /// Service: close the connections of the next calls before running them.
     pub cut_before_run: Count,
+    /// Service: answer the next calls without length or chunks.
+    pub unframed: Count,
     /// Service: run the next calls and close their connections without an answer.
     pub cut_after_run: Count,
 }
--- a/crates/fakes/src/service.rs
+++ b/crates/fakes/src/service.rs
@@ -4,9 +4,12 @@
 
 use axum::{
     Json, Router,
-    body::Bytes,
+    body::{Body, Bytes},
     extract::State,
-    http::{HeaderMap, Method, StatusCode, Uri},
+    http::{
+        HeaderMap, HeaderValue, Method, StatusCode, Uri, Version,
+        header::{CONNECTION, CONTENT_LENGTH},
+    },
     response::{IntoResponse, Response},
 };
 use serde::Serialize;
@@ -62,5 +65,16 @@
         return cut_connection();
     }
     tokio::time::sleep(Duration::from_millis(delay)).await;
-    Json(Answer { seq, call }).into_response()
+    let response = Json(Answer { seq, call }).into_response();
+    if control.with_faults(|f| f.unframed.take()) { unframed(response) } else { response }
+}
+
+/// The same response with nothing but the end of its connection to end it.
+fn unframed(response: Response) -> Response {
+    let (mut head, body) = response.into_parts();
+    // hyper frames the answers of newer versions.
+    head.version = Version::HTTP_10;
+    head.headers.remove(CONTENT_LENGTH);
+    head.headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    Response::from_parts(head, Body::from_stream(body.into_data_stream()))
 }
--- a/crates/ledger/src/call.rs
+++ b/crates/ledger/src/call.rs
@@ -66,8 +66,10 @@
     pub status: u16,
     /// Value of the `Content-Type` header.
     pub content_type: Arc<str>,
-    /// Complete body.
+    /// Body as far as it came.
     pub body: Bytes,
+    /// Whether the body is known to be complete. If not, only the target's connection has ended.
+    pub framed: bool,
 }
 
 /// The attempt that wrote a claim. The instance and its serial number tell claims apart if two
--- a/crates/ledger/src/row.rs
+++ b/crates/ledger/src/row.rs
@@ -32,6 +32,7 @@
     status: u16,
     content_type: Arc<str>,
     location: BodyLocation,
+    framed: bool,
 }
 
 /// State of a call.
@@ -90,6 +91,9 @@
 struct OutcomeWire {
     status: u16,
     content: Arc<str>,
+    /// Whether the body may have been cut. Rows of older instances don't tell.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    unframed: bool,
     /// The body in base64, if it has at most [`MAX_INLINE_BYTES`].
     #[serde(default, skip_serializing_if = "Option::is_none")]
     inline: Option<String>,
@@ -127,7 +131,8 @@
             BodyLocation::Inline(bytes) => (Some(BASE64_STANDARD.encode(bytes)), None),
             BodyLocation::ObjectStore(digest) => (None, Some(*digest)),
         };
-        Self { status: h.status, content: h.content_type.clone(), inline, stored }
+        let unframed = !h.framed;
+        Self { status: h.status, content: h.content_type.clone(), unframed, inline, stored }
     }
 }
 
@@ -140,7 +145,7 @@
             (None, Some(digest)) => BodyLocation::ObjectStore(digest),
             (None, None) => return Err(WireError::NoBody),
         };
-        Ok(Self { status: w.status, content_type: w.content, location })
+        Ok(Self { status: w.status, content_type: w.content, location, framed: !w.unframed })
     }
 }
 
@@ -207,6 +212,7 @@
             status: outcome.status,
             content_type: outcome.content_type.clone(),
             location,
+            framed: outcome.framed,
         })
     }
 
@@ -222,6 +228,11 @@
                 self.blob.get(&outcome_prefix(call), *digest).await.map_err(LedgerError::Outcome)?
             }
         };
-        Ok(Outcome { status: stored.status, content_type: stored.content_type.clone(), body })
+        Ok(Outcome {
+            status: stored.status,
+            content_type: stored.content_type.clone(),
+            body,
+            framed: stored.framed,
+        })
     }
 }
--- a/crates/ledger/tests/common/mod.rs
+++ b/crates/ledger/tests/common/mod.rs
@@ -59,5 +59,6 @@
 }
 
 pub fn outcome(text: &str) -> Outcome {
-    Outcome { status: 200, content_type: "text/plain".into(), body: text.to_owned().into() }
+    let (content_type, body) = ("text/plain".into(), text.to_owned().into());
+    Outcome { status: 200, content_type, body, framed: true }
 }
--- a/crates/node/tests/deployed_calls.rs
+++ b/crates/node/tests/deployed_calls.rs
@@ -74,6 +74,20 @@
     assert_eq!(runs(&d, "key").await, 2);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_outcome_that_may_have_been_cut_is_not_framed() {
+    let d = Deployment::start(&Spec::default()).await.unwrap();
+    service_faults(&d, json!({"unframed": 1})).await;
+    let framed = |r: &Reply| r.header("content-length").or(r.header("transfer-encoding")).is_some();
+    let first = call(&d, &d.entries[0], "key").await;
+    assert_eq!((first.status.as_u16(), framed(&first)), (200, false));
+    let again = call(&d, &d.entries[1], "key").await;
+    assert_eq!((&again.body, framed(&again)), (&first.body, false));
+    let other = call(&d, &d.entries[0], "other").await;
+    assert_eq!((other.status.as_u16(), framed(&other)), (200, true));
+    assert_eq!(runs(&d, "key").await, 1);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_refused_call_did_not_run_and_may_be_repeated() {
     let d = Deployment::start(&Spec::default()).await.unwrap();
--- a/crates/outbound/src/service.rs
+++ b/crates/outbound/src/service.rs
@@ -15,7 +15,7 @@
 use tokio::{net::TcpStream, time::timeout};
 
 use crate::{
-    CallError, Refusal,
+    CallError, Framing, Refusal,
     checked_connection::{CheckedConnection, WriteRefused},
     client::{CONNECT_TIMEOUT, read},
 };
@@ -49,6 +49,9 @@
     pub content_type: Option<HeaderValue>,
     /// Body of the answer.
     pub body: Bytes,
+    /// Whether its framing says that the body is whole. If not, only the connection has ended, and
+    /// the body may have been cut.
+    pub framed: bool,
 }
 
 /// Check whether a call may still be sent. It is made once the connection is open, and again right
@@ -120,9 +123,10 @@
 where
     T: hyper::rt::Read + hyper::rt::Write + Unpin,
 {
+    let method = request.method().clone();
     let answer = async {
         let response = sender.send_request(request).await;
-        reply(response.map_err(|e| CallError::Broken(e.to_string().into()))?).await
+        reply(&method, response.map_err(|e| CallError::Broken(e.to_string().into()))?).await
     };
     let (mut answer, mut connection) = (pin!(answer), pin!(connection));
     tokio::select! {
@@ -132,14 +136,15 @@
     }
 }
 
-async fn reply(response: Response<Incoming>) -> Result<Reply, CallError> {
+async fn reply(method: &Method, response: Response<Incoming>) -> Result<Reply, CallError> {
     let status = response.status();
     let not_run = response.headers().contains_key(NOT_RUN_HEADER);
     if status == StatusCode::SERVICE_UNAVAILABLE && not_run {
         return Err(Refusal::NotRun.into());
     }
     let content_type = response.headers().get(CONTENT_TYPE).cloned();
-    Ok(Reply { status, content_type, body: read(response.into_body()).await? })
+    let framed = Framing::of(method, status, response.headers()) != Framing::Connection;
+    Ok(Reply { status, content_type, body: read(response.into_body()).await?, framed })
 }
 
 fn request(addr: SocketAddr, call: &ServiceCall) -> Result<Request<Full<Bytes>>, CallError> {
