Take an event stream for one whatever its content type looks like

A stream whose content type is missing, or is spelt with capitals, was read to its end before its caller got the first event, and its end inside an event was not noticed. Media types don't depend on case, and where there is none, the route says that its answers are streams.

`a_stream_is_one_whatever_its_content_type_looks_like` failed before. The 24 tests of answer_endings, streams_relayed and crossed_answers pass.

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use fleet::Snapshot;
+use fleet::{RequestKind, Route, Snapshot};
 use http_body_util::BodyExt;
 use hyper::{
     HeaderMap, Response,
@@ -237,7 +237,7 @@
         let answer = forwarder.send_until_answered(None).await?;
         let first = core.now().since(job.start);
         core.metrics.first_byte.observe(first.as_secs_f64());
-        let streamed = answer.status.is_success() && is_stream(&answer.headers);
+        let streamed = answer.status.is_success() && is_stream(&job.route, &answer.headers);
         if streamed || content_length(&answer.headers).is_some_and(|n| n > MAX_BUFFERED_BYTES) {
             return Ok(relay::relay_answer(forwarder, answer, streamed));
         }
@@ -285,9 +285,15 @@
     Ok(out)
 }
 
-fn is_stream(headers: &HeaderMap) -> bool {
-    let text = headers.get(CONTENT_TYPE).and_then(|v| v.to_str().ok());
-    text.is_some_and(|t| t.starts_with("text/event-stream"))
+/// Whether an answer is an event stream. Without a content type, the kind of its route decides.
+fn is_stream(route: &Route, headers: &HeaderMap) -> bool {
+    match headers.get(CONTENT_TYPE).and_then(|v| v.to_str().ok()) {
+        Some(text) => {
+            let essence = text.split(';').next().unwrap_or_default();
+            essence.trim().eq_ignore_ascii_case("text/event-stream")
+        }
+        None => route.kind == RequestKind::Streaming,
+    }
 }
 
 fn content_length(headers: &HeaderMap) -> Option<u64> {
