Give a restarted process no second share of the retry budget

Cause: each process began with the whole share of the fixed allowance, 0.7 of it divided among the instances. What the process before it had spent within the window is known to nobody, so after a restart of all 1.4 times the allowance could be spent.

The allowance of a process now grows with its age, from nothing to the 0.3 that were in reserve; from the age of a window on it is the 0.7. Processes that follow each other within a window get no more than 0.3 together, so that restarts, also several, stay within the whole. A young process still retries by the ratio of its own requests.

The property for several restarts is in `processes_in_a_row_share_the_allowance`.

--- a/crates/place/src/budget.rs
+++ b/crates/place/src/budget.rs
@@ -7,19 +7,41 @@
 /// Number of slices that a window is divided into for counting.
 const SLICES: u64 = 20;
 
+/// Share of the fixed allowance that processes use which have run for a window or longer.
+const STEADY_SHARE: f64 = 0.7;
+/// Share that is left for younger processes.
+const YOUNG_SHARE: f64 = 1.0 - STEADY_SHARE;
+
 /// The retry budgets of all targets. Requests to one target do not add to the budget of another.
 #[derive(Debug)]
 pub struct RetryBudgets {
     ratio: f64,
     window: Duration,
+    /// Retries that all instances together may send within a window besides the ratio.
+    extra: f64,
+    /// When the process started.
+    start: Time,
     /// Sorted by target.
     targets: Vec<(Arc<str>, RetryBudget)>,
 }
 
 impl RetryBudgets {
-    /// Creates budgets that allow `ratio` retries for each first attempt within `window`.
-    pub fn new(ratio: f64, window: Duration) -> Self {
-        Self { ratio, window, targets: Vec::new() }
+    /// Creates budgets that allow `ratio` retries for each first attempt within `window`, and
+    /// `extra` ones that all instances share. `start` is when the process started.
+    pub fn new(ratio: f64, window: Duration, extra: f64, start: Time) -> Self {
+        Self { ratio, window, extra, start, targets: Vec::new() }
+    }
+
+    /// The fixed allowance of one of `instances` instances.
+    ///
+    /// What an earlier process of the instance has spent within the window is not known. So the
+    /// allowance of a process grows from nothing with its age until that is a window: processes
+    /// that follow each other within a window get no more than [`YOUNG_SHARE`] together, whatever
+    /// the one before them had.
+    pub fn allowance(&self, instances: u32, now: Time) -> f64 {
+        let age = now.since(self.start).as_secs_f64() / self.window.as_secs_f64();
+        let share = if age < 1.0 { YOUNG_SHARE * age } else { STEADY_SHARE };
+        self.extra * share / f64::from(instances)
     }
 
     /// Returns the budget of a target; creates it if there is none yet.
--- a/crates/place/tests/budget_bounds.rs
+++ b/crates/place/tests/budget_bounds.rs
@@ -30,7 +30,7 @@
 /// another.
 #[test]
 fn requests_to_one_target_add_nothing_to_the_budget_of_another() {
-    let mut budgets = RetryBudgets::new(0.2, WINDOW);
+    let mut budgets = RetryBudgets::new(0.2, WINDOW, 0.0, Time(0));
     let (desk, model) = ("desk".into(), "model".into());
     (0..100).for_each(|_| budgets.for_target(&desk).record_request(Time(1000)));
     assert!(!budgets.for_target(&model).try_retry(0.0, Time(1000)));
@@ -66,3 +66,33 @@
     }
     assert!(sends.len() > 500, "too few retries were allowed");
 }
+
+/// Guards against processes that begin with the whole allowance after each restart.
+#[test]
+fn processes_in_a_row_share_the_allowance() {
+    const INSTANCES: u32 = 4;
+    const EXTRA: f64 = 80.0;
+    let target = "desk".into();
+    for lifetimes in [vec![30_000, 9_900], vec![30_000, 4_000, 4_000, 1_900], vec![30_000; 3]] {
+        let (mut retries, mut start) = (Vec::new(), 0);
+        for lifetime in lifetimes {
+            let mut budgets = RetryBudgets::new(0.2, WINDOW, EXTRA, Time(start));
+            for ms in (start..start + lifetime).step_by(20) {
+                let allowance = budgets.allowance(INSTANCES, Time(ms));
+                while budgets.for_target(&target).try_retry(allowance, Time(ms)) {
+                    retries.push(ms);
+                }
+            }
+            start += lifetime;
+        }
+        for (at, end) in retries.iter().enumerate() {
+            let inside = retries[..=at].iter().filter(|ms| **ms + 10_000 > *end).count();
+            let share = EXTRA / f64::from(INSTANCES);
+            assert!(
+                inside as f64 <= share,
+                "{inside} in the window before {end} ms, {share} allowed"
+            );
+        }
+        assert!(retries.len() > 14, "too few retries were allowed");
+    }
+}
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -179,7 +179,8 @@
     /// The initial state of an instance, without a configuration.
     pub fn new(settings: Settings, adapters: Adapters, clock: Arc<dyn Clock>) -> Arc<Self> {
         let body_memory = Arc::new(Semaphore::new(settings.bounds.bodies / BODY_PERMIT_BYTES));
-        let budgets = RetryBudgets::new(settings.bounds.ratio, settings.bounds.window);
+        let Bounds { ratio, window, extra, .. } = settings.bounds;
+        let budgets = RetryBudgets::new(ratio, window, extra, clock.now());
         Arc::new(Self {
             settings,
             adapters,
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -176,6 +176,7 @@
 
     fn within_budget(&self, snapshot: &Snapshot, now: Time) -> bool {
         let mut budgets = self.core.budgets.lock();
+        let allowance = budgets.allowance(self.core.instance_count(snapshot), now);
         let budget = budgets.for_target(&self.target);
         if self.arrivals == 0 {
             if self.tried.is_empty() {
@@ -183,8 +184,7 @@
             }
             return true;
         }
-        let instance_count = f64::from(self.core.instance_count(snapshot));
-        budget.try_retry(self.core.settings.bounds.extra * EXTRA_RETRY_SHARE / instance_count, now)
+        budget.try_retry(allowance, now)
     }
 
     fn choose(&self, snapshot: &Snapshot, now: Time) -> Result<Choice, PlacementError> {
@@ -226,10 +226,6 @@
     }
 }
 
-/// Share of the fixed retry allowance that is used. The rest covers instances that this one does
-/// not know of.
-const EXTRA_RETRY_SHARE: f64 = 0.7;
-
 /// Forwards a request and returns the answer for the caller.
 pub(crate) async fn forward(core: Arc<Core>, job: Arc<Job>) -> Result<Response<Body>, Refusal> {
     let mut forwarder = Forwarder::new(core.clone(), job.clone());
