Say in datagrams which process of a replica is leaving

A replica that started again under its id was taken out of use for seconds by a peer's datagram about its earlier process: where the peer had not heard of the new one, and, for up to 4 s, also where it had. Datagrams named leaving replicas by id alone, and went on naming one that had registered again.

Datagrams now carry the start of each leaving replica's process, after the era, so that earlier releases read what they know and send what they can. A replica that has registered again is not named any more.

`a_peer_takes_no_replica_away_that_has_started_again` and `a_replica_that_starts_again_at_once_is_used` failed before. Old and new instances in one deployment were not run.

--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -120,6 +120,8 @@
     pub leaving: bool,
     /// When this instance observed it.
     pub at: Time,
+    /// Whether the replica has registered again since.
+    pub returned: bool,
 }
 
 /// The state that all tasks of an instance share.
@@ -251,13 +253,13 @@
         let forget = !self.returns.is_recent(at);
         let mut departed = self.departed.lock();
         departed.retain(|d| d.id != *id && !(forget && at.since(d.at) >= RETURN_SPAN));
-        departed.push(Departed { id: id.clone(), started_ms, leaving, at });
+        departed.push(Departed { id: id.clone(), started_ms, leaving, at, returned: false });
     }
 
     /// Records that a replica that had departed is registered again.
     pub(crate) fn forget_departure(&self, id: &str) {
         let mut departed = self.departed.lock();
-        departed.iter_mut().filter(|d| *d.id == *id).for_each(|d| d.started_ms = 0);
+        departed.iter_mut().filter(|d| *d.id == *id).for_each(|d| d.returned = true);
     }
 
     /// Whether `replica` departed before the registry returned from an older copy, in which its
@@ -270,7 +272,8 @@
         // A replica that was removed after a rise may have registered again since. One that is
         // leaving stays so, whenever a peer or an answer said it.
         let counts = |d: &Departed| (d.leaving || d.at <= last) && first.since(d.at) < RETURN_SPAN;
-        let same = |d: &Departed| d.id == replica.id && d.started_ms == replica.started_ms;
+        let same =
+            |d: &Departed| d.id == replica.id && d.started_ms == replica.started_ms && !d.returned;
         self.departed.lock().iter().any(|d| same(d) && counts(d))
     }
 
@@ -281,12 +284,13 @@
         departed.iter().any(|d| *d.id == *id && now.since(d.at) < DEPARTED_TTL)
     }
 
-    /// Replicas that departed within [`DEPARTED_TTL`].
-    pub(crate) fn lately_departed(&self) -> Vec<Arc<str>> {
+    /// Replicas that departed within [`DEPARTED_TTL`] and have not registered again, each with its [`fleet::Replica::started_ms`],
+    /// 0 if unknown.
+    pub(crate) fn lately_departed(&self) -> Vec<(Arc<str>, u64)> {
         let now = self.now();
         let departed = self.departed.lock();
-        let lately = departed.iter().filter(|d| now.since(d.at) < DEPARTED_TTL);
-        lately.map(|d| d.id.clone()).collect()
+        let lately = departed.iter().filter(|d| !d.returned && now.since(d.at) < DEPARTED_TTL);
+        lately.map(|d| (d.id.clone(), d.started_ms)).collect()
     }
 
     /// Whether a datagram of a peer, ready or not, came lately.
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use fleet::{Announcement, Snapshot};
+use fleet::{Announcement, Replica, Snapshot};
 use ident::Time;
 use place::{Load, PeerLoad};
 use serde::{Deserialize, Serialize};
@@ -88,22 +88,35 @@
     Format(u8),
 }
 
-/// Decodes a datagram and the era of the registry's clock in it. The era follows the datagram, so
-/// that earlier releases, which send none, read the datagram too.
-fn parse(bytes: &[u8]) -> Result<(Datagram, u64), DatagramError> {
+/// What follows a datagram, so that earlier releases, which send less or nothing of it, read the
+/// datagram too. The order of its fields is part of the format.
+#[derive(Debug, Default, Clone, PartialEq, Serialize, Deserialize)]
+struct Trailer {
+    /// Era of the registry's clock in the datagram.
+    era: u64,
+    /// [`fleet::Replica::started_ms`] of each replica in [`Datagram::leaving`], 0 if unknown.
+    started: Vec<u64>,
+}
+
+/// Decodes a datagram and its trailer.
+fn parse(bytes: &[u8]) -> Result<(Datagram, Trailer), DatagramError> {
     let (datagram, rest): (Datagram, _) =
         postcard::take_from_bytes(bytes).map_err(|_| DatagramError::Malformed)?;
     if datagram.format != FORMAT {
         return Err(DatagramError::Format(datagram.format));
     }
     if rest.is_empty() {
-        return Ok((datagram, 0));
+        return Ok((datagram, Trailer::default()));
+    }
+    let (era, rest) = postcard::take_from_bytes(rest).map_err(|_| DatagramError::Malformed)?;
+    if rest.is_empty() {
+        return Ok((datagram, Trailer { era, ..Trailer::default() }));
     }
-    let era = postcard::from_bytes(rest).map_err(|_| DatagramError::Malformed)?;
-    Ok((datagram, era))
+    let started = postcard::from_bytes(rest).map_err(|_| DatagramError::Malformed)?;
+    Ok((datagram, Trailer { era, started }))
 }
 
-fn datagram(core: &Core, clock: &RegistryClock) -> Datagram {
+fn datagram(core: &Core, clock: &RegistryClock) -> (Datagram, Trailer) {
     let snapshot = core.view.snapshot();
     let mut loads = core.pool.lock().own_loads();
     // Keeps the most loaded replicas if not all fit: they matter most for placement.
@@ -112,9 +125,9 @@
     let load = |l: PeerLoad| {
         (l.replica.to_string(), l.load.prefill_tokens, l.load.memory_tokens, l.load.requests)
     };
-    let mut leaving: Vec<String> = core.lately_departed().iter().map(|id| id.to_string()).collect();
-    leaving.truncate(MAX_LEAVING);
-    Datagram {
+    let departed = core.lately_departed().into_iter().take(MAX_LEAVING);
+    let (leaving, started) = departed.map(|(id, started)| (id.to_string(), started)).unzip();
+    let datagram = Datagram {
         format: FORMAT,
         name: core.settings.name.to_string(),
         ready: core.is_ready(),
@@ -124,7 +137,8 @@
         loading: core.loading.lock().iter().map(|id| id.to_string()).collect(),
         weights: announced_weights(core, clock, &snapshot),
         confirmed: clock.to_registry(snapshot.confirmed.weights).unwrap_or(0),
-    }
+    };
+    (datagram, Trailer { era: clock.era(), started })
 }
 
 /// The newest versions of each model and when they were announced.
@@ -162,7 +176,7 @@
 /// Sends one datagram to each peer.
 pub(crate) async fn send(core: &Core, socket: &UdpSocket, peers: &[SocketAddr]) {
     let clock = *core.registry_clock.lock();
-    let Ok(bytes) = postcard::to_stdvec(&(datagram(core, &clock), clock.era())) else { return };
+    let Ok(bytes) = postcard::to_stdvec(&datagram(core, &clock)) else { return };
     if bytes.len() > MAX_DATAGRAM_BYTES {
         warn!(bytes = bytes.len(), "datagram for peers is too long and was not sent");
         return;
@@ -192,7 +206,7 @@
             }
         };
         match parse(&buffer[..length]) {
-            Ok((datagram, era)) => apply(&core, datagram, era),
+            Ok((datagram, trailer)) => apply(&core, datagram, &trailer),
             Err(e) => warn!(error = %e, "datagram from a peer dropped"),
         }
     }
@@ -225,7 +239,7 @@
     });
 }
 
-fn apply(core: &Arc<Core>, datagram: Datagram, era: u64) {
+fn apply(core: &Arc<Core>, datagram: Datagram, trailer: &Trailer) {
     let now = core.now();
     let name: Arc<str> = datagram.name.as_str().into();
     let mut loads: Vec<PeerLoad> = datagram
@@ -241,8 +255,11 @@
     for id in &datagram.loading {
         core.pool.lock().exclude_loading(id, now.after(LOADING_TTL));
     }
-    for id in &datagram.leaving {
-        if core.view.snapshot().replica(id).is_some_and(|r| !r.leaving)
+    for (at, id) in datagram.leaving.iter().enumerate() {
+        // A replica that started again may keep its id.
+        let started = trailer.started.get(at).copied().unwrap_or(0);
+        let same = |r: &Replica| started == 0 || r.started_ms == 0 || r.started_ms == started;
+        if core.view.snapshot().replica(id).is_some_and(|r| !r.leaving && same(r))
             && core.view.mark_leaving(id)
         {
             core.record_departure(&id.as_str().into());
@@ -253,7 +270,7 @@
     // Dated by the registry's clock: a datagram may have waited while this instance was suspended.
     // The registry's clock may have gone back with its content.
     let registry_clock = *core.registry_clock.lock();
-    let clock_known = registry_clock.era() == era;
+    let clock_known = registry_clock.era() == trailer.era;
     for AnnouncedVersion { model, version, clock, age } in &datagram.weights {
         let local = registry_clock.to_local(*clock);
         let local = local.filter(|_| clock_known && *clock > 0);
