Store a guessed announcement time of weights as a guess

An instance that started later took a time for certain that another one had only guessed, and so could go on reading parts of kept cache made under weights that had been replaced longer ago than it believed. The row of announcement times did not say which it was, and a row was left as it was once it named the newest version, also where a time had become certain since.

The row now says whether its newest version's time is uncertain; rows of one era are merged, the earlier time of each version counts, and it is written again when the time becomes certain. Earlier releases read the row as before.

`a_time_of_naming_that_is_a_guess_stays_one` failed before.

--- a/crates/relay/src/dates.rs
+++ b/crates/relay/src/dates.rs
@@ -17,15 +17,43 @@
 /// Partition of these rows; the sort key is the model's name.
 const PARTITION: &str = "weights";
 
+/// Most versions in a row.
+const MAX_ANNOUNCED: usize = 8;
+
 /// Versions and the time from which each counts as announced, in ms on the registry's clock.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 struct AnnouncedWire {
     /// Era of the registry's clock; 0 in rows of earlier releases.
     #[serde(default)]
     era: u64,
+    /// Whether the newest version may have been announced before its time here.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    uncertain: bool,
+    /// Sorted by version.
     named: Vec<(u64, u64)>,
 }
 
+impl AnnouncedWire {
+    fn newest(&self) -> Option<u64> {
+        self.named.last().map(|(version, _)| *version)
+    }
+
+    /// Adds what another row of the same era knows: the earlier time of each version counts.
+    fn merge(mut self, other: &Self) -> Self {
+        let certain = [&self, other].map(|w| w.newest().filter(|_| !w.uncertain));
+        for (version, clock) in &other.named {
+            match self.named.binary_search_by_key(version, |(v, _)| *v) {
+                Ok(at) => self.named[at].1 = self.named[at].1.min(*clock),
+                Err(at) => self.named.insert(at, (*version, *clock)),
+            }
+        }
+        let excess = self.named.len().saturating_sub(MAX_ANNOUNCED);
+        self.named.drain(..excess);
+        self.uncertain = !certain.contains(&self.newest());
+        self
+    }
+}
+
 impl TryFrom<&Row> for AnnouncedWire {
     type Error = TableError;
 
@@ -101,10 +129,11 @@
     };
     match AnnouncedWire::try_from(&row) {
         Ok(dates) => {
+            let uncertain = dates.newest().filter(|_| dates.uncertain);
             for (version, clock) in dates.named {
                 let registry_clock = *core.registry_clock.lock();
                 // Times on the clock of an earlier era may be later here than they were.
-                let certain = registry_clock.era() == dates.era;
+                let certain = registry_clock.era() == dates.era && uncertain != Some(version);
                 if let Some(at) = registry_clock.to_local(clock) {
                     let at = at.min(core.now());
                     let announcement = Announcement { version, at, certain };
@@ -123,11 +152,12 @@
     let row = core.adapters.table.get(PARTITION, &weights.model).await?;
     let clock = *core.registry_clock.lock();
     let named = weights.announced.iter().filter_map(|(v, at)| Some((*v, clock.to_registry(*at)?)));
-    let wire = AnnouncedWire { era: clock.era(), named: named.collect() };
+    let uncertain = !weights.certain;
+    let own = AnnouncedWire { era: clock.era(), uncertain, named: named.collect() };
     let expect = row.as_ref().map_or(Expect::Absent, |r| Expect::Version(r.version));
     let stored = row.as_ref().and_then(|r| AnnouncedWire::try_from(r).ok()).unwrap_or_default();
-    let newest = |w: &AnnouncedWire| w.named.iter().map(|(v, _)| *v).max();
-    if stored.era == wire.era && newest(&stored) >= newest(&wire) {
+    let wire = if stored.era == own.era { own.merge(&stored) } else { own };
+    if wire == stored {
         return Ok(());
     }
     let body =
--- a/crates/relay/src/duty/chores.rs
+++ b/crates/relay/src/duty/chores.rs
@@ -29,8 +29,9 @@
 
 struct Housekeeping<'a> {
     core: &'a Core,
-    /// Models and newest versions whose announcement is stored, with the era of the registry's clock.
-    stored: Vec<(Arc<str>, u64, u64)>,
+    /// Models and newest versions whose announcement is stored, with whether its time is certain and
+    /// the era of the registry's clock.
+    stored: Vec<(Arc<str>, u64, bool, u64)>,
     /// When to look for lost instances next.
     next_cleanup: Time,
 }
@@ -40,7 +41,7 @@
     async fn store_announced(&mut self, snapshot: &Snapshot) {
         let era = self.core.registry_clock.lock().era();
         for weights in &snapshot.weights {
-            let newest = (weights.model.clone(), weights.version, era);
+            let newest = (weights.model.clone(), weights.version, weights.certain, era);
             if self.stored.contains(&newest) {
                 continue;
             }
