Take an unframed stream without any event for one that was cut

A caller whose replica's connection ended right after the head, without length or chunks, got an ordinary, empty stream. No event shows that anything came whole, so this says no more than a cut inside an event does: it is resumed or seen to break off. A caller that asks for what follows an event may get an empty stream, as before.

`a_stream_whose_connection_ends_before_its_first_event_is_broken_off` failed before. The tests of relay, answer_endings, crossed_answers, streams_relayed and silent_streams: 46 of 46.

--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -9,8 +9,8 @@
 /// An error in a stream that keeps it from being relayed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum StreamError {
-    /// The stream ended within an event.
-    #[error("the stream ended within an event")]
+    /// The stream ended within an event or before its first one.
+    #[error("the stream ended within an event or before its first one")]
     Incomplete,
     /// An event is longer than [`MAX_EVENT_BYTES`].
     #[error("an event is longer than {MAX_EVENT_BYTES} bytes")]
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -180,7 +180,7 @@
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
                 Ok(None) => {
                     self.count_end();
-                    if self.scanner.is_some_and(|s| s.is_inside()) {
+                    if self.is_cut() {
                         return End::Broken(StreamError::Incomplete.into());
                     }
                     if self.framing != Framing::Connection {
@@ -296,6 +296,14 @@
         );
     }
 
+    /// Whether a stream whose replica's answer has ended was cut: within an event, or, where only the
+    /// connection has ended, before its first one.
+    fn is_cut(&self) -> bool {
+        let Some(scanner) = &self.scanner else { return false };
+        let begun = self.sent_bytes > 0 || self.forwarder.job.meta.last_event.is_some();
+        scanner.is_inside() || (self.framing == Framing::Connection && !begun)
+    }
+
     /// Counts the normal end of a replica's answer.
     fn count_end(&self) {
         let ended = &self.forwarder.core.metrics.ended;
