Keep one function that lets the connection alone end a response

It stood in relay and in entry. It is beside the framing that it answers to now. The metric's comment names the cause `truncated`. No change of behaviour.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -10,14 +10,14 @@
 
 use axum::{
     body::{Body, Bytes},
-    http::{HeaderMap, HeaderValue, Method, StatusCode, Version, header},
+    http::{HeaderMap, HeaderValue, Method, StatusCode, header},
     response::{IntoResponse, Response},
 };
 use conf::TargetKind;
 use events::EventKind;
 use ident::{Digest, Name};
 use ledger::{Begin, CallId, Claim, LedgerError, Outcome, Status};
-use outbound::{CallError, ListEntry, Reply, ServiceCall};
+use outbound::{CallError, ListEntry, Reply, ServiceCall, end_with_connection};
 
 use crate::{
     core::Core,
@@ -280,6 +280,8 @@
 fn answer(reply: Reply) -> Response {
     let mut response = (reply.status, reply.body).into_response();
     if !reply.framed {
+        let body = std::mem::take(response.body_mut());
+        *response.body_mut() = Body::from_stream(body.into_data_stream());
         end_with_connection(&mut response);
     }
     match reply.content_type {
@@ -289,15 +291,6 @@
     response
 }
 
-/// Makes the end of the connection the only mark of the answer's end. hyper sends a body of unknown
-/// length in chunks unless the version is HTTP/1.0.
-fn end_with_connection(response: &mut Response) {
-    let body = std::mem::take(response.body_mut());
-    *response.body_mut() = Body::from_stream(body.into_data_stream());
-    *response.version_mut() = Version::HTTP_10;
-    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-}
-
 fn replayed(outcome: Outcome) -> Response {
     let status = StatusCode::from_u16(outcome.status).unwrap_or(StatusCode::OK);
     let content = HeaderValue::from_str(&outcome.content_type).ok();
--- a/crates/outbound/src/framing.rs
+++ b/crates/outbound/src/framing.rs
@@ -1,8 +1,8 @@
 //! How the end of an answer's body is marked.
 
 use hyper::{
-    HeaderMap, Method, StatusCode,
-    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+    HeaderMap, Method, Response, StatusCode, Version,
+    header::{CONNECTION, CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING},
 };
 
 /// What marks the end of an answer's body (RFC 9112, section 6.3).
@@ -42,3 +42,10 @@
         }
     }
 }
+
+/// Makes the end of the connection the only mark of a response's end. Its body must not tell its
+/// length. hyper sends such a body in chunks unless the version is HTTP/1.0.
+pub fn end_with_connection<B>(response: &mut Response<B>) {
+    *response.version_mut() = Version::HTTP_10;
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+}
--- a/crates/outbound/src/lib.rs
+++ b/crates/outbound/src/lib.rs
@@ -23,7 +23,7 @@
         StagedImport,
     },
     error::{CallError, Refusal},
-    framing::Framing,
+    framing::{Framing, end_with_connection},
     list::{InstanceList, InstanceListClient, ListEntry, ListState, Role},
     service::{MaySend, Reply, Service, ServiceCall, ServiceClient},
     store::{Store, StoreClient},
--- a/crates/relay/src/caller_conn.rs
+++ b/crates/relay/src/caller_conn.rs
@@ -1,4 +1,5 @@
-//! Connections to callers, and answers of which only the end of the connection marks the end.
+//! Connections to callers. One is reset where its ordinary end would look like that of an answer
+//! which is not complete.
 
 use std::{
     io,
@@ -16,7 +17,6 @@
 use hyper::{
     Method, Response, Version,
     body::{Body as _, Frame},
-    header::{CONNECTION, HeaderValue},
 };
 use socket2::SockRef;
 use tokio::{
@@ -26,13 +26,6 @@
 
 use crate::answer::Body;
 
-/// Makes the end of the connection the only mark of the answer's end. hyper sends a body of unknown
-/// length in chunks unless the version is HTTP/1.0.
-pub(crate) fn end_with_connection(response: &mut Response<Body>) {
-    *response.version_mut() = Version::HTTP_10;
-    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-}
-
 /// Whether the caller would take the end of the connection for the end of an answer that is not
 /// complete. Clones share the state.
 #[derive(Debug, Clone, Default)]
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -10,14 +10,13 @@
     header::{CONTENT_LENGTH, CONTENT_TYPE},
 };
 use ident::Time;
-use outbound::Framing;
+use outbound::{Framing, end_with_connection};
 use place::{Choice, Headroom, Load, Outcome, PlacementError, PlacementRequest};
 use tokio::time::timeout;
 use tracing::info;
 
 use crate::{
     answer::{Body, Refusal, full_body, unsized_body},
-    caller_conn::end_with_connection,
     core::Core,
     job::Job,
     relay,
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -18,8 +18,8 @@
     pub attempts: IntCounterVec,
     /// Streams that were resumed at another replica.
     pub resumed: IntCounter,
-    /// Answers of replicas that ended early, by cause: `silent`, `broken` (the connection) or
-    /// `malformed` (the events).
+    /// Answers of replicas that ended early, by cause: `silent`, `broken` (the connection),
+    /// `truncated` (the stream was cut, the connection is sound) or `malformed` (the events).
     pub interrupted: IntCounterVec,
     /// Ends of relayed answers that did not fail, by what marked the end (`length`, `chunks` or
     /// `connection`) and its place: `event`, after a complete event, or `inside` one. Answers that
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -13,14 +13,13 @@
     header::CONTENT_LENGTH,
 };
 use ident::Time;
-use outbound::Framing;
+use outbound::{Framing, end_with_connection};
 use place::Outcome;
 use tokio::{sync::mpsc, time::timeout};
 use tracing::info;
 
 use crate::{
     answer::{Body, Chunk, channel_body},
-    caller_conn::end_with_connection,
     events::{EventScanner, EventSplitter, StreamError},
     forward::{Forwarder, Step},
     send::{AttemptOutcome, ReplicaAnswer},
