Read the configuration log before a rollout's first order

Callers got answers of old weights after all replicas had been seen with the new ones.

Cause, from the log of a failed run: entry-2 applies revision 13 (v2) at 45.831 and rolls it out from 46.500 to 46.544; entry-1, still at revision 12, sees replicas whose weights differ from its configuration, acquires the lease, which is free again, and at 47.463 starts a rollout to v1. An instance may lag behind the log for up to 4.5 s when its peers' messages are late.

A holder now reads the log to its end after it has acquired the lease, and orders nothing if the version is not the configured one any more or the log can't be read. The version that an earlier holder rolled out was in the log before it was ordered, so no holder orders an older version than one before it. The rollouts on the users' platform only ever go to higher versions and are not concerned.

`an_instance_with_an_old_configuration_orders_no_old_weights` fails before, with orders of v1, and passes; the table's stand-in can refuse range reads for it.

--- a/crates/fakes/src/fault.rs
+++ b/crates/fakes/src/fault.rs
@@ -63,6 +63,8 @@
     pub silent_open: bool,
     /// Close the connection after this many bytes of each answer's body.
     pub cut_after_bytes: Option<u64>,
+    /// Table: refuse reads of a range of rows, as above the read rate.
+    pub refuse_ranges: bool,
     /// Engine: accept orders without a check of their fencing number.
     pub ignore_fence: bool,
     /// Engine: report load and cache events as of this many milliseconds ago. Instance list: show
--- a/crates/fakes/src/table.rs
+++ b/crates/fakes/src/table.rs
@@ -155,6 +155,9 @@
     }
 
     fn query(&self, call: &Query) -> Result<Value, Refusal> {
+        if self.control.with_faults(|f| f.refuse_ranges) {
+            return Err(Refusal::ReadRate);
+        }
         if !self.take_capacity("reads", self.config.read_rate, 1) {
             return Err(Refusal::ReadRate);
         }
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -91,6 +91,13 @@
         Ok(!changes.is_empty())
     }
 
+    /// Reads the log to its end. The configuration in force then is at least as new as the log was
+    /// when the call began.
+    pub async fn catch_up(&self) -> Result<(), LoadError> {
+        while self.poll().await? {}
+        Ok(())
+    }
+
     /// Applies changes in order and skips known ones. Ignores changes after a gap; the next read of
     /// the log returns them.
     pub fn apply(&self, changes: &[Change]) {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -90,7 +90,8 @@
 
         let config_store = Arc::new(Store::new(resources.table.clone(), resources.blob.clone()));
         let follower = Arc::new(Follower::new(core.clone(), config_store.clone()));
-        let rollouts = Arc::new(Rollouts::new(core.clone(), resources.table.clone()));
+        let rollouts =
+            Arc::new(Rollouts::new(core.clone(), follower.clone(), resources.table.clone()));
         let peers = Secret::derive("lentilpitch peers", key.bytes());
         let handler = Arc::new(PeerHandler::new(core.clone(), follower.clone()));
         let name = settings.name.clone();
--- a/crates/node/src/rollout.rs
+++ b/crates/node/src/rollout.rs
@@ -17,7 +17,10 @@
 use table::Table;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::load_slots::{LoadSlots, MAX_CONCURRENT_LOADS};
+use crate::{
+    follow::Follower,
+    load_slots::{LoadSlots, MAX_CONCURRENT_LOADS},
+};
 
 /// Lease duration of a target's rollout and of the load slots that it holds.
 const LEASE_DURATION: Duration = Duration::from_secs(10);
@@ -35,6 +38,7 @@
 /// State of the rollouts of all targets, as this instance knows it.
 pub struct Rollouts {
     core: Arc<Core>,
+    follower: Arc<Follower>,
     leases: Leases,
     /// Targets whose rollout this instance leads. Sorted.
     led: Mutex<Vec<Name>>,
@@ -44,9 +48,9 @@
 
 impl Rollouts {
     /// Creates the state for rollouts whose leases are rows in `table`.
-    pub fn new(core: Arc<Core>, table: Arc<dyn Table>) -> Self {
+    pub fn new(core: Arc<Core>, follower: Arc<Follower>, table: Arc<dyn Table>) -> Self {
         let leases = Leases::new(table, core.clock.clone(), core.name.clone());
-        Self { core, leases, led: Mutex::default(), active: Mutex::default() }
+        Self { core, follower, leases, led: Mutex::default(), active: Mutex::default() }
     }
 
     /// Progress of the rollouts of all targets of a model; `None` if the model is unknown. `leader`
@@ -120,12 +124,21 @@
 
 /// Acquires the target's rollout lease, if it is free. Then sends orders to the replicas until all
 /// of them serve the version, the lease is lost or another version is configured.
+///
+/// The log is read after the lease is acquired, since an earlier holder may have rolled out a
+/// version that this instance did not know of. So no holder orders an older version than those
+/// before it.
 async fn lead(rollouts: &Rollouts, target: &Target, version: Name, fenced: bool) {
     let core = &rollouts.core;
     // If the target's name is too long for the prefix, the lease has the name of the target.
     let lease_name =
         Name::new(&format!("rollout.{}", target.name)).unwrap_or_else(|_| target.name.clone());
     let Ok(mut held) = rollouts.leases.acquire(&lease_name, LEASE_DURATION).await else { return };
+    if !confirm_version(rollouts, target, &version).await {
+        // A lease that could not be released expires.
+        let _ = rollouts.leases.release(held).await;
+        return;
+    }
     set_present(&rollouts.led, &target.name, true);
     let phase = |phase| EventKind::Rollout {
         target: target.name.clone(),
@@ -145,6 +158,16 @@
     let _ = rollouts.leases.release(held).await;
 }
 
+/// Whether `version` is the configured one by the end of the log, and is still to be rolled out.
+async fn confirm_version(rollouts: &Rollouts, target: &Target, version: &Name) -> bool {
+    if let Err(error) = rollouts.follower.catch_up().await {
+        let target = &target.name;
+        tracing::warn!(%target, %version, %error, "rollout not started: the configuration may be old");
+        return false;
+    }
+    pending_version(&rollouts.core, target).is_some_and(|(pending, _)| pending == *version)
+}
+
 /// How long a rollout has made no progress, and what was logged about it.
 struct Stall {
     /// Start of the period without progress.
--- a/crates/node/tests/deployed_orders.rs
+++ b/crates/node/tests/deployed_orders.rs
@@ -253,6 +253,40 @@
     }
 }
 
+/// Guards against a rollout back to old weights by an instance that has not read of the new ones.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_with_an_old_configuration_orders_no_old_weights() {
+    let d = Deployment::start(&Spec { engines: ENGINES, ..Spec::default() }).await.unwrap();
+    let (behind, others) = d.entries.split_last().unwrap();
+    behind.instance.signal(Signal::Stop).unwrap();
+    set_version(&d, &others[0], "writer", "v2").await;
+    wait_for("all replicas to serve v2", STATE_LIMIT, || all_serve(&d, "inkline-writer", "v2"))
+        .await
+        .unwrap();
+    wait_for("the rollout to end", STATE_LIMIT, || async {
+        for entry in others {
+            let reply = d.admin(entry, Method::GET, "rollouts/writer", &[], None).await.ok()?;
+            let status: Value = reply.json().ok()?;
+            status["leader"].is_null().then_some(())?;
+        }
+        Some(())
+    })
+    .await
+    .unwrap();
+    // It learns of the change neither from the log nor from its peers.
+    d.platform.faults(&d.platform.table, json!({"refuse_ranges": true})).await.unwrap();
+    others.iter().for_each(|e| e.instance.signal(Signal::Stop).unwrap());
+    behind.instance.signal(Signal::Cont).unwrap();
+    sleep(Duration::from_secs(6)).await;
+    let log = logged_orders(&d, "inkline-writer").await;
+    assert!(log.iter().all(|o| o.2 == "v2"), "{log:?}");
+    d.platform.faults(&d.platform.table, json!({})).await.unwrap();
+    others.iter().for_each(|e| e.instance.signal(Signal::Cont).unwrap());
+    d.wait_same_revision().await.unwrap();
+    let log = logged_orders(&d, "inkline-writer").await;
+    assert!(log.iter().all(|o| o.2 == "v2"), "{log:?}");
+}
+
 /// `Some` if the metrics of some instance count a stalled rollout of the target.
 async fn stalled(d: &Deployment, target: &str) -> Option<()> {
     let series = format!("lentil_rollout_stalls_total{{target=\"{target}\"}}");
