Leave the retry allowance of removed instances unused for a window

The retry budget of a deployment could be exceeded where many instances are removed from the registry within a window: those that remain divided the fixed allowance among fewer at once, while what the removed ones had used was still inside the window.

`removed_instances_leave_no_allowance_within_the_window` fails before: 10 instances, 6 of them removed, 81 retries at the removal where 80 are allowed.

--- a/crates/place/src/budget.rs
+++ b/crates/place/src/budget.rs
@@ -21,6 +21,9 @@
     extra: f64,
     /// When the process started.
     start: Time,
+    /// Numbers of instances, each with when it was last seen, oldest first. Invariant: the numbers
+    /// strictly decrease, since one that a later one reaches is dropped.
+    counts: VecDeque<(Time, u32)>,
     /// Sorted by target.
     targets: Vec<(Arc<str>, RetryBudget)>,
 }
@@ -29,19 +32,36 @@
     /// Creates budgets that allow `ratio` retries for each first attempt within `window`, and
     /// `extra` ones that all instances share. `start` is when the process started.
     pub fn new(ratio: f64, window: Duration, extra: f64, start: Time) -> Self {
-        Self { ratio, window, extra, start, targets: Vec::new() }
+        Self { ratio, window, extra, start, counts: VecDeque::new(), targets: Vec::new() }
+    }
+
+    /// Records the number of instances. Call this also while there are no requests, since the
+    /// allowance depends on the largest number within the window.
+    pub fn record_instances(&mut self, instances: u32, now: Time) {
+        while self.counts.back().is_some_and(|(_, count)| *count <= instances) {
+            self.counts.pop_back();
+        }
+        self.counts.push_back((now, instances));
+        while self.counts.front().is_some_and(|(seen, _)| now.since(*seen) > self.window) {
+            self.counts.pop_front();
+        }
     }
 
     /// The fixed allowance of one of `instances` instances.
     ///
+    /// Instances that were removed within the window may have used their shares, so the largest
+    /// number of instances within it counts.
+    ///
     /// What an earlier process of the instance has spent within the window is not known. So the
     /// allowance of a process grows from nothing with its age until that is a window: processes
     /// that follow each other within a window get no more than [`YOUNG_SHARE`] together, whatever
     /// the one before them had.
-    pub fn allowance(&self, instances: u32, now: Time) -> f64 {
+    pub fn allowance(&mut self, instances: u32, now: Time) -> f64 {
+        self.record_instances(instances, now);
+        let (_, most) = self.counts.front().expect("a number was recorded");
         let age = now.since(self.start).as_secs_f64() / self.window.as_secs_f64();
         let share = if age < 1.0 { YOUNG_SHARE * age } else { STEADY_SHARE };
-        self.extra * share / f64::from(instances)
+        self.extra * share / f64::from(*most)
     }
 
     /// Returns the budget of a target; creates it if there is none yet.
--- a/crates/place/tests/budget_bounds.rs
+++ b/crates/place/tests/budget_bounds.rs
@@ -96,3 +96,32 @@
         assert!(retries.len() > 14, "too few retries were allowed");
     }
 }
+
+/// Guards against shares that grow, once instances are removed, by what the removed ones have used
+/// within the window.
+#[test]
+fn removed_instances_leave_no_allowance_within_the_window() {
+    const EXTRA: f64 = 80.0;
+    let target = "desk".into();
+    let new = || RetryBudgets::new(0.2, WINDOW, EXTRA, Time(0));
+    let mut budgets: Vec<_> = std::iter::repeat_with(new).take(10).collect();
+    let mut retries = Vec::new();
+    for ms in (12_000..40_000).step_by(50) {
+        if ms == 15_000 {
+            budgets.truncate(4);
+        }
+        let count = budgets.len() as u32;
+        for own in &mut budgets {
+            let allowance = own.allowance(count, Time(ms));
+            while own.for_target(&target).try_retry(allowance, Time(ms)) {
+                retries.push(ms);
+            }
+        }
+    }
+    for (at, end) in retries.iter().enumerate() {
+        let inside = retries[..=at].iter().filter(|ms| **ms + 10_000 > *end).count();
+        assert!(inside as f64 <= EXTRA, "{inside} in the window before {end} ms, {EXTRA} allowed");
+    }
+    let late = retries.iter().filter(|ms| **ms >= 28_000).count();
+    assert!(late > 40, "the others never get the share of the removed ones: {late}");
+}
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -212,6 +212,8 @@
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
         let snapshot = core.view.snapshot();
-        core.conns.sweep(|id| snapshot.replica(id).is_some(), core.now());
+        let now = core.now();
+        core.conns.sweep(|id| snapshot.replica(id).is_some(), now);
+        core.budgets.lock().record_instances(core.instance_count(&snapshot), now);
     }
 }
