Write configuration changes again that the log has lost

If the table service returned from an older copy of its content, no change of the configuration was accepted any more by an instance whose view was above the head: each ended in conflicts ("too many changes at once"). An instance that started on the copy gave the lost revisions out again with other changes, which the others never saw.

Each read of the log now begins with the change of the view's own revision, so a return shows even without an era, which this service doesn't have, at no further call. What is missing is written again from the last 256 changes in memory, each with all its rows in one transaction after the head that was read. Where the changes are held by nobody, or the log has another one, nothing is overwritten and a typed error says so.

The last changes moved from the follower to the store for it. The instance that accepted a change kept it nowhere before, so its peers had to wait for their next read of the log, up to 4.5 s; `accepted_changes_are_handed_on` guards that. They apply it within a heartbeat now. Changes of peers would also have given a configuration to an instance that starts in an outage of the table, which is not to take work; `an_outage_of_the_table_stops_no_work_and_reverts_nothing` failed for that, so they count only after a first read of the log.

--- a/crates/conf/src/store.rs
+++ b/crates/conf/src/store.rs
@@ -6,6 +6,8 @@
 //! transaction writes the head once, so the version of the head row equals the revision.
 
 mod accept;
+mod known;
+mod restore;
 mod snapshot;
 
 use std::sync::Arc;
@@ -16,6 +18,7 @@
 use serde::de::DeserializeOwned;
 use table::{Row, Table, TableError};
 
+use self::known::Known;
 pub use self::{accept::AcceptError, snapshot::SNAPSHOT_INTERVAL_REVS};
 use crate::{ApplyError, Change, View, wire::ChangeWire};
 
@@ -23,6 +26,8 @@
 const LOG_PARTITION: &str = "conf/log";
 /// Partition of the head row and of the pointer to the newest snapshot.
 const HEAD_PARTITION: &str = "conf/head";
+/// Sort key of the head row.
+const HEAD_KEY: &str = "head";
 /// Partition of the documents.
 const DOC_PARTITION: &str = "conf/doc";
 /// Partition of the change ids.
@@ -42,25 +47,44 @@
     /// A snapshot could not be written to or read from the object store.
     #[error("the snapshot could not be moved: {0}")]
     Blob(#[from] BlobError),
+    /// The change log ends before the view, as after a return of the table service to an older
+    /// copy, and this store does not hold all changes that it lacks.
+    #[error(
+        "the change log ends at {head} before {view}, and the changes between are not held here"
+    )]
+    Lost {
+        /// Last revision of the log.
+        head: Rev,
+        /// Revision of the view.
+        view: Rev,
+    },
+    /// The change log has another change at this revision than the view.
+    #[error("the change log has another change at {0} than the configuration in force")]
+    Diverged(Rev),
 }
 
 /// Reads and follows the accepted configuration, and accepts changes.
 pub struct Store {
     table: Arc<dyn Table>,
     blob: Arc<dyn Blob>,
-    /// The newest known view. Its revision never decreases.
-    view: Mutex<Arc<View>>,
+    known: Mutex<Known>,
 }
 
 impl Store {
     /// Creates a store over these services. It reads nothing yet.
     pub fn new(table: Arc<dyn Table>, blob: Arc<dyn Blob>) -> Self {
-        Self { table, blob, view: Mutex::new(Arc::default()) }
+        Self { table, blob, known: Mutex::default() }
     }
 
     /// The newest view of this store. The call is cheap because the documents are shared.
     pub fn view(&self) -> Arc<View> {
-        self.view.lock().clone()
+        self.known.lock().view.clone()
+    }
+
+    /// The changes of the view after revision `after`, in order. Empty if this store does not hold
+    /// all of them.
+    pub fn recent(&self, after: Rev) -> Vec<Change> {
+        self.known.lock().changes_after(after)
     }
 
     /// Reads up to `limit` changes after revision `after`, in order and without gaps. Fewer than
@@ -85,35 +109,38 @@
     /// Applies changes from any source, such as a peer. Known changes are ignored. Returns the
     /// revision of the view.
     pub fn apply(&self, changes: &[Change]) -> Result<Rev, ApplyError> {
-        let mut current = self.view.lock();
-        if changes.last().is_some_and(|c| c.rev > current.rev()) {
-            // This copies the view only if a reader still holds it.
-            Arc::make_mut(&mut current).extend(changes)?;
-        }
-        Ok(current.rev())
+        self.known.lock().extend(changes)
     }
 
-    /// Reads the log to its end and returns the view, which is at least as new as the log was when
-    /// the call began.
-    pub async fn refresh(&self) -> Result<Arc<View>, LoadError> {
-        if self.view().rev() == Rev(0) {
-            self.replace_if_newer(self.load().await?);
+    /// Reads up to `limit` changes after the view and applies them. Returns whether there may be
+    /// more. Changes that the log has lost are written to it again.
+    pub async fn follow(&self, limit: usize) -> Result<bool, LoadError> {
+        // The log has what was known before it is read.
+        let (rev, last) = self.known.lock().end();
+        if rev == Rev(0) {
+            let (view, changes) = self.load_changes().await?;
+            self.known.lock().replace(view, changes);
+            return Ok(false);
         }
-        loop {
-            let changes = self.changes(self.view().rev(), PAGE_SIZE).await?;
-            if changes.is_empty() {
-                return Ok(self.view());
-            }
-            self.apply(&changes)?;
+        let mut changes = self.changes(Rev(rev.0 - 1), limit + 1).await?;
+        let Some(first) = changes.first() else {
+            self.restore().await?;
+            return Ok(true);
+        };
+        if last.is_some_and(|last| last != *first) {
+            return Err(LoadError::Diverged(rev));
         }
+        changes.remove(0);
+        self.apply(&changes)?;
+        // Only an empty answer shows that the end of the log is reached.
+        Ok(!changes.is_empty())
     }
 
-    /// Replaces the current view by `view` if that is newer.
-    fn replace_if_newer(&self, view: View) {
-        let mut current = self.view.lock();
-        if view.rev() > current.rev() {
-            *current = Arc::new(view);
-        }
+    /// Reads the log to its end and returns the view, which is at least as new as the log was when
+    /// the call began.
+    pub async fn refresh(&self) -> Result<Arc<View>, LoadError> {
+        while self.follow(PAGE_SIZE).await? {}
+        Ok(self.view())
     }
 }
 
--- a/crates/conf/src/store/accept.rs
+++ b/crates/conf/src/store/accept.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 
 use ident::{RequestId, Rev};
-use table::{Expect, TableError, Version, Write};
+use table::{Expect, TableError, Write};
 
 use super::{
-    DOC_PARTITION, HEAD_PARTITION, ID_PARTITION, LOG_PARTITION, LoadError, Store, decode, encode,
-    log_key,
+    DOC_PARTITION, HEAD_KEY, HEAD_PARTITION, ID_PARTITION, LOG_PARTITION, LoadError, Store, decode,
+    encode, log_key, restore::Head,
 };
 use crate::{
     Change, Doc, DocKey, View, Violation, violations,
@@ -111,38 +111,43 @@
         Ok(Some(decode::<ChangeWire>(&row)?.into()))
     }
 
-    /// Writes the change as the revision after `view`.
+    /// Writes the change as the revision after `view`. Fails with [`TableError::Conflict`] if the
+    /// log does not end at the view.
     async fn try_accept(
         &self,
         view: &View,
         requested: &RequestedChange,
     ) -> Result<Change, TableError> {
-        let sort: Arc<str> = requested.key.to_string().into();
-        let old = self.table.get(DOC_PARTITION, &sort).await.map_err(before_write)?;
-        let rev = view.rev().next();
+        let head = self.head().await.map_err(before_write)?;
+        if head.rev != view.rev() {
+            return Err(TableError::Conflict);
+        }
         let change = Change {
-            rev,
+            rev: view.rev().next(),
             id: requested.id,
             key: requested.key.clone(),
             doc: requested.doc.clone(),
         };
-        let item = ItemWire { rev: rev.0, doc: requested.doc.clone().map(Into::into) };
-        let rev_body = encode(&RevWire { rev: rev.0 });
+        self.write(&change, &head).await?;
+        Ok(change)
+    }
+
+    /// Writes a change with all its rows after the end of the log. Fails with
+    /// [`TableError::Conflict`] if the log has another end by then.
+    pub(super) async fn write(&self, change: &Change, head: &Head) -> Result<(), TableError> {
+        let sort: Arc<str> = change.key.to_string().into();
+        let old = self.table.get(DOC_PARTITION, &sort).await.map_err(before_write)?;
+        let item = ItemWire { rev: change.rev.0, doc: change.doc.clone().map(Into::into) };
+        let rev = encode(&RevWire { rev: change.rev.0 });
         let log = encode(&ChangeWire::from(change.clone()));
         let doc_expect = old.map_or(Expect::Absent, |row| Expect::Version(row.version));
         let writes = vec![
-            write(LOG_PARTITION, log_key(rev).into(), Expect::Absent, log),
-            write(
-                HEAD_PARTITION,
-                "head".into(),
-                head_expect(view.rev(), self.table.era()),
-                rev_body.clone(),
-            ),
+            write(LOG_PARTITION, log_key(change.rev).into(), Expect::Absent, log),
+            write(HEAD_PARTITION, HEAD_KEY.into(), head.expect(), rev.clone()),
             write(DOC_PARTITION, sort, doc_expect, encode(&item)),
-            write(ID_PARTITION, requested.id.to_string().into(), Expect::Absent, rev_body),
+            write(ID_PARTITION, change.id.to_string().into(), Expect::Absent, rev),
         ];
-        self.table.commit(writes).await?;
-        Ok(change)
+        self.table.commit(writes).await
     }
 }
 
@@ -150,15 +155,6 @@
     Write { part: part.into(), sort, expect, body: Some(body) }
 }
 
-/// Condition on the head row that no change was accepted after `rev`. Each change writes the row
-/// once, so that its version is the revision.
-fn head_expect(rev: Rev, era: u64) -> Expect {
-    match rev.0 {
-        0 => Expect::Absent,
-        number => Expect::Version(Version { era, number }),
-    }
-}
-
 /// Error of a read before the transaction. It is reported as a refusal, because nothing was
 /// written.
 fn before_write(error: TableError) -> TableError {
--- a/crates/conf/src/store/snapshot.rs
+++ b/crates/conf/src/store/snapshot.rs
@@ -5,7 +5,9 @@
 use ident::Rev;
 use table::{Expect, TableError, Version, Write};
 
-use super::{HEAD_PARTITION, LoadError, PAGE_SIZE, Store, decode, encode};
+use super::{
+    HEAD_PARTITION, LoadError, PAGE_SIZE, Store, decode, encode, known::MAX_RECENT_CHANGES,
+};
 use crate::{
     Change, View,
     wire::{PointerWire, ViewWire},
@@ -30,13 +32,21 @@
     /// Loads the view at the end of the log: from the newest snapshot and the changes after it, or
     /// from the whole log if there is no snapshot that can be read.
     pub async fn load(&self) -> Result<View, LoadError> {
+        Ok(self.load_changes().await?.0)
+    }
+
+    /// Loads the view, and returns it with its last changes, as far as they were read from the log.
+    pub(super) async fn load_changes(&self) -> Result<(View, Vec<Change>), LoadError> {
         let mut view = self.load_snapshot().await?.unwrap_or_default();
+        let mut last = Vec::new();
         loop {
             let changes = self.changes(view.rev(), PAGE_SIZE).await?;
             if changes.is_empty() {
-                return Ok(view);
+                return Ok((view, last));
             }
             view.extend(&changes)?;
+            last.extend(changes);
+            last.drain(..last.len().saturating_sub(MAX_RECENT_CHANGES));
         }
     }
 
--- a/crates/conf/tests/accept_rules.rs
+++ b/crates/conf/tests/accept_rules.rs
@@ -140,3 +140,14 @@
     let change = s.accept(RequestId(9), doc.key(), Some(doc), None).await.unwrap();
     assert_eq!(change.doc, Some(template("t", &["a", "b"])));
 }
+
+/// Guards against peers that must wait for their next read of the log, since the instance that
+/// accepted a change doesn't hand it on.
+#[tokio::test]
+async fn accepted_changes_are_handed_on() {
+    let w = World::new();
+    let s = w.store();
+    w.create(&s, 1, vec![model("a", "v1"), model("b", "v1"), model("c", "v1")]).await;
+    let handed_on: Vec<_> = s.recent(Rev(1)).iter().map(|c| (c.rev, c.id)).collect();
+    assert_eq!(handed_on, [(Rev(2), RequestId(2)), (Rev(3), RequestId(3))]);
+}
--- /dev/null
+++ b/crates/conf/tests/restored_log.rs
@@ -0,0 +1,139 @@
+//! The change log when the table service returns from an older copy of its content.
+
+mod common;
+
+use common::{World, key, model};
+use conf::{AcceptError, Change, Doc, Kind, LoadError, Store};
+use ident::{RequestId, Rev};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+const SEEDS: u64 = 100;
+
+/// Sets the version of the model `m` to `v<id>`.
+async fn set(store: &Store, id: u128) -> Result<Change, AcceptError> {
+    let doc: Doc = model("m", &format!("v{id}"));
+    let expect = store.view().doc(&doc.key()).map(|(_, rev)| rev);
+    store.accept(RequestId(id), doc.key(), Some(doc), expect).await
+}
+
+async fn log(w: &World) -> Vec<Change> {
+    w.store().changes(Rev(0), 10_000).await.unwrap()
+}
+
+#[tokio::test]
+async fn lost_changes_are_written_again_before_the_next_one() {
+    let w = World::new();
+    let store = w.store();
+    set(&store, 1).await.unwrap();
+    let copy = w.table.copy();
+    set(&store, 2).await.unwrap();
+    let third = set(&store, 3).await.unwrap();
+    let before = log(&w).await;
+    w.table.restore(copy);
+    assert_eq!(set(&store, 4).await.unwrap().rev, Rev(4));
+    assert_eq!(log(&w).await[..3], before[..]);
+    // A repeat with the id of a lost change finds it.
+    let doc = third.doc.clone();
+    assert_eq!(store.accept(third.id, third.key.clone(), doc, Some(Rev(2))).await.unwrap(), third);
+    assert_eq!(w.store().load().await.unwrap().doc(&third.key).unwrap().1, Rev(4));
+}
+
+#[tokio::test]
+async fn a_follower_writes_lost_changes_again() {
+    let w = World::new();
+    let store = w.store();
+    let copy = w.table.copy();
+    set(&store, 1).await.unwrap();
+    set(&store, 2).await.unwrap();
+    let before = log(&w).await;
+    // One that read the changes from the log holds them as well.
+    let other = w.store();
+    other.refresh().await.unwrap();
+    drop(store);
+    w.table.restore(copy);
+    assert_eq!(other.refresh().await.unwrap().rev(), Rev(2));
+    assert_eq!(log(&w).await, before);
+}
+
+#[tokio::test]
+async fn a_revision_is_not_given_out_again_where_changes_are_lost_for_good() {
+    let w = World::new();
+    let store = w.store();
+    let copy = w.table.copy();
+    set(&store, 1).await.unwrap();
+    set(&store, 2).await.unwrap();
+    store.snapshot(&store.view()).await.unwrap();
+    // Its view comes from the snapshot alone.
+    let other = w.store();
+    other.refresh().await.unwrap();
+    w.table.restore(copy);
+    let error = other.refresh().await.unwrap_err();
+    assert_eq!(error, LoadError::Lost { head: Rev(0), view: Rev(2) });
+    assert!(matches!(set(&other, 3).await, Err(AcceptError::Unknown(_))));
+    assert!(log(&w).await.is_empty());
+    assert_eq!(other.view().rev(), Rev(2));
+}
+
+#[tokio::test]
+async fn another_history_is_reported() {
+    for more in 0..3 {
+        let w = World::new();
+        let store = w.store();
+        set(&store, 1).await.unwrap();
+        let copy = w.table.copy();
+        set(&store, 2).await.unwrap();
+        set(&store, 3).await.unwrap();
+        w.table.restore(copy);
+        // An instance that starts on the copy knows nothing else.
+        let fresh = w.store();
+        for id in 10..=10 + more {
+            fresh.refresh().await.unwrap();
+            set(&fresh, id).await.unwrap();
+        }
+        let after = log(&w).await;
+        let error = store.refresh().await.unwrap_err();
+        assert!(matches!(error, LoadError::Diverged(_)), "{more}: {error}");
+        assert!(matches!(set(&store, 4).await, Err(AcceptError::Unknown(_))), "{more}");
+        assert_eq!((log(&w).await, store.view().rev()), (after, Rev(3)), "{more}");
+    }
+}
+
+#[tokio::test]
+async fn accepted_changes_stay_over_returns_in_series() {
+    for seed in 0..SEEDS {
+        let (w, mut rng) = (World::new(), SmallRng::seed_from_u64(seed));
+        let stores = [w.store(), w.store(), w.store()];
+        let (mut copies, mut accepted) = (vec![w.table.copy()], Vec::new());
+        for id in 1..60 {
+            let store = &stores[rng.random_range(0..stores.len())];
+            match rng.random_range(0..10) {
+                0..=5 => {
+                    let _ = store.refresh().await;
+                    accepted.extend(set(store, id).await);
+                }
+                6 | 7 => drop(store.refresh().await),
+                8 => copies.push(w.table.copy()),
+                _ => {
+                    // All hear of the newest change from their peers.
+                    for store in &stores {
+                        let _ = store.refresh().await;
+                    }
+                    w.table.restore(copies[rng.random_range(0..copies.len())].clone());
+                    copies.truncate(1);
+                    w.table.lose_answers(rng.random_range(0..2));
+                }
+            }
+        }
+        w.table.lose_answers(0);
+        for store in &stores {
+            store.refresh().await.unwrap();
+        }
+        let log = log(&w).await;
+        for change in &accepted {
+            let at = usize::try_from(change.rev.0).unwrap() - 1;
+            assert_eq!(log.get(at), Some(change), "seed {seed}");
+        }
+        assert!(accepted.len() > 10, "seed {seed}: {}", accepted.len());
+        assert!(stores.iter().all(|s| s.view().doc(&key(Kind::Model, "m")).is_some()));
+    }
+}
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -80,7 +80,6 @@
     ) -> Result<Change, ControlError> {
         let accepted = self.config_store.accept(id, key.clone(), doc, expect).await;
         let change = accepted.map_err(|e| ControlError::refused(id, &key, e))?;
-        self.follower.apply(std::slice::from_ref(&change));
         self.follower.install();
         if Store::snapshot_due(&change) {
             let store = self.config_store.clone();
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -1,7 +1,13 @@
 //! Keeps the configuration of this instance up to date. Changes come from the change log in the
 //! table service and from peers that have read further in it.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use conf::{Change, LoadError, Store};
 use entry::Core;
@@ -15,8 +21,6 @@
 const POLL_INTERVAL: Duration = Duration::from_secs(3);
 /// Maximum number of changes in one read of the log.
 const MAX_POLL_CHANGES: usize = 200;
-/// Maximum number of recent changes kept in memory for peers.
-const MAX_RECENT_CHANGES: usize = 256;
 /// Backoff after the first failed read. It doubles with each failure up to [`POLL_INTERVAL`].
 const INITIAL_BACKOFF: Duration = Duration::from_millis(250);
 
@@ -24,24 +28,24 @@
 pub struct Follower {
     core: Arc<Core>,
     config_store: Arc<Store>,
-    recent: Mutex<Recent>,
+    /// Whether the last read of the table succeeded; `None` before the first read.
+    table_up: Mutex<Option<bool>>,
+    /// Whether the log has been read at least once.
+    has_read: AtomicBool,
     /// Serialises calls of [`Self::install`].
     install_lock: Mutex<()>,
 }
 
-/// Recent changes and the last known state of the table service.
-#[derive(Default)]
-struct Recent {
-    /// Last applied changes, oldest first. Invariant: consecutive revisions.
-    changes: Vec<Change>,
-    /// Whether the last read of the table succeeded; `None` before the first read.
-    table_up: Option<bool>,
-}
-
 impl Follower {
     /// Creates a follower. The instance has no configuration until the first read.
     pub fn new(core: Arc<Core>, config_store: Arc<Store>) -> Self {
-        Self { core, config_store, recent: Mutex::default(), install_lock: Mutex::default() }
+        Self {
+            core,
+            config_store,
+            table_up: Mutex::default(),
+            has_read: AtomicBool::default(),
+            install_lock: Mutex::default(),
+        }
     }
 
     /// Reads the log periodically until the process ends.
@@ -67,28 +71,30 @@
     /// Reads the log once. Returns true if there may be more changes to read immediately.
     async fn poll(&self) -> Result<bool, LoadError> {
         let before = self.core.now();
-        let result = self.read().await;
+        let result = self.config_store.follow(MAX_POLL_CHANGES).await;
+        self.install();
+        if result.is_ok() {
+            self.has_read.store(true, Ordering::Relaxed);
+        }
         let result_label = if result.is_ok() { "ok" } else { "failed" };
         self.core.metrics.config_polls.with_label_values(&[result_label]).inc();
         let rev = self.core.view().rev();
-        let newest = if matches!(result, Ok(true)) { rev.next() } else { rev };
         // The revision was the newest when the read started; a newer one may exist since.
-        self.core.members.lock().on_table_read(before, result.is_ok(), newest);
-        self.record_table_state(result.is_ok());
-        result
-    }
-
-    async fn read(&self) -> Result<bool, LoadError> {
-        if self.config_store.view().rev() == Rev::default() {
-            self.config_store.refresh().await?;
-            self.install();
-            return Ok(false);
+        let (answered, newest) = match &result {
+            Ok(true) => (true, rev.next()),
+            // The log has lost what is in force here, so it has nothing newer.
+            Ok(false) | Err(LoadError::Lost { .. }) => (true, rev),
+            Err(LoadError::Diverged(_) | LoadError::Apply(_)) => (true, rev.next()),
+            Err(LoadError::Table(_) | LoadError::Blob(_)) => (false, rev),
+        };
+        if let Err(error) = result.as_ref()
+            && answered
+        {
+            tracing::error!(%rev, %error, "configuration log does not match the configuration");
         }
-        let changes =
-            self.config_store.changes(self.config_store.view().rev(), MAX_POLL_CHANGES).await?;
-        self.apply(&changes);
-        // Only an empty answer shows that the end of the log is reached.
-        Ok(!changes.is_empty())
+        self.core.members.lock().on_table_read(before, answered, newest);
+        self.record_table_state(answered);
+        result
     }
 
     /// Reads the log to its end. The configuration in force then is at least as new as the log was
@@ -98,26 +104,13 @@
         Ok(())
     }
 
-    /// Applies changes in order and skips known ones. Ignores changes after a gap; the next read of
-    /// the log returns them.
+    /// Applies changes of a peer in order and skips known ones. Ignores changes after a gap, which
+    /// the next read of the log returns, and all changes before the first read of the log: an
+    /// instance that starts in an outage of the table service takes no work.
     pub fn apply(&self, changes: &[Change]) {
-        let known = self.config_store.view().rev();
-        if self.config_store.apply(changes).is_err() {
-            return;
-        }
-        let mut recent = self.recent.lock();
-        let newer = changes.iter().filter(|c| c.rev > known);
-        // Only consecutive changes are kept: after a gap none is added any more, and peers read
-        // them from the log.
-        for change in newer {
-            if recent.changes.last().is_none_or(|last| change.rev == last.rev.next()) {
-                recent.changes.push(change.clone());
-            }
+        if self.has_read.load(Ordering::Relaxed) && self.config_store.apply(changes).is_ok() {
+            self.install();
         }
-        let excess = recent.changes.len().saturating_sub(MAX_RECENT_CHANGES);
-        recent.changes.drain(..excess);
-        drop(recent);
-        self.install();
     }
 
     /// Makes the newest known view the current configuration.
@@ -138,17 +131,12 @@
     /// Returns the changes after `rev`, for a peer that lacks them. Empty if some of them are no
     /// longer kept here; the peer then reads the log itself.
     pub fn changes_after(&self, rev: Rev) -> Vec<Change> {
-        let recent = self.recent.lock();
-        let at = recent.changes.partition_point(|c| c.rev <= rev);
-        match recent.changes.get(at) {
-            Some(first) if first.rev == rev.next() => recent.changes[at..].to_vec(),
-            _ => Vec::new(),
-        }
+        self.config_store.recent(rev)
     }
 
     /// Logs and records when the table service becomes available or unavailable.
     fn record_table_state(&self, up: bool) {
-        if self.recent.lock().table_up.replace(up) == Some(up) {
+        if self.table_up.lock().replace(up) == Some(up) {
             return;
         }
         if up {
