Store the outcome of a call whose claim the table service has lost

A keyed call was run a second time if the table service returned from an older copy while it ran: its holder found the row gone, or back at "not run" of an earlier attempt, gave the outcome up as not its own, and the key stayed free. Where the copy had the claim, under a version of a later era, the outcome was tried again for ever and never stored.

The end of a claim now goes by the row that is read back: it is written over the claim at whatever version that has, over "not run", and where there is no row. A claim or an outcome of another attempt is left alone as before. A holder has a claim only once its row was written, so a missing row means a return.

Not covered: a repeat that comes after the return and before the claim ends, and outcomes stored before the return.

--- a/crates/ledger/src/settle.rs
+++ b/crates/ledger/src/settle.rs
@@ -132,18 +132,22 @@
         };
         let entry = record.entry(state);
         let mut reason = TableError::Conflict;
+        let mut expect = Expect::Version(record.version());
         for _ in 0..MAX_TRIES {
-            let expect = Expect::Version(record.version());
             match self.write(&record.call, expect, &entry).await {
                 Ok(()) => return Ok(()),
                 Err(TableError::Refused(text)) => return Err(EndError::Retry(text)),
                 Err(e) => reason = e,
             }
-            match self.read(&record.call).await? {
+            expect = match self.read(&record.call).await? {
                 Some(e) if e.holder == entry.holder && e.state == entry.state => return Ok(()),
-                Some(e) if e.held_by(&record.holder) => {}
-                _ => return Err(EndError::NotHeld),
-            }
+                Some(e) if e.held_by(&record.holder) => Expect::Version(e.version),
+                // The claim was in the row. It is lost if the table service has returned from an
+                // older copy, and the key must not stay free.
+                Some(e) if e.is_marked_not_run() => Expect::Version(e.version),
+                None => Expect::Absent,
+                Some(_) => return Err(EndError::NotHeld),
+            };
         }
         Err(reason.into())
     }
