--- a/crates/admin/src/auth.rs
+++ b/crates/admin/src/auth.rs
@@ -1,4 +1,4 @@
-//! Only operators get in.
+//! Authentication of operators.
 
 use std::sync::Arc;
 
--- a/crates/admin/src/body.rs
+++ b/crates/admin/src/body.rs
@@ -1,4 +1,4 @@
-//! Documents from JSON, with every fault listed.
+//! Parses documents from JSON and lists all faults of one.
 
 use conf::{
     Doc, DocKey, Kind, Limits, Model, Params, Patch, State, Target, TargetKind, Team, Template,
@@ -8,7 +8,7 @@
 use ident::Name;
 use serde_json::Value;
 
-/// The path segment of a kind of document.
+/// Returns the path segment for a kind of document.
 pub fn plural(kind: Kind) -> &'static str {
     match kind {
         Kind::Template => "templates",
@@ -18,7 +18,7 @@
     }
 }
 
-/// The kind of document a path segment stands for.
+/// Returns the kind of document for a path segment; `None` if there is none.
 pub fn parse_kind(plural: &str) -> Option<Kind> {
     match plural {
         "templates" => Some(Kind::Template),
@@ -29,10 +29,10 @@
     }
 }
 
-const COUNT: Form<u32> =
+const U32: Form<u32> =
     Form { wanted: "a whole number up to 4294967295", read: |v| v.as_u64()?.try_into().ok() };
 
-const WEIGHT: Form<u16> =
+const U16: Form<u16> =
     Form { wanted: "a whole number up to 65535", read: |v| v.as_u64()?.try_into().ok() };
 
 const SPREAD: Form<u8> = Form {
@@ -54,8 +54,8 @@
     },
 };
 
-/// Reads the document `key` and lists all that is wrong with it. Lists that have no order are
-/// sorted.
+/// Parses the document `key`. Fails with all its faults. Lists whose order has no meaning are sorted
+/// and lose their duplicates.
 pub fn read_doc(key: &DocKey, value: Value) -> Result<Doc, Faults> {
     let mut faults = Faults::default();
     let mut top = Fields::root(value, &mut faults);
@@ -159,18 +159,18 @@
 
 fn limits(item: Item, faults: &mut Faults) -> Option<Limits> {
     let mut fields = item.fields(faults);
-    let rate = fields.take("rate").read(&COUNT, faults);
-    let inflight = fields.take("inflight").read(&COUNT, faults);
-    let prompt = fields.take("prompt").read(&COUNT, faults);
-    let tokens = fields.take("tokens").read(&COUNT, faults);
+    let rate = fields.take("rate").read(&U32, faults);
+    let inflight = fields.take("inflight").read(&U32, faults);
+    let prompt = fields.take("prompt").read(&U32, faults);
+    let tokens = fields.take("tokens").read(&U32, faults);
     fields.end(faults);
     Some(Limits { rate: rate?, inflight: inflight?, prompt: prompt?, tokens: tokens? })
 }
 
 fn weights(item: Item, faults: &mut Faults) -> Option<Weights> {
     let mut fields = item.fields(faults);
-    let latency = fields.take("latency").read(&WEIGHT, faults);
-    let recompute = fields.take("recompute").read(&WEIGHT, faults);
+    let latency = fields.take("latency").read(&U16, faults);
+    let recompute = fields.take("recompute").read(&U16, faults);
     fields.end(faults);
     Some(Weights { latency: latency?, recompute: recompute? })
 }
--- a/crates/admin/src/control.rs
+++ b/crates/admin/src/control.rs
@@ -1,4 +1,4 @@
-//! What an instance offers to its operators.
+//! The operations that an instance offers to operators.
 
 use std::time::Duration;
 
@@ -13,13 +13,12 @@
 /// The instance behind the administration API.
 #[async_trait]
 pub trait Control: Send + Sync {
-    /// Whether `token` is an operator's key.
+    /// Returns whether `token` is an operator's key.
     fn authorised(&self, token: &str) -> bool;
 
-    /// Accepts a change of the document `key`: `doc` from now on, or its removal. `expect` is the
-    /// revision that made the present document, `None` when there must be none. An id that was
-    /// accepted before gives back the stored change, whatever the other arguments say. The
-    /// document is stored as given.
+    /// Accepts a change of the document `key`: its new content, or its removal if `doc` is `None`.
+    /// `expect` is the revision of the present document; `None` if it must not exist. For an id that
+    /// was accepted before, returns the stored change and ignores the other arguments.
     async fn accept(
         &self,
         id: RequestId,
@@ -28,58 +27,58 @@
         expect: Option<Rev>,
     ) -> Result<Change, ControlError>;
 
-    /// The document in force on this instance and the revision that made it.
+    /// Returns the document in force on this instance with its revision; `None` if it does not exist.
     fn doc(&self, key: &DocKey) -> Option<(Doc, Rev)>;
 
-    /// Names of all documents of `kind` with the revisions that made them, by name.
+    /// Returns the names of all documents of `kind` with their revisions, sorted by name.
     fn names(&self, kind: Kind) -> Vec<(Name, Rev)>;
 
-    /// The state of this instance.
+    /// Returns the state of this instance.
     async fn status(&self) -> InstanceStatus;
 
-    /// At most `limit` events of this life of the process after position `after`, in order.
+    /// Returns at most `limit` events of this process after sequence number `after`, in order.
     async fn events(&self, after: u64, limit: usize) -> Page;
 
-    /// Starts a planned stop; returns at once. Calling it again changes nothing.
+    /// Starts a planned stop and returns at once. Further calls have no effect.
     async fn drain(&self);
 
-    /// How far the rollout of a model's version has come; `None` for an unknown model.
+    /// Returns the progress of the rollout of a model's version; `None` if the model is unknown.
     async fn rollout(&self, model: &Name) -> Result<Option<RolloutStatus>, ControlError>;
 }
 
-/// Why a change was not accepted, or not known to be.
+/// Error of a change that was not accepted, or may not have been.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum ControlError {
-    /// The document was changed since the expected revision. Not accepted.
+    /// The document is not at the expected revision. The change was not accepted.
     #[error("the document was changed meanwhile; read it and decide again")]
     Stale {
-        /// The revision that made the present document; `None` when there is none.
+        /// Revision of the present document; `None` if it does not exist.
         current: Option<Rev>,
     },
-    /// The id was accepted for another change, which stands.
+    /// Another change was accepted with this id.
     #[error("change id {id} was accepted for another change; make a new one")]
     IdReused {
-        /// The id.
+        /// Id of both changes.
         id: RequestId,
-        /// The revision of that other change.
+        /// Revision of the accepted change.
         current: Rev,
     },
-    /// The document is wrong or does not fit the others. Not accepted.
+    /// The document is invalid or conflicts with others. The change was not accepted.
     #[error("the document needs changes:\n{0}")]
     Invalid(Faults),
-    /// The platform's table can't be reached. Not accepted.
+    /// The table service can't be reached. The change was not accepted.
     #[error("the table service can't be reached; try again in {} s", retry_after.as_secs())]
     Unavailable {
-        /// When trying again makes sense, from now.
+        /// Delay after which a retry makes sense.
         retry_after: Duration,
     },
-    /// The answer of the platform's table was lost: the change may have been accepted.
+    /// The answer of the table service was lost, so the change may have been accepted.
     #[error("the change may have been accepted; ask again with the same change id {id}")]
     Unknown {
-        /// The change's id.
+        /// Id of the change.
         id: RequestId,
     },
-    /// There is no such document.
+    /// The document does not exist.
     #[error("there is no such document")]
     Missing,
 }
--- a/crates/admin/src/docs.rs
+++ b/crates/admin/src/docs.rs
@@ -1,4 +1,4 @@
-//! Reading and changing documents.
+//! Handlers that read and change documents.
 
 use std::sync::Arc;
 
@@ -35,7 +35,7 @@
     Path(path): Path<(String, String)>,
 ) -> Result<Response, Problem> {
     let (doc, rev) = control.doc(&doc_key(&path)?).ok_or(Problem::NotFound)?;
-    Ok(([(header::ETAG, etag(rev))], Json(inner(&doc))).into_response())
+    Ok(([(header::ETAG, etag(rev))], Json(to_json(&doc))).into_response())
 }
 
 /// `PUT /admin/v1/{kind}/{name}`
@@ -109,7 +109,7 @@
     })
 }
 
-fn inner(doc: &Doc) -> Value {
+fn to_json(doc: &Doc) -> Value {
     let value = match doc {
         Doc::Template(d) => serde_json::to_value(d),
         Doc::Team(d) => serde_json::to_value(d),
--- a/crates/admin/src/headers.rs
+++ b/crates/admin/src/headers.rs
@@ -5,15 +5,15 @@
 
 use crate::Problem;
 
-/// Carries the id of a change, made by the client: 32 hexadecimal digits.
+/// Header with the id of a change, which the client generates: 32 hexadecimal digits.
 pub const CHANGE_ID: &str = "change-id";
 
-/// The entity tag of a document made by `rev`.
+/// Returns the entity tag of a document at revision `rev`.
 pub fn etag(rev: Rev) -> String {
     format!("\"{rev}\"")
 }
 
-/// The revision an entity tag stands for.
+/// Parses an entity tag into a revision; `None` if it is malformed.
 pub fn parse_etag(text: &str) -> Option<Rev> {
     let digits = text.trim().strip_prefix("\"r")?.strip_suffix('"')?;
     digits.parse().ok().map(Rev)
@@ -23,20 +23,21 @@
     headers.get(name)?.to_str().ok()
 }
 
-/// The operator's key.
+/// Returns the bearer token; `None` without one.
 pub fn bearer(headers: &HeaderMap) -> Option<&str> {
     let value = text(headers, header::AUTHORIZATION.as_str())?;
     let (scheme, token) = value.split_once(' ')?;
     scheme.eq_ignore_ascii_case("bearer").then(|| token.trim())
 }
 
-/// The id of a change.
+/// Returns the id of a change. Fails if the header is missing or malformed.
 pub fn change_id(headers: &HeaderMap) -> Result<RequestId, Problem> {
     let id = text(headers, CHANGE_ID).and_then(|t| t.parse().ok());
     id.ok_or(Problem::BadRequest("send a header `change-id` of 32 hexadecimal digits".into()))
 }
 
-/// The revision a change builds on; `None` when it creates the document.
+/// Returns the revision that a change replaces; `None` if it creates the document. Fails unless
+/// exactly one of both headers is given, once.
 pub fn expected(headers: &HeaderMap) -> Result<Option<Rev>, Problem> {
     let given = |name| headers.get_all(name).iter().count();
     match (given(header::IF_MATCH), given(header::IF_NONE_MATCH)) {
--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -1,8 +1,8 @@
-//! HTTP for operators: documents, status, events, drain and rollouts.
+//! The administration API over HTTP: documents, status, events, drain and rollouts.
 //!
 //! [`router`] serves the administration API over a [`Control`], which the instance implements. A
-//! change names the revision it builds on and carries an id of the client's making, so losing a
-//! race and losing an answer are both told apart from success.
+//! change names the revision that it replaces and has an id that the client generates. So a client
+//! learns that another change came first, and can repeat a change whose answer was lost.
 
 mod auth;
 mod body;
--- a/crates/admin/src/memory.rs
+++ b/crates/admin/src/memory.rs
@@ -1,4 +1,4 @@
-//! An instance in memory, for tests.
+//! An in-memory instance for tests.
 
 use std::sync::Arc;
 
@@ -12,10 +12,10 @@
     Control, ControlError, Freshness, InstanceStatus, Phase, ReplicaStatus, RolloutStatus,
 };
 
-/// Events an instance in memory keeps.
-const EVENTS: usize = 1024;
+/// Capacity of the event log.
+const EVENT_CAPACITY: usize = 1024;
 
-/// The change log all instances share.
+/// Change log that all instances share.
 #[derive(Debug, Default)]
 struct Shared {
     boots: u128,
@@ -23,101 +23,105 @@
     view: View,
 }
 
-/// What differs from instance to instance.
+/// State of one instance.
 #[derive(Debug)]
-struct Own {
+struct InstanceState {
     view: View,
+    /// Number of reads that still return `view` instead of the shared one.
     lag: u32,
+    /// Error of every change; `None` if changes succeed.
     fail: Option<ControlError>,
-    lost: u32,
+    /// Number of changes that are accepted next and whose answers are lost.
+    lost_answers: u32,
     phase: Phase,
     replicas: Vec<ReplicaStatus>,
     rollout: Option<RolloutStatus>,
 }
 
-/// A [`Control`] without a process, table or peers. Instances made with [`Memory::join`] share
+/// A [`Control`] without a process, table or peers. Instances created with [`Memory::join`] share
 /// one change log.
 pub struct Memory {
     name: Name,
     zone: Name,
     token: Arc<str>,
     boot: Boot,
-    /// The instance's events.
+    /// Event log of the instance.
     pub log: Log,
     shared: Arc<Mutex<Shared>>,
-    own: Mutex<Own>,
+    state: Mutex<InstanceState>,
 }
 
 impl Memory {
-    /// The first instance of a deployment, with an empty log; `token` is the operator's key.
+    /// Creates the first instance of a deployment, with an empty change log. `token` is the operator's
+    /// key.
     pub fn new(name: Name, zone: Name, token: &str) -> Self {
         Self::build(name, zone, token.into(), Arc::default())
     }
 
-    /// Another instance over the same change log.
+    /// Creates another instance with the same change log.
     pub fn join(&self, name: Name, zone: Name) -> Self {
         Self::build(name, zone, self.token.clone(), self.shared.clone())
     }
 
     fn build(name: Name, zone: Name, token: Arc<str>, shared: Arc<Mutex<Shared>>) -> Self {
-        let own = Own {
+        let state = InstanceState {
             view: View::default(),
             lag: 0,
             fail: None,
-            lost: 0,
+            lost_answers: 0,
             phase: Phase::Serving,
             replicas: Vec::new(),
             rollout: None,
         };
         let boot = shared.lock().boot();
-        let log = Log::new(name.clone(), boot, EVENTS);
-        Self { name, zone, token, boot, log, shared, own: Mutex::new(own) }
+        let log = Log::new(name.clone(), boot, EVENT_CAPACITY);
+        Self { name, zone, token, boot, log, shared, state: Mutex::new(state) }
     }
 
-    /// Keeps this instance at its present revision for the next `reads` reads.
+    /// Returns the present revision in the next `reads` reads, even if there are later ones.
     pub fn lag(&self, reads: u32) {
         self.view();
-        self.own.lock().lag = reads;
+        self.state.lock().lag = reads;
     }
 
-    /// Lets every change fail with `error`, or none.
+    /// Lets every change fail with `error`; `None` lets changes succeed.
     pub fn fail(&self, error: Option<ControlError>) {
-        self.own.lock().fail = error;
+        self.state.lock().fail = error;
     }
 
     /// Loses the answers of the next `n` changes after they were accepted.
     pub fn lose_answers(&self, n: u32) {
-        self.own.lock().lost = n;
+        self.state.lock().lost_answers = n;
     }
 
-    /// Sets the replicas this instance watches.
+    /// Sets the replicas that this instance knows.
     pub fn set_replicas(&self, replicas: Vec<ReplicaStatus>) {
-        self.own.lock().replicas = replicas;
+        self.state.lock().replicas = replicas;
     }
 
-    /// Sets the rollout this instance knows of.
+    /// Sets the rollout that this instance knows.
     pub fn set_rollout(&self, rollout: Option<RolloutStatus>) {
-        self.own.lock().rollout = rollout;
+        self.state.lock().rollout = rollout;
     }
 
-    /// All accepted changes, in order.
+    /// Returns all accepted changes in order.
     pub fn changes(&self) -> Vec<Change> {
         self.shared.lock().changes.clone()
     }
 
     fn view(&self) -> View {
         let shared = self.shared.lock();
-        let mut own = self.own.lock();
-        if own.lag == 0 {
-            own.view = shared.view.clone();
+        let mut state = self.state.lock();
+        if state.lag == 0 {
+            state.view = shared.view.clone();
         }
-        own.lag = own.lag.saturating_sub(1);
-        own.view.clone()
+        state.lag = state.lag.saturating_sub(1);
+        state.view.clone()
     }
 }
 
 impl Shared {
-    /// The next life of a process.
+    /// Returns a new identifier of a process.
     fn boot(&mut self) -> Boot {
         self.boots += 1;
         Boot(self.boots)
@@ -154,15 +158,15 @@
         doc: Option<Doc>,
         expect: Option<Rev>,
     ) -> Result<Change, ControlError> {
-        if let Some(error) = self.own.lock().fail.clone() {
+        if let Some(error) = self.state.lock().fail.clone() {
             return Err(error);
         }
         let mut shared = self.shared.lock();
         let rev = shared.view.rev().next();
         let change = shared.accept(Change { rev, id, key, doc }, expect)?;
-        let mut own = self.own.lock();
-        if own.lost > 0 {
-            own.lost -= 1;
+        let mut state = self.state.lock();
+        if state.lost_answers > 0 {
+            state.lost_answers -= 1;
             return Err(ControlError::Unknown { id });
         }
         Ok(change)
@@ -180,16 +184,16 @@
 
     async fn status(&self) -> InstanceStatus {
         let rev = self.view().rev();
-        let own = self.own.lock();
+        let state = self.state.lock();
         InstanceStatus {
             name: self.name.clone(),
             zone: self.zone.clone(),
             boot: self.boot,
-            phase: own.phase,
+            phase: state.phase,
             rev,
-            freshness: Freshness { fresh: own.lag == 0, confirmed: Time(0) },
+            freshness: Freshness { fresh: state.lag == 0, confirmed: Time(0) },
             running: 0,
-            replicas: own.replicas.clone(),
+            replicas: state.replicas.clone(),
             peers: Vec::new(),
         }
     }
@@ -199,11 +203,11 @@
     }
 
     async fn drain(&self) {
-        self.own.lock().phase = Phase::Draining;
+        self.state.lock().phase = Phase::Draining;
     }
 
     async fn rollout(&self, model: &Name) -> Result<Option<RolloutStatus>, ControlError> {
-        let known = self.own.lock().rollout.clone();
+        let known = self.state.lock().rollout.clone();
         Ok(known.filter(|r| r.model == *model))
     }
 }
--- a/crates/admin/src/problem.rs
+++ b/crates/admin/src/problem.rs
@@ -1,4 +1,4 @@
-//! Refusals, answered as `application/problem+json`.
+//! Error responses in `application/problem+json`.
 
 use std::time::Duration;
 
@@ -12,16 +12,16 @@
 
 use crate::{ControlError, ProblemWire};
 
-/// Media type of problem details.
+/// Media type of problem details (RFC 9457).
 const MEDIA_TYPE: HeaderValue = HeaderValue::from_static("application/problem+json");
 
-/// Why a request was refused.
+/// Error of a request.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum Problem {
-    /// No operator's key, or a wrong one.
+    /// The operator's key is missing or wrong.
     #[error("send an operator's key as `authorization: Bearer KEY`")]
     Unauthorised,
-    /// No such document, list or path.
+    /// The document, list or path does not exist.
     #[error("there is no such document or path")]
     NotFound,
     /// The path does not take this method.
@@ -33,48 +33,48 @@
     /// A header or parameter is wrong.
     #[error("{0}")]
     BadRequest(String),
-    /// A change named no revision to build on.
+    /// A change does not name the revision that it replaces.
     #[error("send `if-match: \"r<rev>\"` to change or remove, `if-none-match: *` to create")]
     PreconditionRequired,
-    /// The document was changed meanwhile. Nothing was accepted.
+    /// The document is not at the expected revision. The change was not accepted.
     #[error("the document was changed meanwhile; read it and decide again")]
     Stale {
-        /// The revision that made the present document; `None` when it was removed.
+        /// Revision of the present document; `None` if it was removed.
         current: Option<Rev>,
     },
-    /// The document to be created exists. Nothing was accepted.
+    /// The document to be created exists. The change was not accepted.
     #[error("the document exists; send `if-match` to change it")]
     Exists {
-        /// The revision that made the present document.
+        /// Revision of the present document.
         current: Rev,
     },
-    /// The change id was used for another change, which stands.
+    /// Another change was accepted with this id.
     #[error("change id {id} was accepted for another change; make a new one")]
     IdReused {
-        /// The id.
+        /// Id of both changes.
         id: RequestId,
-        /// The revision of that other change.
+        /// Revision of the accepted change.
         current: Rev,
     },
-    /// The document needs changes. Nothing was accepted.
+    /// The document is invalid. The change was not accepted.
     #[error("the document needs changes:\n{0}")]
     Invalid(Faults),
-    /// The platform's table can't be reached. Nothing was accepted.
+    /// The table service can't be reached. The change was not accepted.
     #[error("the table service can't be reached; nothing was accepted")]
     Unavailable {
-        /// When trying again makes sense, from now.
+        /// Delay after which a retry makes sense.
         retry_after: Duration,
     },
-    /// The change may have been accepted.
+    /// It is not known whether the change was accepted.
     #[error("the change may have been accepted; send it again with the same change id {id}")]
     Unknown {
-        /// The change's id.
+        /// Id of the change.
         id: RequestId,
     },
 }
 
 impl Problem {
-    /// HTTP status.
+    /// Returns the HTTP status.
     pub fn status(&self) -> StatusCode {
         match self {
             Self::Unauthorised => StatusCode::UNAUTHORIZED,
@@ -91,7 +91,7 @@
         }
     }
 
-    /// The last part of the problem's type.
+    /// Returns the last segment of the problem's type URN.
     pub fn slug(&self) -> &'static str {
         match self {
             Self::Unauthorised => "unauthorised",
@@ -109,7 +109,7 @@
         }
     }
 
-    /// A short title, the same for every problem of the type.
+    /// Returns the title, which is the same for all problems of a type.
     pub fn title(&self) -> &'static str {
         match self {
             Self::Unauthorised => "Not an operator",
@@ -127,7 +127,7 @@
         }
     }
 
-    /// When trying again makes sense, from now.
+    /// Returns the delay after which a retry makes sense; `None` if the request must be changed first.
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
             Self::Unavailable { retry_after } => Some(*retry_after),
--- a/crates/admin/src/refusal.rs
+++ b/crates/admin/src/refusal.rs
@@ -1,4 +1,4 @@
-//! What the change log refuses, in terms of the administration API.
+//! Converts errors of the change log into errors of the administration API.
 
 use std::time::Duration;
 
@@ -8,21 +8,23 @@
 
 use crate::ControlError;
 
-/// Advice to operators while the table service takes no write.
-const RETRY_ADVICE: Duration = Duration::from_secs(2);
+/// Retry delay for operators while the table service refuses writes.
+const UNAVAILABLE_RETRY_DELAY: Duration = Duration::from_secs(2);
 
 impl ControlError {
-    /// The refusal of change `id` to the document `key`.
+    /// Returns the error of change `id` to the document `key`.
     pub fn refused(id: RequestId, key: &DocKey, error: AcceptError) -> Self {
         match error {
             AcceptError::Stale { current } => Self::Stale { current },
-            AcceptError::Unavailable(_) => Self::Unavailable { retry_after: RETRY_ADVICE },
+            AcceptError::Unavailable(_) => {
+                Self::Unavailable { retry_after: UNAVAILABLE_RETRY_DELAY }
+            }
             AcceptError::Unknown(_) => Self::Unknown { id },
             AcceptError::Invalid(faults) => Self::invalid(id, key, &faults),
         }
     }
 
-    /// The refusal of change `id` to the document `key` for these faults.
+    /// Returns the error of change `id` to the document `key` that has these faults.
     pub fn invalid(id: RequestId, key: &DocKey, faults: &[Violation]) -> Self {
         let mut out = Faults::default();
         for fault in faults {
--- a/crates/admin/src/status.rs
+++ b/crates/admin/src/status.rs
@@ -1,36 +1,36 @@
-//! The state of an instance as operators see it.
+//! State of an instance, for operators.
 
 use ident::{Boot, Name, Rev, Time};
 use serde::{Deserialize, Serialize};
 
-/// What an instance is doing.
+/// Phase of the life cycle of an instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Phase {
-    /// It takes no work yet: its configuration is not confirmed.
+    /// It accepts no work yet, since its configuration is not confirmed.
     Starting,
-    /// It takes work.
+    /// It accepts work.
     Serving,
-    /// It stops: it finishes what runs and is no longer named to callers.
+    /// It is stopping: running requests end, and address answers no longer name it.
     Draining,
 }
 
-/// How sure an instance is that its configuration is the latest.
+/// Whether the configuration of an instance is known to be recent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Freshness {
-    /// Whether it was confirmed recently enough to admit new work.
+    /// Whether it was confirmed recently enough to accept new work.
     pub fresh: bool,
-    /// When it was last confirmed, by the table or by peers.
+    /// When it was last confirmed by the table service or by a peer; 0 if never.
     pub confirmed: Time,
 }
 
-/// Whether a replica takes work.
+/// Whether a replica accepts work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum ReplicaState {
-    /// It takes work.
+    /// It accepts work.
     Live,
-    /// It takes no new work.
+    /// It accepts no new work.
     Leaving,
     /// It does not answer.
     Dead,
@@ -39,27 +39,27 @@
 /// A replica as this instance sees it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReplicaStatus {
-    /// Its name in the platform's list.
+    /// Name in the platform's list.
     pub name: Name,
-    /// The target it belongs to.
+    /// Target that it belongs to.
     pub target: Name,
-    /// Its availability zone.
+    /// Availability zone.
     pub zone: Name,
-    /// Whether it takes work.
+    /// Whether it accepts work.
     pub state: ReplicaState,
-    /// The weight version it serves; `None` for plain services and before its first report.
+    /// Weights version that it serves; `None` for plain services and before the first report.
     pub weights: Option<Name>,
-    /// Requests of this instance running there.
+    /// Number of requests of this instance that run there.
     pub running: u32,
 }
 
-/// What this instance thinks of another one.
+/// State of another instance, as this one sees it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum PeerState {
-    /// Heartbeats arrive.
+    /// Heartbeats are received.
     Live,
-    /// It said that it leaves.
+    /// It announced that it is leaving.
     Leaving,
     /// Heartbeats have stopped.
     Suspect,
@@ -68,60 +68,60 @@
 /// Another instance as this one sees it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PeerStatus {
-    /// Its name.
+    /// Unique name.
     pub name: Name,
-    /// Its availability zone.
+    /// Availability zone.
     pub zone: Name,
-    /// Whether its heartbeats arrive.
+    /// Whether its heartbeats are received.
     pub state: PeerState,
-    /// The configuration revision it reported last.
+    /// Configuration revision that it reported last.
     pub rev: Rev,
-    /// When it was last heard.
+    /// When its last heartbeat was received.
     pub heard: Time,
 }
 
 /// The state of one instance.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct InstanceStatus {
-    /// Its name.
+    /// Unique name.
     pub name: Name,
-    /// Its availability zone.
+    /// Availability zone.
     pub zone: Name,
-    /// This life of its process.
+    /// Identifier of its process.
     pub boot: Boot,
-    /// What it is doing.
+    /// Phase of its life cycle.
     pub phase: Phase,
     /// The configuration revision in force.
     pub rev: Rev,
-    /// How sure it is of that revision.
+    /// Whether that revision is known to be recent.
     pub freshness: Freshness,
-    /// Requests running.
+    /// Number of running requests.
     pub running: u64,
-    /// The replicas it watches, by name.
+    /// Replicas that it knows, sorted by name.
     pub replicas: Vec<ReplicaStatus>,
-    /// The instances it hears, by name.
+    /// Instances that it receives heartbeats from, sorted by name.
     pub peers: Vec<PeerStatus>,
 }
 
-/// How far the rollout of a weight version has come.
+/// Progress of the rollout of a weights version.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RolloutStatus {
-    /// The model.
+    /// Model whose weights are rolled out.
     pub model: Name,
-    /// The version being rolled out.
+    /// Version that is rolled out.
     pub version: Name,
-    /// The instance that leads the rollout at present.
+    /// Instance that leads the rollout; `None` if none is known.
     pub leader: Option<Name>,
-    /// Replicas of the model that are not leaving.
+    /// Number of replicas of the model that are not leaving.
     pub total: u32,
-    /// Replicas that serve the version.
+    /// Number of replicas that serve the version.
     pub ready: u32,
-    /// Replicas loading it at present.
+    /// Number of replicas that are loading it.
     pub loading: u32,
 }
 
 impl RolloutStatus {
-    /// Whether every replica serves the version.
+    /// Returns whether all replicas serve the version.
     pub fn done(&self) -> bool {
         self.ready == self.total
     }
--- a/crates/admin/src/views.rs
+++ b/crates/admin/src/views.rs
@@ -1,4 +1,4 @@
-//! Status, events, drain and rollouts.
+//! Handlers for status, events, drain and rollouts.
 
 use std::sync::Arc;
 
@@ -13,20 +13,20 @@
 
 use crate::{Control, Problem, RolloutWire, StatusWire};
 
-/// Events on a page when the request names no limit.
-const PAGE: usize = 1000;
+/// Number of events on a page if the request has no limit.
+const DEFAULT_PAGE_SIZE: usize = 1000;
 
-/// Most events on a page.
-const MAX_PAGE: usize = 10_000;
+/// Maximum number of events on a page.
+const MAX_PAGE_SIZE: usize = 10_000;
 
 /// Parameters of a page of events.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct EventsQuery {
-    /// Sequence number of the last event known.
+    /// Sequence number of the last event that the client has.
     #[serde(default)]
     after: u64,
-    /// Most events wanted.
+    /// Maximum number of events to return.
     limit: Option<usize>,
 }
 
@@ -41,7 +41,7 @@
     query: Result<Query<EventsQuery>, QueryRejection>,
 ) -> Result<Json<Page>, Problem> {
     let Query(query) = query.map_err(|e| Problem::BadRequest(e.body_text()))?;
-    let limit = query.limit.unwrap_or(PAGE).clamp(1, MAX_PAGE);
+    let limit = query.limit.unwrap_or(DEFAULT_PAGE_SIZE).clamp(1, MAX_PAGE_SIZE);
     Ok(Json(control.events(query.after, limit).await))
 }
 
--- a/crates/admin/src/wire.rs
+++ b/crates/admin/src/wire.rs
@@ -1,4 +1,4 @@
-//! JSON shapes of the administration API, for servers and clients.
+//! JSON types of the administration API, for servers and clients.
 
 use std::time::Duration;
 
@@ -15,13 +15,13 @@
 /// Prefix of problem types.
 const URN: &str = "urn:lentilpitch:problem:";
 
-/// Why an answer was not understood.
+/// Error of an answer that can't be converted.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum WireError {
-    /// The problem's type is not known to this version.
+    /// This version does not know the problem's type.
     #[error("unknown problem type {0:?}; use a client of the instance's version")]
     ProblemType(String),
-    /// A member that belongs to the problem's type is missing.
+    /// A member that the problem's type requires is missing.
     #[error("the problem lacks `{0}`; use a client of the instance's version")]
     Lacks(&'static str),
 }
@@ -29,11 +29,11 @@
 /// A [`Fault`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FaultWire {
-    /// Where in the document.
+    /// Path of the field in the document.
     pub path: String,
-    /// What belongs there.
+    /// Description of a valid value.
     pub wanted: String,
-    /// What was there.
+    /// Value that was found.
     #[serde(default)]
     pub found: String,
 }
@@ -53,25 +53,25 @@
 /// A [`Problem`] as problem details.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct ProblemWire {
-    /// `urn:lentilpitch:problem:` and the problem's slug.
+    /// `urn:lentilpitch:problem:` followed by [`Problem::slug`].
     #[serde(rename = "type")]
     pub kind: String,
-    /// The same for every problem of the type.
+    /// Title of the type.
     pub title: String,
     /// HTTP status.
     pub status: u16,
-    /// What to do.
+    /// What happened and what to do.
     pub detail: String,
-    /// The revision that made the present document.
+    /// Revision of the present document, or of the change that was accepted with the id.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub current: Option<Rev>,
     /// Id of the change.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub change: Option<RequestId>,
-    /// All that is wrong with a document.
+    /// All faults of an invalid document.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub faults: Vec<FaultWire>,
-    /// When trying again makes sense, in milliseconds from now.
+    /// Delay in milliseconds after which a retry makes sense.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub retry_after_ms: Option<u64>,
 }
@@ -139,15 +139,15 @@
 /// An accepted [`Change`].
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ChangeWire {
-    /// The revision the change made.
+    /// Revision of the change.
     pub rev: Rev,
-    /// Its id.
+    /// Id that the client generated.
     pub id: RequestId,
     /// Kind of the document.
     pub kind: Kind,
     /// Name of the document.
     pub name: Name,
-    /// The document from this revision on; null when it was removed.
+    /// Document from this revision on; null if it was removed.
     pub doc: Option<Doc>,
 }
 
@@ -164,12 +164,12 @@
     }
 }
 
-/// One line of a list of documents.
+/// Entry of a list of documents.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListWire {
     /// Name of the document.
     pub name: Name,
-    /// The revision that made it.
+    /// Revision of its last change.
     pub rev: Rev,
 }
 
@@ -182,17 +182,17 @@
 /// A [`ReplicaStatus`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReplicaWire {
-    /// Its name in the platform's list.
+    /// Name in the platform's list.
     pub name: Name,
-    /// The target it belongs to.
+    /// Target that it belongs to.
     pub target: Name,
-    /// Its availability zone.
+    /// Availability zone.
     pub zone: Name,
-    /// Whether it takes work.
+    /// Whether it accepts work.
     pub state: ReplicaState,
-    /// The weight version it serves; null when not known.
+    /// Weights version that it serves; null if unknown.
     pub weights: Option<Name>,
-    /// Requests of this instance running there.
+    /// Number of requests of this instance that run there.
     pub running: u32,
 }
 
@@ -213,15 +213,15 @@
 /// A [`PeerStatus`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerWire {
-    /// Its name.
+    /// Unique name.
     pub name: Name,
-    /// Its availability zone.
+    /// Availability zone.
     pub zone: Name,
-    /// Whether its heartbeats arrive.
+    /// Whether its heartbeats are received.
     pub state: PeerState,
-    /// The configuration revision it reported last.
+    /// Configuration revision that it reported last.
     pub rev: Rev,
-    /// When it was last heard, in milliseconds since the Unix epoch.
+    /// When its last heartbeat was received, in milliseconds since the Unix epoch.
     pub heard: Time,
 }
 
@@ -242,25 +242,25 @@
 /// An [`InstanceStatus`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StatusWire {
-    /// The instance's name.
+    /// Name of the instance.
     pub name: Name,
-    /// Its availability zone.
+    /// Availability zone.
     pub zone: Name,
-    /// This life of its process.
+    /// Identifier of its process.
     pub boot: Boot,
-    /// What it is doing.
+    /// Phase of its life cycle.
     pub phase: Phase,
     /// The configuration revision in force.
     pub rev: Rev,
-    /// Whether the revision was confirmed recently enough to admit new work.
+    /// Whether the revision was confirmed recently enough to accept new work.
     pub fresh: bool,
-    /// When the revision was last confirmed, in milliseconds since the Unix epoch.
+    /// When the revision was last confirmed, in milliseconds since the Unix epoch; 0 if never.
     pub confirmed: Time,
-    /// Requests running.
+    /// Number of running requests.
     pub running: u64,
-    /// The replicas it watches, by name.
+    /// Replicas that it knows, sorted by name.
     pub replicas: Vec<ReplicaWire>,
-    /// The instances it hears, by name.
+    /// Instances that it receives heartbeats from, sorted by name.
     pub peers: Vec<PeerWire>,
 }
 
@@ -300,17 +300,17 @@
 /// A [`RolloutStatus`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RolloutWire {
-    /// The model.
+    /// Model whose weights are rolled out.
     pub model: Name,
-    /// The version being rolled out.
+    /// Version that is rolled out.
     pub version: Name,
-    /// The instance that leads the rollout; null when not known.
+    /// Instance that leads the rollout; null if unknown.
     pub leader: Option<Name>,
-    /// Replicas that are not leaving.
+    /// Number of replicas that are not leaving.
     pub total: u32,
-    /// Replicas that serve the version.
+    /// Number of replicas that serve the version.
     pub ready: u32,
-    /// Replicas loading it.
+    /// Number of replicas that are loading it.
     pub loading: u32,
 }
 
