--- a/crates/admin/src/body.rs
+++ b/crates/admin/src/body.rs
@@ -54,8 +54,8 @@
     },
 };
 
-/// Parses the document `key`. Fails with all its faults. Lists whose order has no meaning are sorted
-/// and lose their duplicates.
+/// Parses the document `key`. Fails with all its faults. Lists whose order has no meaning are
+/// sorted and lose their duplicates.
 pub fn read_doc(key: &DocKey, value: Value) -> Result<Doc, Faults> {
     let mut faults = Faults::default();
     let mut top = Fields::root(value, &mut faults);
--- a/crates/admin/src/control.rs
+++ b/crates/admin/src/control.rs
@@ -17,8 +17,8 @@
     fn authorised(&self, token: &str) -> bool;
 
     /// Accepts a change of the document `key`: its new content, or its removal if `doc` is `None`.
-    /// `expect` is the revision of the present document; `None` if it must not exist. For an id that
-    /// was accepted before, returns the stored change and ignores the other arguments.
+    /// `expect` is the revision of the present document; `None` if it must not exist. For an id
+    /// that was accepted before, returns the stored change and ignores the other arguments.
     async fn accept(
         &self,
         id: RequestId,
@@ -27,7 +27,7 @@
         expect: Option<Rev>,
     ) -> Result<Change, ControlError>;
 
-    /// Returns the document in force on this instance with its revision; `None` if it does not exist.
+    /// Returns the document in force on this instance and its revision; `None` if there is none.
     fn doc(&self, key: &DocKey) -> Option<(Doc, Rev)>;
 
     /// Returns the names of all documents of `kind` with their revisions, sorted by name.
--- a/crates/admin/src/memory.rs
+++ b/crates/admin/src/memory.rs
@@ -52,8 +52,8 @@
 }
 
 impl Memory {
-    /// Creates the first instance of a deployment, with an empty change log. `token` is the operator's
-    /// key.
+    /// Creates the first instance of a deployment, with an empty change log. `token` is the
+    /// operator's key.
     pub fn new(name: Name, zone: Name, token: &str) -> Self {
         Self::build(name, zone, token.into(), Arc::default())
     }
--- a/crates/admin/src/problem.rs
+++ b/crates/admin/src/problem.rs
@@ -127,7 +127,7 @@
         }
     }
 
-    /// Returns the delay after which a retry makes sense; `None` if the request must be changed first.
+    /// Returns the delay after which a retry makes sense; `None` if the same request fails again.
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
             Self::Unavailable { retry_after } => Some(*retry_after),
--- a/crates/lentildemo/src/cli.rs
+++ b/crates/lentildemo/src/cli.rs
@@ -6,12 +6,12 @@
 #[derive(Debug, Parser)]
 #[command(name = "lentildemo", version)]
 pub struct Opts {
-    /// What to do in place of the main job.
+    /// Job to run in place of the main one; `None` for the main one.
     #[command(subcommand)]
     pub command: Option<Command>,
 }
 
-/// What to do in place of the main job.
+/// Job to run in place of the main one.
 #[derive(Debug, Subcommand)]
 pub enum Command {
     /// Work under random faults, often two at once, and check what must always hold
--- a/crates/lentildemo/src/faults.rs
+++ b/crates/lentildemo/src/faults.rs
@@ -8,24 +8,24 @@
 use serde_json::{Value, json};
 use tokio::time::sleep;
 
-/// A fault, and where it strikes.
+/// A fault and where it is injected.
 #[derive(Debug, Clone)]
 pub enum Fault {
-    /// A stand-in's knobs.
-    Knobs(Place, Value),
-    /// An instance is killed and replaced by one of another name.
+    /// Sets fault knobs of a stand-in.
+    Knobs(StandIn, Value),
+    /// Kills the instance at this index and starts one with another name.
     Kill(usize),
-    /// An instance is frozen for a while.
+    /// Freezes the instance at this index for this long.
     Freeze(usize, Duration),
-    /// An operator changes a limit.
+    /// Changes the prompt limit of a template.
     Limit(u64),
-    /// An operator wants other weights.
+    /// Changes the weights version of a model: the new and the previous version.
     Weights(&'static str, &'static str),
 }
 
-/// A stand-in.
+/// The stand-in at which a fault is injected.
 #[derive(Debug, Clone, Copy)]
-pub enum Place {
+pub enum StandIn {
     /// The table service.
     Table,
     /// The object store.
@@ -36,42 +36,42 @@
     Replica(&'static str),
 }
 
-/// Weight versions an operator swaps between.
-const SWAPS: [(&str, &str); 3] = [("v2", "v1"), ("v1", "v2"), ("v3", "v1")];
+/// Weights versions between which a model changes: the new and the previous one.
+const VERSION_CHANGES: [(&str, &str); 3] = [("v2", "v1"), ("v1", "v2"), ("v3", "v1")];
 
-/// Draws a fault for a deployment of `instances` instances.
-pub fn draw(rng: &mut SmallRng, instances: usize) -> Fault {
+/// Returns a random fault for a deployment of `instances` instances.
+pub fn random_fault(rng: &mut SmallRng, instances: usize) -> Fault {
     let at = rng.random_range(0..instances);
     match rng.random_range(0..10) {
         0 => Fault::Kill(at),
         1 | 2 => Fault::Freeze(at, Duration::from_millis(rng.random_range(500..9000))),
         3 => Fault::Limit(1_000_000 + rng.random_range(0..1000)),
         4 => {
-            let (version, previous) = SWAPS[rng.random_range(0..SWAPS.len())];
+            let (version, previous) = VERSION_CHANGES[rng.random_range(0..VERSION_CHANGES.len())];
             Fault::Weights(version, previous)
         }
-        _ => knobs(rng),
+        _ => random_knobs(rng),
     }
 }
 
-fn knobs(rng: &mut SmallRng) -> Fault {
+fn random_knobs(rng: &mut SmallRng) -> Fault {
     let engine = *["inkline-writer-1", "inkline-writer-2"].choose(rng).expect("not empty");
-    let store = Place::Replica("inkline-store-1");
-    let desk = Place::Replica("inkline-desk-1");
+    let store = StandIn::Replica("inkline-store-1");
+    let desk = StandIn::Replica("inkline-desk-1");
     let all = [
-        (Place::Table, json!({"outage": true})),
-        (Place::Table, json!({"delay_ms": 400})),
-        (Place::Table, json!({"lose_answers": 5})),
-        (Place::Table, json!({"silent_open": true})),
-        (Place::Objects, json!({"outage": true})),
-        (Place::List, json!({"outage": true})),
-        (Place::List, json!({"lag_ms": 4000})),
-        (Place::Replica(engine), json!({"double_chunks": true, "late_chunks_ms": 15})),
-        (Place::Replica(engine), json!({"cross_answers": true})),
-        (Place::Replica(engine), json!({"silent_open": true})),
-        (Place::Replica(engine), json!({"leaving": true})),
-        (Place::Replica(engine), json!({"evict_all": true})),
-        (Place::Replica(engine), json!({"lag_ms": 3000})),
+        (StandIn::Table, json!({"outage": true})),
+        (StandIn::Table, json!({"delay_ms": 400})),
+        (StandIn::Table, json!({"lose_answers": 5})),
+        (StandIn::Table, json!({"silent_open": true})),
+        (StandIn::Objects, json!({"outage": true})),
+        (StandIn::List, json!({"outage": true})),
+        (StandIn::List, json!({"lag_ms": 4000})),
+        (StandIn::Replica(engine), json!({"double_chunks": true, "late_chunks_ms": 15})),
+        (StandIn::Replica(engine), json!({"cross_answers": true})),
+        (StandIn::Replica(engine), json!({"silent_open": true})),
+        (StandIn::Replica(engine), json!({"leaving": true})),
+        (StandIn::Replica(engine), json!({"evict_all": true})),
+        (StandIn::Replica(engine), json!({"lag_ms": 3000})),
         (store, json!({"flip_bits": true})),
         (store, json!({"partial_writes": true})),
         (store, json!({"full": true})),
@@ -82,28 +82,28 @@
         (desk, json!({"refuse": 3})),
         (desk, json!({"stall_ms": 300})),
     ];
-    let (place, knobs) = all.choose(rng).expect("not empty").clone();
-    Fault::Knobs(place, knobs)
+    let (stand_in, knobs) = all.choose(rng).expect("not empty").clone();
+    Fault::Knobs(stand_in, knobs)
 }
 
-/// Lets a fault strike; a stand-in's knobs stay as they are until [`mend`].
-pub async fn strike(deployment: &mut Deployment, fault: &Fault, serial: usize) -> Result<()> {
+/// Injects a fault. Knobs of stand-ins stay set until [`clear`].
+pub async fn inject(deployment: &mut Deployment, fault: &Fault, serial: usize) -> Result<()> {
     match fault {
-        Fault::Knobs(place, knobs) => set(deployment, *place, knobs.clone()).await?,
+        Fault::Knobs(stand_in, knobs) => set_knobs(deployment, *stand_in, knobs.clone()).await?,
         Fault::Kill(at) => {
             let gone = deployment.entries.remove(*at);
             gone.instance.signal(Signal::Kill)?;
             deployment.add_instance(&format!("entry-new-{serial}"), &gone.zone).await?;
             deployment.platform.delist(&gone.name).await?;
         }
-        Fault::Freeze(at, span) => {
+        Fault::Freeze(at, duration) => {
             deployment.entries[*at].instance.signal(Signal::Stop)?;
-            sleep(*span).await;
+            sleep(*duration).await;
             deployment.entries[*at].instance.signal(Signal::Cont)?;
         }
         Fault::Limit(limit) => {
             let edit = |doc: &mut Value| doc["params"]["limits"]["prompt"] = json!(limit);
-            // Refused while the platform is out, or lost against another change.
+            // Fails during an outage of the platform, or if another change comes first.
             let _ = deployment.change(&deployment.entries[0], "templates/inkline", edit).await;
         }
         Fault::Weights(version, previous) => {
@@ -117,29 +117,29 @@
     Ok(())
 }
 
-/// Ends all faults of stand-ins.
-pub async fn mend(deployment: &Deployment) -> Result<()> {
-    for place in [
-        Place::Table,
-        Place::Objects,
-        Place::List,
-        Place::Replica("inkline-writer-1"),
-        Place::Replica("inkline-writer-2"),
-        Place::Replica("inkline-store-1"),
-        Place::Replica("inkline-desk-1"),
+/// Clears the fault knobs of all stand-ins.
+pub async fn clear(deployment: &Deployment) -> Result<()> {
+    for stand_in in [
+        StandIn::Table,
+        StandIn::Objects,
+        StandIn::List,
+        StandIn::Replica("inkline-writer-1"),
+        StandIn::Replica("inkline-writer-2"),
+        StandIn::Replica("inkline-store-1"),
+        StandIn::Replica("inkline-desk-1"),
     ] {
-        set(deployment, place, json!({})).await?;
+        set_knobs(deployment, stand_in, json!({})).await?;
     }
     Ok(())
 }
 
-async fn set(deployment: &Deployment, place: Place, knobs: Value) -> Result<()> {
+async fn set_knobs(deployment: &Deployment, stand_in: StandIn, knobs: Value) -> Result<()> {
     let platform = &deployment.platform;
-    let proc = match place {
-        Place::Table => &platform.table,
-        Place::Objects => &platform.objects,
-        Place::List => &platform.list,
-        Place::Replica(name) => platform.proc(name)?,
+    let proc = match stand_in {
+        StandIn::Table => &platform.table,
+        StandIn::Objects => &platform.objects,
+        StandIn::List => &platform.list,
+        StandIn::Replica(name) => platform.proc(name)?,
     };
     platform.faults(proc, knobs).await?;
     Ok(())
--- a/crates/lentildemo/src/judge.rs
+++ b/crates/lentildemo/src/judge.rs
@@ -1,4 +1,4 @@
-//! Checks answers and calls, and counts what became of them.
+//! Checks answers and calls, and counts their outcomes.
 
 use std::sync::{
     Arc,
@@ -9,50 +9,55 @@
 use rig::{Answer, Booked, CallError, Completion, Deployment, HttpError, Reply};
 use serde_json::Value;
 
-/// Counts of one soak.
+/// Counts of one soak run.
 #[derive(Debug, Default)]
 pub struct Counts {
-    /// Whole answers.
+    /// Complete and correct answers.
     pub whole: AtomicU64,
-    /// Whole answers that went on over a lost connection.
+    /// Answers among them that were resumed after a lost connection.
     pub resumed: AtomicU64,
-    /// Requests refused or late.
+    /// Requests that were refused or not answered in time.
     pub refused: AtomicU64,
     /// Calls with an outcome.
     pub booked: AtomicU64,
-    /// Calls said not to have run.
+    /// Calls that were reported as not run.
     pub not_run: AtomicU64,
     /// Calls that may have run.
     pub unknown: AtomicU64,
-    /// Faults set.
+    /// Injected faults.
     pub faults: AtomicU64,
 }
 
-/// Adds one to a count.
+/// Increments a counter.
 pub fn count(counter: &AtomicU64) {
     counter.fetch_add(1, Ordering::Relaxed);
 }
 
-/// What a caller was told of a call.
+/// What a caller knows of its call.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Told {
-    /// It ran, and this was the answer.
+pub enum CallResult {
+    /// The call ran, with this answer.
     Ran(String),
-    /// It did not run.
+    /// The call did not run.
     NotRun,
-    /// Anything else.
+    /// It is not known whether the call ran.
     Unknown,
 }
 
-/// Checks an answer; a refusal is fine, a wrong or broken answer is not.
-pub fn answer(counts: &Counts, ask: &Completion, result: Result<Answer, CallError>) -> Result<()> {
+/// Checks an answer. Fails if it is wrong or broken; a refusal is allowed.
+pub fn answer(
+    counts: &Counts,
+    request: &Completion,
+    result: Result<Answer, CallError>,
+) -> Result<()> {
     match result {
         Ok(answer) => {
-            let wanted = fakes::expected(&ask.model, &answer.weights, &ask.prompt, ask.tokens);
+            let wanted =
+                fakes::expected(&request.model, &answer.weights, &request.prompt, request.tokens);
             ensure!(
                 answer.text == wanted,
                 "{} answered by {} with another text: {answer:?}",
-                ask.context,
+                request.context,
                 answer.weights
             );
             count(&counts.whole);
@@ -60,59 +65,58 @@
                 count(&counts.resumed);
             }
         }
-        Err(error) if error.broken_promise() => bail!("{}: {error}", ask.context),
+        Err(error) if error.broken_promise() => bail!("{}: {error}", request.context),
         Err(_) => count(&counts.refused),
     }
     Ok(())
 }
 
-/// What the caller of a call was told that was tried again and again. A refusal of the last try
-/// says nothing of the ones before.
-pub fn told_at_last(result: &Result<Booked, CallError>) -> Told {
+/// Result of a call with several attempts. A refusal of the last one says nothing about the others.
+pub fn result_of_attempts(result: &Result<Booked, CallError>) -> CallResult {
     match result {
-        Ok(booked) => Told::Ran(shown(&booked.reply)),
-        Err(_) => Told::Unknown,
+        Ok(booked) => CallResult::Ran(describe(&booked.reply)),
+        Err(_) => CallResult::Unknown,
     }
 }
 
-/// What the caller of a call was told that was tried once.
-pub fn told_at_once(result: &Result<Reply, HttpError>) -> Told {
-    let Ok(reply) = result else { return Told::Unknown };
+/// Result of a call with one attempt.
+pub fn result_of_attempt(result: &Result<Reply, HttpError>) -> CallResult {
+    let Ok(reply) = result else { return CallResult::Unknown };
     if reply.status.is_success() {
-        return Told::Ran(shown(reply));
+        return CallResult::Ran(describe(reply));
     }
     match reply.json::<Value>() {
-        Ok(problem) if problem["ran"] == "no" => Told::NotRun,
-        _ => Told::Unknown,
+        Ok(problem) if problem["ran"] == "no" => CallResult::NotRun,
+        _ => CallResult::Unknown,
     }
 }
 
-fn shown(reply: &Reply) -> String {
+fn describe(reply: &Reply) -> String {
     format!("{} {:?}", reply.status, reply.text())
 }
 
-/// Checks all calls against the service's own log: none ran twice, one that was said to have run
-/// did, and one whose only attempt was said not to have run did not.
+/// Checks all calls against the log of the service. Fails if a call ran twice, one that was
+/// answered did not run, or one that was reported as not run did.
 pub async fn calls(
     counts: &Arc<Counts>,
     deployment: &Deployment,
     service: &str,
-    calls: &[(String, Told)],
+    calls: &[(String, CallResult)],
 ) -> Result<()> {
     let log = deployment.platform.log(deployment.platform.proc(service)?).await?;
-    for (key, told) in calls {
+    for (key, result) in calls {
         let runs = log.iter().filter(|call| call["key"] == **key).count();
         ensure!(runs <= 1, "call {key} ran {runs} times");
-        match told {
-            Told::Ran(answer) => {
+        match result {
+            CallResult::Ran(answer) => {
                 ensure!(runs == 1, "call {key} was answered with {answer} and did not run");
                 count(&counts.booked);
             }
-            Told::NotRun => {
+            CallResult::NotRun => {
                 ensure!(runs == 0, "call {key} was said not to have run, and ran");
                 count(&counts.not_run);
             }
-            Told::Unknown => count(&counts.unknown),
+            CallResult::Unknown => count(&counts.unknown),
         }
     }
     Ok(())
--- a/crates/lentildemo/src/main.rs
+++ b/crates/lentildemo/src/main.rs
@@ -1,5 +1,5 @@
-//! Brings up a small deployment, runs the main job step by step or soaks it under random faults,
-//! and leaves nothing running.
+//! Starts a small deployment, runs the main job step by step or a soak under random faults, and
+//! ends all processes.
 
 mod cli;
 mod faults;
--- a/crates/lentildemo/src/steps.rs
+++ b/crates/lentildemo/src/steps.rs
@@ -4,12 +4,12 @@
 use rig::{Answer, Completion, Deployment, STATE_LIMIT, Spec, wait_for};
 use serde_json::json;
 
-/// Paragraphs of the long prompt.
+/// Number of paragraphs of the long prompt.
 const PARAGRAPHS: usize = 120;
-/// Tokens asked for.
+/// Number of tokens to generate.
 const TOKENS: u32 = 24;
 
-/// Runs all steps; fails at the first that did not do what it should.
+/// Runs all steps. Fails at the first one with a wrong result.
 pub async fn run() -> Result<()> {
     println!("starting: platform, 4 engine replicas, 2 stores, 2 services, 3 instances in 2 zones");
     let deployment = Deployment::start(&Spec::default()).await.wrap_err("start")?;
@@ -35,8 +35,8 @@
     }
 }
 
-fn check(answer: &Answer, ask: &Completion, weights: &str) -> Result<()> {
-    let wanted = fakes::expected(&ask.model, weights, &ask.prompt, ask.tokens);
+fn check(answer: &Answer, request: &Completion, weights: &str) -> Result<()> {
+    let wanted = fakes::expected(&request.model, weights, &request.prompt, request.tokens);
     ensure!(answer.text == wanted, "the answer differs from what the model says");
     ensure!(answer.weights == weights, "served by {} in place of {weights}", answer.weights);
     Ok(())
@@ -44,9 +44,9 @@
 
 async fn first_and_return(deployment: &Deployment) -> Result<()> {
     let caller = deployment.caller("weddings", "regina");
-    let ask = brief("Who draws in week 3?");
-    let first = caller.complete(&ask).await?;
-    check(&first, &ask, "v1")?;
+    let request = brief("Who draws in week 3?");
+    let first = caller.complete(&request).await?;
+    check(&first, &request, "v1")?;
     println!("first: {} prompt tokens, {} cached, whole answer", first.prompt, first.cached);
     ensure!(first.cached == 0, "a first prompt has no cache");
     wait_kept(deployment).await?;
@@ -57,9 +57,9 @@
         deployment.platform.faults(engine, json!({})).await?;
     }
     println!("evicted: the context left every accelerator");
-    let ask = brief("Who draws in week 88?");
-    let again = caller.complete(&ask).await?;
-    check(&again, &ask, "v1")?;
+    let request = brief("Who draws in week 88?");
+    let again = caller.complete(&request).await?;
+    check(&again, &request, "v1")?;
     println!("returned: {} prompt tokens, {} from kept cache", again.prompt, again.cached);
     ensure!(again.cached * 2 > again.prompt, "most of the prompt comes from kept cache");
     Ok(())
@@ -76,12 +76,12 @@
 }
 
 async fn isolation(deployment: &Deployment) -> Result<()> {
-    let ask = brief("Who draws in week 3?");
-    let other = deployment.caller("fairs", "regina").complete(&ask).await?;
-    check(&other, &ask, "v1")?;
+    let request = brief("Who draws in week 3?");
+    let other = deployment.caller("fairs", "regina").complete(&request).await?;
+    check(&other, &request, "v1")?;
     ensure!(other.cached == 0, "another team's cache was used");
     println!("isolated: the same prompt of another team had {} cached tokens", other.cached);
-    let stranger = deployment.caller("parish-east", "regina").complete(&ask).await;
+    let stranger = deployment.caller("parish-east", "regina").complete(&request).await;
     ensure!(stranger.is_err(), "the other organisation's model was reached");
     println!("isolated: the other organisation was refused");
     Ok(())
@@ -92,8 +92,8 @@
     let edit = |doc: &mut serde_json::Value| doc["params"]["limits"]["prompt"] = json!(100);
     deployment.change(second, "templates/inkline", edit).await?;
     let revision = deployment.wait_same_revision().await?;
-    let ask = brief("Who draws in week 3?");
-    let refused = deployment.caller("weddings", "regina").complete(&ask).await;
+    let request = brief("Who draws in week 3?");
+    let refused = deployment.caller("weddings", "regina").complete(&request).await;
     ensure!(refused.is_err(), "the new limit is not in force");
     println!("changed: a prompt limit of 100 bytes is in force everywhere at r{revision}");
     let edit = |doc: &mut serde_json::Value| doc["params"]["limits"]["prompt"] = json!(1_000_000);
@@ -118,9 +118,9 @@
 async fn drain(mut deployment: Deployment) -> Result<()> {
     let leaving = deployment.entries.remove(0);
     leaving.instance.signal(rig::Signal::Term)?;
-    let ask = brief("Who draws in week 5?");
-    let answer = deployment.caller("weddings", "regina").complete(&ask).await?;
-    check(&answer, &ask, "v1")?;
+    let request = brief("Who draws in week 5?");
+    let answer = deployment.caller("weddings", "regina").complete(&request).await?;
+    check(&answer, &request, "v1")?;
     let status = leaving.instance.stop().await?;
     ensure!(status.success(), "the drained instance ended with {status}");
     println!("drained: {} left, and requests went on", leaving.name);
