Pass a long answer on before its end though it has no length

An answer that is no stream and has no length was read to its end before its caller got a byte, and kept in memory however long it was; a replica that never ended one filled the instance's memory until the deadline.

Such an answer is held back up to 256 KiB, as before, so that one that breaks off there is seen and may be repeated; the rest is relayed as it arrives, as for answers with a length above that. One that breaks off then breaks off at its caller.

`a_long_answer_without_a_length_is_passed_on_before_its_end` failed before: not a byte of 400,000 after 5 s. `a_long_answer_without_a_length_is_whole_only_if_it_ends` checks the ends; before, a reset there gave 502 in place of a broken 200. 28 of 28 tests of answer_endings, requests_forwarded and crossed_answers pass.

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use fleet::{RequestKind, Route, Snapshot};
 use http_body_util::BodyExt;
 use hyper::{
@@ -229,41 +229,62 @@
 pub(crate) async fn forward(core: Arc<Core>, job: Arc<Job>) -> Result<Response<Body>, Refusal> {
     let mut forwarder = Forwarder::new(core.clone(), job.clone());
     loop {
-        let answer = forwarder.send_until_answered(None).await?;
+        let mut answer = forwarder.send_until_answered(None).await?;
         let first = core.now().since(job.start);
         core.metrics.first_byte.observe(first.as_secs_f64());
         let streamed = answer.status.is_success() && is_stream(&job.route, &answer.headers);
         if streamed || content_length(&answer.headers).is_some_and(|n| n > MAX_BUFFERED_BYTES) {
-            return Ok(relay::relay_answer(forwarder, answer, streamed));
+            return Ok(relay::relay_answer(forwarder, answer, Bytes::new(), streamed));
         }
-        match buffer_answer(&core, &job, answer).await {
-            Ok(response) => return Ok(response),
-            Err(status)
-                if job.route.repeatable() && forwarder.possible_runs() < job.route.attempts =>
-            {
-                info!(request = &*job.meta.id, status, outcome = "cut", "answer truncated");
+        match read_start(&mut answer, job.time_left(core.now())).await {
+            Some(Start::Whole(bytes)) => return Ok(whole_answer(&core, &job, answer, bytes)),
+            Some(Start::Part(bytes)) => {
+                return Ok(relay::relay_answer(forwarder, answer, bytes, false));
             }
-            Err(_) => return Err(Refusal::Lost),
+            None => {}
         }
+        core.pool.lock().record_outcome(&answer.replica.id, Outcome::NoAnswer, core.now());
+        if !job.route.repeatable() || forwarder.possible_runs() >= job.route.attempts {
+            return Err(Refusal::Lost);
+        }
+        let status = answer.status.as_u16();
+        info!(request = &*job.meta.id, status, outcome = "cut", "answer truncated");
     }
 }
 
+/// What was read of an answer's body before it is passed on.
+enum Start {
+    /// The body, to its end.
+    Whole(Bytes),
+    /// More than [`MAX_BUFFERED_BYTES`]; the rest is still to be read.
+    Part(Bytes),
+}
+
 /// Reads an answer to its end before it is passed on, so that a truncated answer never looks
-/// complete.
-async fn buffer_answer(
-    core: &Core,
-    job: &Job,
-    answer: ReplicaAnswer,
-) -> Result<Response<Body>, u16> {
-    let ReplicaAnswer { status, mut headers, body, conn, replica, .. } = answer;
-    let read = timeout(job.time_left(core.now()), body.collect()).await;
-    let Ok(Ok(read)) = read else {
-        core.pool.lock().record_outcome(&replica.id, Outcome::NoAnswer, core.now());
-        return Err(status.as_u16());
+/// complete, unless it is long. Returns `None` if it breaks off or doesn't end within `limit`.
+async fn read_start(answer: &mut ReplicaAnswer, limit: Duration) -> Option<Start> {
+    let mut read = BytesMut::new();
+    let reading = async {
+        while let Some(frame) = answer.body.frame().await {
+            if let Ok(bytes) = frame.ok()?.into_data() {
+                read.extend_from_slice(&bytes);
+            }
+            if read.len() as u64 > MAX_BUFFERED_BYTES {
+                return Some(false);
+            }
+        }
+        Some(true)
     };
+    let ended = timeout(limit, reading).await.ok()??;
+    let bytes = read.freeze();
+    Some(if ended { Start::Whole(bytes) } else { Start::Part(bytes) })
+}
+
+/// The response for the caller to an answer whose body is `bytes`.
+fn whole_answer(core: &Core, job: &Job, answer: ReplicaAnswer, bytes: Bytes) -> Response<Body> {
+    let ReplicaAnswer { status, mut headers, conn, .. } = answer;
     let framing = Framing::of(&job.method, status, &headers);
     core.metrics.ended.with_label_values(&[framing.name(), "event"]).inc();
-    let bytes: Bytes = read.to_bytes();
     let unframed = framing == Framing::Connection;
     if !unframed {
         core.conns.keep(conn, &headers, core.now());
@@ -277,7 +298,7 @@
     if unframed {
         end_with_connection(&mut out);
     }
-    Ok(out)
+    out
 }
 
 /// Whether an answer is an event stream. Without a content type, the kind of its route decides.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -74,10 +74,12 @@
     }
 }
 
-/// Starts to relay an answer. Returns its head with a body that is filled as chunks arrive.
+/// Starts to relay an answer, of whose body `read` has been read. Returns its head with a body that
+/// is filled as chunks arrive.
 pub(crate) fn relay_answer(
     forwarder: Forwarder,
     answer: ReplicaAnswer,
+    read: Bytes,
     streamed: bool,
 ) -> Response<Body> {
     let (sender, chunks) = mpsc::channel(MAX_QUEUED_CHUNKS);
@@ -98,7 +100,7 @@
     }
     let relay =
         StreamRelay { forwarder, sender, splitter, scanner, framing, sent_bytes: 0, heard_at };
-    tokio::spawn(relay.run(answer));
+    tokio::spawn(relay.run(answer, read));
     out
 }
 
@@ -119,10 +121,14 @@
 }
 
 impl StreamRelay {
-    async fn run(mut self, mut answer: ReplicaAnswer) {
+    async fn run(mut self, mut answer: ReplicaAnswer, read: Bytes) {
         let core = self.forwarder.core.clone();
         let job = self.forwarder.job.clone();
+        let begun = self.deliver(read).await;
         let outcome = loop {
+            if !begun {
+                break "left";
+            }
             let replica = answer.replica.clone();
             let why = match self.copy_answer(answer).await {
                 End::Complete => {
