Compare changes of the log by id, not by content

An instance whose view and log differ in the content of one change only took that for two histories, and would have stopped taking work: an instance of an older release drops fields that it doesn't know from the changes that it hands on. Ids are never given to two changes, so they decide.

`a_change_handed_on_without_some_fields_is_no_other_history` fails before ("Diverged(Rev(2))"). 22 of 22 tests of conf pass.

--- a/crates/conf/src/store.rs
+++ b/crates/conf/src/store.rs
@@ -127,7 +127,7 @@
             self.restore().await?;
             return Ok(true);
         };
-        if last.is_some_and(|last| last != *first) {
+        if last.is_some_and(|id| id != first.id) {
             return Err(LoadError::Diverged(rev));
         }
         changes.remove(0);
--- a/crates/conf/src/store/known.rs
+++ b/crates/conf/src/store/known.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::VecDeque, sync::Arc};
 
-use ident::Rev;
+use ident::{RequestId, Rev};
 
 use crate::{ApplyError, Change, View};
 
@@ -43,9 +43,9 @@
         }
     }
 
-    /// The revision of the view, and its last change if that is known.
-    pub(super) fn end(&self) -> (Rev, Option<Change>) {
-        (self.view.rev(), self.recent.back().cloned())
+    /// The revision of the view, and the id of its last change if that is known.
+    pub(super) fn end(&self) -> (Rev, Option<RequestId>) {
+        (self.view.rev(), self.recent.back().map(|c| c.id))
     }
 
     /// The change of a revision; `None` if it is not kept.
--- a/crates/conf/src/store/restore.rs
+++ b/crates/conf/src/store/restore.rs
@@ -44,7 +44,7 @@
             if head.rev >= view {
                 return Ok(());
             }
-            self.check_joint(head.rev).await?;
+            self.check_same_change(head.rev).await?;
             let change = self.known.lock().change(head.rev.next()).cloned();
             let change = change.ok_or(LoadError::Lost { head: head.rev, view })?;
             match self.write(&change, &head).await {
@@ -57,12 +57,13 @@
         }
     }
 
-    /// Checks that the log's change at `rev` is that of the view, where both are known.
-    async fn check_joint(&self, rev: Rev) -> Result<(), LoadError> {
-        let Some(own) = self.known.lock().change(rev).cloned() else { return Ok(()) };
+    /// Checks that the log and the view have the same change at `rev`, where both are known. Ids are
+    /// compared, since a change that an instance of an older release has handed on may lack fields.
+    async fn check_same_change(&self, rev: Rev) -> Result<(), LoadError> {
+        let Some(id) = self.known.lock().change(rev).map(|c| c.id) else { return Ok(()) };
         let logged = self.changes(Rev(rev.0 - 1), 1).await?;
         match logged.first() {
-            Some(change) if *change != own => Err(LoadError::Diverged(rev)),
+            Some(change) if change.id != id => Err(LoadError::Diverged(rev)),
             _ => Ok(()),
         }
     }
--- a/crates/conf/tests/restored_log.rs
+++ b/crates/conf/tests/restored_log.rs
@@ -98,6 +98,21 @@
     }
 }
 
+/// Guards against a false alarm after a rolling upgrade: an instance of an older release drops fields
+/// that it doesn't know from the changes that it hands on.
+#[tokio::test]
+async fn a_change_handed_on_without_some_fields_is_no_other_history() {
+    let w = World::new();
+    let store = w.store();
+    let other = w.store();
+    set(&store, 1).await.unwrap();
+    other.refresh().await.unwrap();
+    let mut change = set(&store, 2).await.unwrap();
+    change.doc = Some(model("m", "v0"));
+    other.apply(&[change]).unwrap();
+    assert_eq!(other.refresh().await.unwrap().rev(), Rev(2));
+}
+
 #[tokio::test]
 async fn accepted_changes_stay_over_returns_in_series() {
     for seed in 0..SEEDS {
