--- a/crates/trial/src/figures.rs
+++ b/crates/trial/src/figures.rs
@@ -1,45 +1,45 @@
-//! What a run measured.
+//! Figures of a run.
 
 use comfy_table::Table;
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
-/// Longest time that is told apart, in ms.
+/// Longest time that the histograms record, in ms. Longer ones count as this.
 const MAX_MS: u64 = 100_000;
 
-/// Figures of one class.
+/// Figures of one class of prompts.
 #[derive(Debug, Clone, Default, PartialEq, Serialize)]
 pub struct ClassFigures {
-    /// Requests asked.
+    /// Number of requests.
     pub asked: u64,
-    /// Those whose first token came within the goal.
+    /// Number of requests whose first token came within the latency goal.
     pub in_time: u64,
-    /// Those whose first token came at all.
+    /// Number of requests whose first token came before the caller gave up.
     pub answered: u64,
     /// Median time to the first token, in ms.
     pub p50: u64,
-    /// 99th percentile.
+    /// 99th percentile of the time to the first token, in ms.
     pub p99: u64,
-    /// Shared tokens that were read although some engine had read them before.
+    /// Number of shared tokens that were prefilled although an engine had prefilled them before.
     pub read_again: u64,
-    /// Shared tokens in all.
+    /// Number of shared tokens of all requests.
     pub shared: u64,
 }
 
 /// Figures of one run.
 #[derive(Debug, Clone, Default, PartialEq, Serialize)]
 pub struct Figures {
-    /// The deployment.
+    /// Name of the deployment.
     pub mix: String,
-    /// The policy.
+    /// Name of the policy.
     pub policy: String,
-    /// The seed.
+    /// Seed of the random numbers.
     pub seed: u64,
-    /// Multiple of the usual rate.
+    /// Request rate as a multiple of the usual one.
     pub load: f64,
-    /// Long prompts.
+    /// Figures of long prompts.
     pub long: ClassFigures,
-    /// Short prompts.
+    /// Figures of short prompts.
     pub short: ClassFigures,
 }
 
@@ -68,7 +68,7 @@
     }
 }
 
-/// The runs side by side.
+/// Returns a table with a row for each run.
 pub fn table(all: &[Figures]) -> Table {
     let mut table = Table::new();
     table.set_header([
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -1,9 +1,9 @@
-//! Plays both users' prompts over the decisions of `place`: which replica, how long to wait for
-//! room, what to fetch and save. Engines, links and a store of kept KV cache are models; time is
-//! stepped from event to event, and the same seed gives the same figures.
+//! Simulates both users' prompts with the decisions of `place`: which replica to choose, how long
+//! to wait for capacity, what to fetch and save. Engines, links and a store of kept KV cache are
+//! simulated event by event. The same seed gives the same figures.
 //!
-//! One instance decides for all, with exact loads: what several instances lose by telling each other
-//! late is not in it, nor are replicas that fail or weights that change.
+//! One instance with exact loads decides for all requests. Delays between several instances,
+//! failures of replicas and changes of weights are not simulated.
 
 mod engine;
 mod figures;
--- a/crates/trial/src/mix.rs
+++ b/crates/trial/src/mix.rs
@@ -1,51 +1,51 @@
-//! What the users ask, and what answers them.
+//! Deployments and their prompts.
 
 use std::{str::FromStr, time::Duration};
 
 /// One class of prompts.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Class {
-    /// Requests a second.
+    /// Requests per second.
     pub rate: f64,
-    /// Contexts that come back.
+    /// Number of contexts that return.
     pub contexts: u64,
-    /// Mean tokens of a context.
+    /// Mean number of tokens of a context.
     pub shared: f64,
-    /// Mean tokens of a request's own part.
+    /// Mean number of tokens of the part that belongs to one request.
     pub own: f64,
-    /// Tokens generated.
+    /// Number of tokens to generate.
     pub output: u64,
-    /// The first token is on time within this.
+    /// Latency goal of the first token.
     pub goal: Duration,
-    /// How long callers wait.
+    /// Time after which a caller gives up.
     pub patience: Duration,
 }
 
-/// A deployment with its engines and prompts. Figures: the users' sheets and deployment files; numbers
-/// of contexts as counted in the logs of one quiet day.
+/// A deployment with its engines and prompts. The values come from the users' sheets and deployment
+/// files, the numbers of contexts from the logs of one quiet day.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Mix {
-    /// Its name.
+    /// Name on the command line.
     pub name: &'static str,
-    /// Engines.
+    /// Number of engines.
     pub engines: usize,
-    /// Tokens that each holds.
+    /// Memory of an engine, in tokens.
     pub capacity: u64,
-    /// Bytes of a token.
+    /// Size of the KV cache of a token, in bytes.
     pub bytes: u64,
-    /// Prompt tokens that an engine reads in a ms.
+    /// Prefill rate of an engine, in tokens per ms.
     pub read: f64,
-    /// Attention between all pairs of tokens, in ms for a million pairs.
+    /// Time of attention, in ms for a million pairs of tokens.
     pub pairs: f64,
-    /// From the end of reading to the first token, beside a step, in ms.
+    /// Time from the end of the prefill to the first token, without the step, in ms.
     pub first: f64,
-    /// A step with one running request, in ms.
+    /// Fixed part of the time of a step, in ms.
     pub step: f64,
-    /// What each further request adds to a step, in ms.
+    /// Part of the time of a step for each running request, in ms.
     pub slot: f64,
     /// Bandwidth of each engine's link, in Mbit/s.
     pub link: f64,
-    /// Tokens that the store keeps.
+    /// Capacity of the store, in tokens.
     pub kept: u64,
     /// Long prompts.
     pub long: Class,
@@ -58,7 +58,7 @@
 }
 
 impl Mix {
-    /// Event briefs beside captions.
+    /// Event briefs and captions.
     pub const INKLINE: Self = Self {
         name: "inkline",
         engines: 12,
@@ -91,7 +91,7 @@
         },
     };
 
-    /// Parish calendars beside short questions.
+    /// Parish calendars and short questions.
     pub const UMTHOMBO: Self = Self {
         name: "umthombo",
         engines: 18,
@@ -125,7 +125,7 @@
     };
 }
 
-/// The text names no deployment.
+/// Error of a text that is not the name of a deployment.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error("unknown deployment {0:?}: use inkline or umthombo")]
 pub struct UnknownMix(pub String);
--- a/crates/trial/src/policy.rs
+++ b/crates/trial/src/policy.rs
@@ -1,25 +1,25 @@
-//! What is compared.
+//! Placement policies to compare.
 
 use std::str::FromStr;
 
-/// How requests are placed.
+/// A placement policy.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Policy {
-    /// As the product does.
+    /// The policy of the product.
     Ours,
-    /// The same, but no long prompt waits for an engine with room.
+    /// The same, but long prompts do not wait for an engine with free capacity.
     Unheld,
-    /// Where least is to be done, wherever the context is at home.
+    /// The least loaded engine, without a preferred engine for a context.
     Least,
-    /// The product's choice, without a store.
+    /// The policy of the product without a store.
     Unkept,
 }
 
 impl Policy {
-    /// All of them.
+    /// All policies.
     pub const ALL: [Self; 4] = [Self::Ours, Self::Unheld, Self::Least, Self::Unkept];
 
-    /// Its name.
+    /// Returns the name on the command line.
     pub fn name(self) -> &'static str {
         match self {
             Self::Ours => "ours",
@@ -30,7 +30,7 @@
     }
 }
 
-/// The text names no policy.
+/// Error of a text that is not the name of a policy.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error("unknown policy {0:?}: use ours, unheld, least, unkept or all")]
 pub struct UnknownPolicy(pub String);
--- a/crates/trial/src/run.rs
+++ b/crates/trial/src/run.rs
@@ -1,8 +1,8 @@
-//! One run: arrivals, choices, and what becomes of them.
+//! Simulates one run, from the arrival of requests to their last tokens.
 
 use std::{cmp::Reverse, collections::BinaryHeap, net::SocketAddr, sync::Arc, time::Duration};
 
-use fleet::{Engine as Described, Replica, Store};
+use fleet::{Engine as EngineSpec, Replica, Store};
 use ident::Time;
 use place::{
     Catalog, Change, Headroom, HeldPart, Load, Part, PlacementRequest, Plan, Pool, Prompt,
@@ -12,50 +12,50 @@
 
 use crate::{
     Figures, Mix, Policy,
-    engine::{Begun, Engine, Visit},
+    engine::{Engine, EngineRequest, StartedRequest},
     figures::Tally,
     mix::Class,
 };
 
-/// Pause between two looks for an engine with room, in ms, as in the product.
-const ROOM_PAUSE: f64 = 15.0;
-/// Time before the first arrival, so that no time is zero.
+/// Interval between two checks for an engine with free capacity, in ms, as in the product.
+const CAPACITY_CHECK_INTERVAL_MS: f64 = 15.0;
+/// Start of the run, in ms. It is above 0, so that no event has time 0.
 const START_MS: f64 = 10_000.0;
-/// The catalogue's knowledge is renewed this often, in ms.
-const CATALOG_PAUSE: f64 = 500.0;
-/// The only model and version.
+/// Interval between two confirmations of the catalogue, in ms.
+const CATALOG_INTERVAL_MS: f64 = 500.0;
+/// Name and weights version of the only model.
 const MODEL: (&str, u64) = ("m", 1);
-/// The only target.
+/// Name of the only target.
 const TARGET: &str = "t";
-/// Numbers of short contexts begin here.
+/// First number of the contexts of short prompts.
 const SHORT_BASE: u64 = 1 << 32;
 
-/// What is played.
+/// Options of a run.
 #[derive(Debug, Clone, Copy)]
 pub struct Options {
-    /// The deployment.
+    /// Deployment to simulate.
     pub mix: Mix,
-    /// The policy.
+    /// Placement policy.
     pub policy: Policy,
-    /// How long requests arrive.
+    /// Time during which requests arrive.
     pub length: Duration,
-    /// Multiple of the usual rate.
+    /// Request rate as a multiple of the usual one.
     pub load: f64,
-    /// The seed.
+    /// Seed of the random numbers.
     pub seed: u64,
 }
 
-/// Plays a run.
+/// Simulates a run.
 pub fn run(options: &Options) -> Figures {
     let mut run = Run::new(*options);
-    run.arrivals();
+    run.schedule_arrivals();
     while let Some(Reverse(next)) = run.events.pop() {
         run.now = next.at;
         match next.event {
-            Event::Look(id) => run.place(id),
-            Event::Ready(engine, visit, fetched) => run.ready(engine, visit, fetched),
-            Event::First(engine, begun) => run.first(engine, begun),
-            Event::Last(engine, visit) => run.last(engine, visit),
+            Event::Place(id) => run.place(id),
+            Event::Ready(engine, request, fetched) => run.ready(engine, request, fetched),
+            Event::First(engine, started) => run.first(engine, started),
+            Event::Last(engine, request) => run.last(engine, request),
             Event::Catalog => run.catalog(),
         }
     }
@@ -64,68 +64,69 @@
 
 #[derive(Debug, Clone, Copy)]
 enum Event {
-    /// A request looks for an engine.
-    Look(usize),
-    /// It may be read there; whether its context was fetched.
-    Ready(usize, Visit, bool),
-    /// Its first token came.
-    First(usize, Begun),
-    /// Its last token came.
-    Last(usize, Visit),
-    /// The store tells what it holds.
+    /// An engine is to be chosen for a request.
+    Place(usize),
+    /// A request is ready to be prefilled at an engine; whether its context was fetched.
+    Ready(usize, EngineRequest, bool),
+    /// An engine generated the first token of a request.
+    First(usize, StartedRequest),
+    /// An engine generated the last token of a request.
+    Last(usize, EngineRequest),
+    /// The store confirms its contents.
     Catalog,
 }
 
-/// Events are ordered by time, then by when they were made.
-struct Next {
+/// An event to come. Events are ordered by time, then by their numbers.
+struct ScheduledEvent {
     at: f64,
     number: u64,
     event: Event,
 }
 
-impl PartialEq for Next {
+impl PartialEq for ScheduledEvent {
     fn eq(&self, other: &Self) -> bool {
         self.cmp(other).is_eq()
     }
 }
 
-impl Eq for Next {}
+impl Eq for ScheduledEvent {}
 
-impl PartialOrd for Next {
+impl PartialOrd for ScheduledEvent {
     fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
         Some(self.cmp(other))
     }
 }
 
-impl Ord for Next {
+impl Ord for ScheduledEvent {
     fn cmp(&self, other: &Self) -> std::cmp::Ordering {
         self.at.total_cmp(&other.at).then(self.number.cmp(&other.number))
     }
 }
 
-/// A request that was asked.
-struct Asked {
+/// A request of a caller.
+struct CallerRequest {
     at: f64,
-    visit: Visit,
+    request: EngineRequest,
     prompt: Prompt,
     long: bool,
-    /// Where it is, with what is counted there.
+    /// Engine that it was sent to.
     engine: usize,
+    /// Whether its context is saved to the store.
     save: bool,
 }
 
 struct Run {
     options: Options,
-    described: Described,
+    engine_spec: EngineSpec,
     engines: Vec<Engine>,
     replicas: Vec<Arc<Replica>>,
     pool: Pool,
     store: Arc<Store>,
     catalog: Catalog,
-    asked: Vec<Asked>,
-    /// Contexts that some engine has read. Sorted.
-    known: Vec<u64>,
-    events: BinaryHeap<Reverse<Next>>,
+    asked: Vec<CallerRequest>,
+    /// Contexts that some engine has prefilled. Sorted.
+    prefilled: Vec<u64>,
+    events: BinaryHeap<Reverse<ScheduledEvent>>,
     number: u64,
     now: f64,
     rng: SmallRng,
@@ -142,7 +143,7 @@
         catalog.replace(1, Vec::new());
         Self {
             options,
-            described: Described {
+            engine_spec: EngineSpec {
                 slots: 64,
                 capacity_tokens: mix.capacity,
                 token_bytes: mix.bytes,
@@ -155,7 +156,7 @@
             store: Arc::new(store(&mix)),
             catalog,
             asked: Vec::new(),
-            known: Vec::new(),
+            prefilled: Vec::new(),
             events: BinaryHeap::new(),
             number: 0,
             now: START_MS,
@@ -166,14 +167,15 @@
 
     fn push(&mut self, at: f64, event: Event) {
         self.number += 1;
-        self.events.push(Reverse(Next { at, number: self.number, event }));
+        self.events.push(Reverse(ScheduledEvent { at, number: self.number, event }));
     }
 
-    /// Draws all requests and the store's news.
-    fn arrivals(&mut self) {
+    /// Schedules the arrivals of all requests and the confirmations of the catalogue.
+    fn schedule_arrivals(&mut self) {
         let end = START_MS + self.options.length.as_millis() as f64;
         for (long, class) in [(true, self.options.mix.long), (false, self.options.mix.short)] {
-            let sizes: Vec<f64> = (0..class.contexts).map(|_| spread(&mut self.rng)).collect();
+            let sizes: Vec<f64> =
+                (0..class.contexts).map(|_| random_size_factor(&mut self.rng)).collect();
             let mut at = START_MS;
             loop {
                 let unit: f64 = self.rng.random_range(f64::EPSILON..1.0);
@@ -187,37 +189,39 @@
         let mut at = START_MS;
         while at < end + 2.0 * class_patience(&self.options.mix) {
             self.push(at, Event::Catalog);
-            at += CATALOG_PAUSE;
+            at += CATALOG_INTERVAL_MS;
         }
     }
 
     fn arrive(&mut self, at: f64, long: bool, class: &Class, sizes: &[f64]) {
         let number = self.rng.random_range(0..class.contexts);
         let shared = (class.shared * sizes[number as usize]) as u64;
-        let own = (class.own * spread(&mut self.rng)) as u64 + 1;
+        let own = (class.own * random_size_factor(&mut self.rng)) as u64 + 1;
         let context = if long { number } else { SHORT_BASE + number };
         let id = self.asked.len();
-        let visit = Visit { id, context, shared, input: shared + own, output: class.output };
+        let request =
+            EngineRequest { id, context, shared, input: shared + own, output: class.output };
         let part = |id: String, tokens| Part { id: id.into(), tokens };
         let parts = vec![part(format!("c{context:x}"), shared), part(format!("o{id:x}"), own)];
         let prompt = Prompt {
             model: MODEL.0.into(),
-            input_tokens: visit.input,
-            output_tokens: visit.output,
+            input_tokens: request.input,
+            output_tokens: request.output,
             parts,
         };
-        self.asked.push(Asked { at, visit, prompt, long, engine: 0, save: false });
+        self.asked.push(CallerRequest { at, request, prompt, long, engine: 0, save: false });
         let tally = &mut self.tallies[usize::from(long)].figures;
         tally.asked += 1;
         tally.shared += shared;
-        self.push(at, Event::Look(id));
+        self.push(at, Event::Place(id));
     }
 
     fn class(&self, long: bool) -> Class {
         if long { self.options.mix.long } else { self.options.mix.short }
     }
 
-    /// Looks for an engine; goes there, waits, or leaves when the caller does.
+    /// Chooses an engine and sends the request there, or tries again later, unless the caller has
+    /// given up.
     fn place(&mut self, id: usize) {
         let (asked, now) = (&self.asked[id], time(self.now));
         let class = self.class(asked.long);
@@ -235,18 +239,18 @@
         let request = PlacementRequest {
             target: TARGET,
             context: asked.prompt.context().filter(|_| home).map(|c| &*c.id),
-            load: load_of(&asked.visit),
-            shared_tokens: asked.visit.shared,
+            load: load_of(&asked.request),
+            shared_tokens: asked.request.shared,
             model: Some(MODEL),
             min_version: 0,
             headroom,
             zone: "a",
             tried: &[],
-            engine: Some(&self.described),
+            engine: Some(&self.engine_spec),
             tie_breaker: self.rng.random(),
         };
         let Ok(choice) = self.pool.choose(&request, now) else {
-            self.push(self.now + ROOM_PAUSE, Event::Look(id));
+            self.push(self.now + CAPACITY_CHECK_INTERVAL_MS, Event::Place(id));
             return;
         };
         let engine = usize::from(choice.replica.addr.port() - 1);
@@ -261,71 +265,72 @@
         self.send(id, engine, &plan);
     }
 
-    /// Sends a request, with a fetch of its context where that is planned and can succeed.
+    /// Sends a request, after a fetch of its context if that is planned and the source has it.
     fn send(&mut self, id: usize, engine: usize, plan: &Plan) {
         let asked = &mut self.asked[id];
         (asked.engine, asked.save) = (engine, plan.parts[0].save.is_some());
-        let visit = asked.visit;
-        self.pool.add_load(&self.replicas[engine].id, load_of(&visit));
-        let source = plan.parts[0].fetch.filter(|_| !self.engines[engine].holds(visit.context));
-        let there = source.is_some_and(|s| match s.tokens {
+        let request = asked.request;
+        self.pool.add_load(&self.replicas[engine].id, load_of(&request));
+        let source = plan.parts[0].fetch.filter(|_| !self.engines[engine].caches(request.context));
+        let available = source.is_some_and(|s| match s.tokens {
             Some(_) => true,
-            None => self.engines[usize::from(s.addr.port() - 1)].holds(visit.context),
+            None => self.engines[usize::from(s.addr.port() - 1)].caches(request.context),
         });
-        let ready = match there {
-            true => self.engines[engine].fetch(visit.shared, self.now),
+        let ready = match available {
+            true => self.engines[engine].fetch(request.shared, self.now),
             false => self.now,
         };
-        self.push(ready, Event::Ready(engine, visit, there));
+        self.push(ready, Event::Ready(engine, request, available));
     }
 
-    fn ready(&mut self, engine: usize, visit: Visit, fetched: bool) {
+    fn ready(&mut self, engine: usize, request: EngineRequest, fetched: bool) {
         if fetched {
-            self.engines[engine].keep(visit.context, visit.shared);
+            self.engines[engine].cache(request.context, request.shared);
         }
-        self.engines[engine].enter(visit);
-        self.begin(engine);
+        self.engines[engine].enqueue(request);
+        self.start_waiting(engine);
     }
 
-    fn begin(&mut self, engine: usize) {
-        for begun in self.engines[engine].begin(self.now) {
-            if begun.missed {
-                let long = self.asked[begun.visit.id].long;
-                match self.known.binary_search(&begun.visit.context) {
+    fn start_waiting(&mut self, engine: usize) {
+        for started in self.engines[engine].start_waiting(self.now) {
+            if started.missed {
+                let long = self.asked[started.request.id].long;
+                match self.prefilled.binary_search(&started.request.context) {
                     Ok(_) => {
-                        self.tallies[usize::from(long)].figures.read_again += begun.visit.shared;
+                        self.tallies[usize::from(long)].figures.read_again +=
+                            started.request.shared;
                     }
-                    Err(at) => self.known.insert(at, begun.visit.context),
+                    Err(at) => self.prefilled.insert(at, started.request.context),
                 }
             }
-            self.push(begun.first, Event::First(engine, begun));
-            self.push(begun.last, Event::Last(engine, begun.visit));
+            self.push(started.first, Event::First(engine, started));
+            self.push(started.last, Event::Last(engine, started.request));
         }
     }
 
-    fn first(&mut self, engine: usize, begun: Begun) {
-        let asked = &self.asked[begun.visit.id];
+    fn first(&mut self, engine: usize, started: StartedRequest) {
+        let asked = &self.asked[started.request.id];
         let class = self.class(asked.long);
         let ms = (self.now - asked.at) as u64;
         let (long, save) = (asked.long, asked.save);
         if u128::from(ms) < class.patience.as_millis() {
             self.tallies[usize::from(long)].answered(ms, class.goal.as_millis() as u64);
         }
-        let reading = Load { prefill_tokens: begun.visit.input, memory_tokens: 0, requests: 0 };
-        self.pool.remove_load(&self.replicas[engine].id, reading);
+        let prefill = Load { prefill_tokens: started.request.input, memory_tokens: 0, requests: 0 };
+        self.pool.remove_load(&self.replicas[engine].id, prefill);
         if save {
             let salt = cache_salt(MODEL.0, MODEL.1, None);
-            let part = self.asked[begun.visit.id].prompt.parts[0].clone();
+            let part = self.asked[started.request.id].prompt.parts[0].clone();
             let held = HeldPart { salt, part: part.id, tokens: part.tokens };
             self.catalog.apply(1, false, vec![Change::Added(held)], 0, time(self.now));
         }
     }
 
-    fn last(&mut self, engine: usize, visit: Visit) {
-        self.engines[engine].end(&visit);
-        let rest = Load { prefill_tokens: 0, ..load_of(&visit) };
+    fn last(&mut self, engine: usize, request: EngineRequest) {
+        self.engines[engine].end(&request);
+        let rest = Load { prefill_tokens: 0, ..load_of(&request) };
         self.pool.remove_load(&self.replicas[engine].id, rest);
-        self.begin(engine);
+        self.start_waiting(engine);
     }
 
     fn catalog(&mut self) {
@@ -353,12 +358,17 @@
     Time(ms as u64)
 }
 
-fn load_of(visit: &Visit) -> Load {
-    Load { prefill_tokens: visit.input, memory_tokens: visit.input + visit.output, requests: 1 }
+fn load_of(request: &EngineRequest) -> Load {
+    Load {
+        prefill_tokens: request.input,
+        memory_tokens: request.input + request.output,
+        requests: 1,
+    }
 }
 
-/// A factor with mean 1 that is sometimes several times that, as sizes of prompts are.
-fn spread(rng: &mut SmallRng) -> f64 {
+/// Returns a random factor for sizes of prompts, from a shifted exponential distribution with mean
+/// 1.
+fn random_size_factor(rng: &mut SmallRng) -> f64 {
     let unit: f64 = rng.random_range(f64::EPSILON..1.0);
     0.35 - 0.65 * unit.ln()
 }
@@ -376,7 +386,7 @@
     })
 }
 
-/// An engine's address; its port less one is the engine's number.
+/// Returns the address of an engine. Its port is the number of the engine plus one.
 fn addr(at: usize) -> SocketAddr {
     let port = u16::try_from(at + 1).expect("there are fewer engines than ports");
     ([127, 0, 0, 1], port).into()
