Call a change with a lost write unknown after a return of the table service

A change of the configuration was called "stale", which means that it is not accepted and never will be, though a write of the same call had no answer and the table service had returned from an older copy since: the head may then be again as that write expects it.

Where a write of the call was lost and the era has risen since the call began, the answer is "unknown" now, and the operator repeats it with the same id.

The product's own table service has no eras, so this holds for services that have.

--- a/crates/conf/src/store/accept.rs
+++ b/crates/conf/src/store/accept.rs
@@ -73,6 +73,7 @@
         requested.doc.iter_mut().for_each(Doc::normalise);
         // Whether a write of this call has an unknown outcome and may have taken effect.
         let mut outcome_unknown = false;
+        let era = self.table.era();
         for _ in 0..MAX_TRIES {
             // The view must be read before the id row. A write of this id with an unknown outcome
             // is either in the log before the view is read, and then the id row is found. Or, if
@@ -82,7 +83,13 @@
             if let Some(change) = self.by_id(id).await.map_err(|e| unread(e.into()))? {
                 return check_same(change, &requested);
             }
-            check(&view, &requested)?;
+            if let Err(error) = check(&view, &requested) {
+                // After a return the head may be again as that write expects it.
+                return Err(match outcome_unknown && self.table.era() != era {
+                    true => AcceptError::Unknown("the table service has returned".into()),
+                    false => error,
+                });
+            }
             match self.try_accept(&view, &requested).await {
                 Ok(change) => {
                     drop(view);
--- a/crates/conf/tests/restored_log.rs
+++ b/crates/conf/tests/restored_log.rs
@@ -2,10 +2,15 @@
 
 mod common;
 
+use std::sync::{Arc, Weak};
+
+use async_trait::async_trait;
 use common::{World, key, model};
 use conf::{AcceptError, Change, Doc, Kind, LoadError, Store};
 use ident::{RequestId, Rev};
+use parking_lot::Mutex;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
+use table::{Content, Memory, Row, Table, TableError, Write};
 
 const SEEDS: u64 = 100;
 
@@ -113,6 +118,57 @@
     assert_eq!(other.refresh().await.unwrap().rev(), Rev(2));
 }
 
+/// Loses the first write. Meanwhile another change is accepted and heard of, and the table returns.
+struct ReturnsMeanwhile {
+    memory: Arc<Memory>,
+    copy: Mutex<Option<Content>>,
+    other: Store,
+    hearer: Mutex<Weak<Store>>,
+}
+
+#[async_trait]
+impl Table for ReturnsMeanwhile {
+    fn era(&self) -> u64 {
+        self.memory.era()
+    }
+
+    async fn get(&self, part: &str, sort: &str) -> Result<Option<Row>, TableError> {
+        self.memory.get(part, sort).await
+    }
+
+    async fn range(&self, part: &str, after: &str, limit: usize) -> Result<Vec<Row>, TableError> {
+        self.memory.range(part, after, limit).await
+    }
+
+    async fn commit(&self, writes: Vec<Write>) -> Result<(), TableError> {
+        let Some(copy) = self.copy.lock().take() else { return self.memory.commit(writes).await };
+        self.other.refresh().await.unwrap();
+        let change = set(&self.other, 20).await.unwrap();
+        self.hearer.lock().upgrade().unwrap().apply(&[change]).unwrap();
+        self.memory.restore(copy);
+        Err(TableError::Unknown("the write was lost, or is late".into()))
+    }
+}
+
+/// Guards against "not accepted" for a change whose late write may still take effect.
+#[tokio::test]
+async fn a_change_with_a_lost_write_is_unknown_after_a_return() {
+    let w = World::new();
+    set(&w.store(), 1).await.unwrap();
+    let copy = Mutex::new(Some(w.table.copy()));
+    let (memory, other) = (w.table.clone(), w.store());
+    let table = Arc::new(ReturnsMeanwhile { memory, copy, other, hearer: Mutex::default() });
+    let store = Arc::new(Store::new(table.clone(), w.blob.clone()));
+    *table.hearer.lock() = Arc::downgrade(&store);
+    store.refresh().await.unwrap();
+    let error = set(&store, 2).await.unwrap_err();
+    assert!(matches!(error, AcceptError::Unknown(_)), "{error}");
+    // Without a lost write the same change is refused for certain.
+    let (doc, key) = (Some(model("m", "v9")), key(Kind::Model, "m"));
+    let error = store.accept(RequestId(9), key, doc, Some(Rev(1))).await.unwrap_err();
+    assert_eq!(error, AcceptError::Stale { current: Some(Rev(2)) });
+}
+
 #[tokio::test]
 async fn accepted_changes_stay_over_returns_in_series() {
     for seed in 0..SEEDS {
