Name the prompt's parts where an attempt or a stream broke

The lines of broken attempts and interrupted streams name the replica, not the prompt. Whether one part was at every replica that ended took joining the lines of eight instances by request.

--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -330,6 +330,7 @@
             bytes = self.sent_bytes,
             framing = self.framing.name(),
             place = self.place(),
+            parts = self.forwarder.job.prompt().map(tracing::field::display),
             "stream interrupted"
         );
     }
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -325,6 +325,7 @@
             known_ms = age,
             outcome,
             why,
+            parts = self.job.prompt().map(tracing::field::display),
             "attempt ended"
         );
     }
