Stop sending prompts with a part under which replicas end

Cause: nothing related the end of a replica to what was there. An instance counted the lost connection against the replica alone and sent the next request with the part to another one; with many instances each saw one end or none.

Each instance now records the ends of incarnations that it found (a refused connection or a report with another start time, after a connection broke) against the shared parts of the requests there. The sets travel behind the peers' datagrams and merge in any order. Three ends since a part's last whole answer, six if it was ever answered, make it fatal; ends are explained by the part with most of them, so that sound parts beside it stay free. Requests with it are refused with 503 at once, before the first byte of any attempt. Two trials, taken by a conditional write, let one request each through.

--- /dev/null
+++ b/crates/blame/src/flights.rs
@@ -0,0 +1,93 @@
+//! The requests of this instance that are at replicas, or were lost there lately.
+
+use std::time::Duration;
+
+use ident::Time;
+
+use crate::{EndId, Flight, PartKey, Parts};
+
+/// How long after a request was lost the end of its replica is evidence against its parts. A
+/// replica that falls silent is found within 2 s.
+const LOST_TTL: Duration = Duration::from_secs(3);
+
+#[derive(Debug)]
+struct Entry {
+    flight: Flight,
+    replica: EndId,
+    parts: Parts,
+    sent: Time,
+    /// When its connection ended; `None` while it is at the replica.
+    lost: Option<Time>,
+    /// Whether its answer is whole if the replica has outlived it.
+    unframed: bool,
+}
+
+/// Requests at replicas.
+///
+/// Invariant: `entries` is sorted by flight.
+#[derive(Debug, Default)]
+pub(crate) struct Flights {
+    entries: Vec<Entry>,
+    begun: u64,
+}
+
+impl Flights {
+    pub(crate) fn begin(&mut self, replica: EndId, parts: Parts, now: Time) -> Flight {
+        self.begun += 1;
+        let flight = Flight(self.begun);
+        self.entries.push(Entry { flight, replica, parts, sent: now, lost: None, unframed: false });
+        flight
+    }
+
+    /// Removes a request and returns its parts.
+    pub(crate) fn remove(&mut self, flight: Flight) -> Option<Parts> {
+        let at = self.find(flight)?;
+        Some(self.entries.remove(at).parts)
+    }
+
+    /// Marks a request as lost, and returns its replica and parts.
+    pub(crate) fn lose(
+        &mut self,
+        flight: Flight,
+        unframed: bool,
+        now: Time,
+    ) -> Option<(EndId, Parts)> {
+        self.entries.retain(|e| e.lost.is_none_or(|at| now.since(at) < LOST_TTL));
+        let at = self.find(flight)?;
+        let entry = &mut self.entries[at];
+        (entry.lost, entry.unframed) = (Some(now), unframed);
+        Some((entry.replica, entry.parts.clone()))
+    }
+
+    /// The parts of the requests that are at a replica, or were lost there lately.
+    pub(crate) fn at(&self, replica: EndId, now: Time) -> Vec<Vec<PartKey>> {
+        let near =
+            |e: &&Entry| e.replica == replica && e.lost.is_none_or(|at| now.since(at) < LOST_TTL);
+        self.entries.iter().filter(near).map(|e| e.parts.to_vec()).collect()
+    }
+
+    /// The replica of a request and when it was sent.
+    pub(crate) fn sent(&self, flight: Flight) -> Option<(EndId, Time)> {
+        let entry = &self.entries[self.find(flight)?];
+        Some((entry.replica, entry.sent))
+    }
+
+    /// Whether there are lost requests of a replica.
+    pub(crate) fn has_lost(&self, replica: EndId) -> bool {
+        self.entries.iter().any(|e| e.replica == replica && e.lost.is_some())
+    }
+
+    /// Removes the requests that a replica lost before `alive`, since when it has shown that it
+    /// runs, and returns the parts of those whose answers are whole by that.
+    pub(crate) fn outlived(&mut self, replica: EndId, alive: Time) -> Vec<Parts> {
+        let lost = |e: &Entry| e.replica == replica && e.lost.is_some_and(|at| at < alive);
+        let whole = self.entries.iter().filter(|e| lost(e) && e.unframed);
+        let whole = whole.map(|e| e.parts.clone()).collect();
+        self.entries.retain(|e| !lost(e));
+        whole
+    }
+
+    fn find(&self, flight: Flight) -> Option<usize> {
+        self.entries.binary_search_by_key(&flight, |e| e.flight).ok()
+    }
+}
--- /dev/null
+++ b/crates/blame/tests/fatal_search.rs
@@ -0,0 +1,341 @@
+//! Instances that find a fatal part together, with lost and doubled datagrams, restarts and cuts.
+
+use std::ops::Range;
+
+use blame::{Admission, Blame, EndId, Flight, PartKey, Parts, Report};
+use ident::Time;
+use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
+
+/// Length of a step, in ms.
+const STEP: u64 = 20;
+/// Time from a request to the end of its answer, or of its replica.
+const ANSWER: u64 = 60;
+/// How long a lost instance or link excuses an instance, and evidence may take.
+const CONTACT: u64 = 4000;
+/// Length of a play.
+const LENGTH: u64 = 14_000;
+/// Space for evidence in a datagram, in bytes.
+const SPACE: usize = 600;
+const SPREAD_PEERS: usize = 30;
+const SPREAD_INTERVAL: u64 = 250;
+const FATAL: PartKey = PartKey(666);
+const FIRST: PartKey = PartKey(1);
+
+struct Replica {
+    end: EndId,
+    /// When it is back; 0 while it runs.
+    back: u64,
+}
+
+struct Request {
+    instance: usize,
+    replica: usize,
+    end: EndId,
+    flight: Flight,
+    fatal: bool,
+    due: u64,
+}
+
+struct Instance {
+    blame: Blame,
+    /// Until when it is excused.
+    excused: u64,
+    /// Until when no datagram reaches or leaves it.
+    cut: u64,
+    next_report: u64,
+    next_spread: u64,
+    has_news: bool,
+}
+
+/// What a play does.
+#[derive(Clone, Copy)]
+struct Plan {
+    instances: usize,
+    /// Whether there is a fatal part; otherwise replicas end by themselves.
+    fatal: bool,
+    /// Share of datagrams that are lost, and that arrive twice.
+    loss: f64,
+    /// Whether instances restart and are cut off.
+    trouble: bool,
+}
+
+struct World {
+    rng: SmallRng,
+    plan: Plan,
+    now: u64,
+    instances: Vec<Instance>,
+    replicas: Vec<Replica>,
+    requests: Vec<Request>,
+    /// Datagrams under way: receiver and content.
+    datagrams: Vec<(usize, Report)>,
+    /// Replicas that instances found to have ended, told in the next step.
+    found: Vec<(usize, EndId)>,
+    /// Highest trial that was taken.
+    trials: Option<u8>,
+    ends: Vec<u64>,
+    /// Arrivals with the fatal part at instances in touch.
+    arrivals: Vec<u64>,
+    next_id: u32,
+    /// Sound requests, and those of them that were refused.
+    sound: (usize, usize),
+}
+
+impl World {
+    fn new(plan: Plan, seed: u64) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let instance = |at: u64| Instance {
+            blame: Blame::default(),
+            excused: 0,
+            cut: 0,
+            next_report: at,
+            next_spread: 0,
+            has_news: false,
+        };
+        let instances = (0..plan.instances).map(|_| instance(rng.random_range(0..1000))).collect();
+        let count = (plan.instances as u32).clamp(8, 90);
+        let replicas = (0..count).map(|n| Replica { end: EndId(n), back: 0 }).collect();
+        Self {
+            rng,
+            plan,
+            now: 0,
+            instances,
+            replicas,
+            requests: Vec::new(),
+            datagrams: Vec::new(),
+            found: Vec::new(),
+            trials: None,
+            ends: Vec::new(),
+            arrivals: Vec::new(),
+            next_id: count,
+            sound: (0, 0),
+        }
+    }
+
+    fn time(&self) -> Time {
+        Time(1_000_000 + self.now)
+    }
+
+    fn play(&mut self) {
+        while self.now < LENGTH {
+            self.deliver();
+            self.disturb();
+            for _ in 0..2 {
+                self.send(false);
+            }
+            if self.plan.fatal && self.now > 1000 && self.rng.random_bool(0.45) {
+                self.send(true);
+            }
+            self.answer();
+            self.gossip();
+            self.now += STEP;
+        }
+    }
+
+    fn disturb(&mut self) {
+        for replica in &mut self.replicas {
+            if replica.back > 0 && replica.back <= self.now {
+                (replica.end, replica.back) = (EndId(self.next_id), 0);
+                self.next_id += 1;
+            }
+        }
+        if !self.plan.fatal && self.now > 1000 && self.rng.random_bool(0.1) {
+            let at = self.rng.random_range(0..self.replicas.len());
+            self.end_replica(at);
+        }
+        if self.plan.trouble && self.rng.random_bool(0.02) {
+            let at = self.rng.random_range(0..self.instances.len());
+            if self.rng.random_bool(0.5) {
+                self.instances[at].blame = Blame::default();
+                self.requests.retain(|r| r.instance != at);
+                self.instances[at].excused = self.now + CONTACT;
+            } else {
+                self.instances[at].cut = self.now + self.rng.random_range(200..2500);
+                self.instances[at].excused = self.instances[at].cut + CONTACT;
+            }
+        }
+    }
+
+    fn send(&mut self, fatal: bool) {
+        let now = self.time();
+        let at = self.rng.random_range(0..self.instances.len());
+        let running = self.replicas.iter().enumerate().filter(|(_, r)| r.back == 0);
+        let running: Vec<usize> = running.map(|(at, _)| at).collect();
+        let Some(replica) = running.choose(&mut self.rng).copied() else { return };
+        let other = PartKey(10 + self.rng.random_range(0..4));
+        let parts: Parts = if fatal { [FIRST, other, FATAL].into() } else { [FIRST, other].into() };
+        let instance = &mut self.instances[at];
+        if !fatal {
+            self.sound.0 += 1;
+        }
+        match instance.blame.admit(&parts, now) {
+            Admission::Free => {}
+            Admission::Trial { part, number } if self.trials.is_none_or(|n| number > n) => {
+                self.trials = Some(number);
+                instance.blame.trial_taken(part, number);
+                instance.has_news = true;
+            }
+            Admission::Trial { part, number } => {
+                instance.blame.trial_taken(part, number);
+                return;
+            }
+            Admission::Barred { .. } => {
+                self.sound.1 += usize::from(!fatal);
+                return;
+            }
+        }
+        if fatal && instance.excused <= self.now {
+            self.arrivals.push(self.now);
+        }
+        let end = self.replicas[replica].end;
+        let flight = instance.blame.begin(end, parts, now);
+        let due = self.now + ANSWER;
+        self.requests.push(Request { instance: at, replica, end, flight, fatal, due });
+    }
+
+    fn answer(&mut self) {
+        let now = self.time();
+        let due: Vec<Request> = self.requests.extract_if(.., |r| r.due <= self.now).collect();
+        for request in due {
+            if self.replicas[request.replica].end != request.end
+                || self.replicas[request.replica].back > 0
+            {
+                // It ended in this step and the request was lost with it.
+                self.lose(&request);
+            } else if request.fatal {
+                self.lose(&request);
+                self.end_replica(request.replica);
+            } else {
+                let blame = &mut self.instances[request.instance].blame;
+                blame.begun(request.flight, now);
+                blame.answered(request.flight, now);
+            }
+        }
+    }
+
+    fn lose(&mut self, request: &Request) {
+        let instance = &mut self.instances[request.instance];
+        let now = Time(1_000_000 + self.now);
+        instance.has_news |= instance.blame.lost(request.flight, false, now);
+        self.found.push((request.instance, request.end));
+    }
+
+    fn end_replica(&mut self, at: usize) {
+        if self.replicas[at].back > 0 {
+            return;
+        }
+        self.replicas[at].back = self.now + self.rng.random_range(500..2000);
+        self.ends.push(self.now);
+        let end = self.replicas[at].end;
+        let lost: Vec<Request> = self.requests.extract_if(.., |r| r.end == end).collect();
+        lost.iter().for_each(|r| self.lose(r));
+    }
+
+    /// Tells instances of the ends that they found, and delivers datagrams.
+    fn deliver(&mut self) {
+        let now = self.time();
+        for (at, end) in std::mem::take(&mut self.found) {
+            let instance = &mut self.instances[at];
+            instance.has_news |= instance.blame.replica_ended(end, now);
+        }
+        for (at, report) in std::mem::take(&mut self.datagrams) {
+            let instance = &mut self.instances[at];
+            instance.has_news |= instance.blame.merge(&report, now);
+        }
+    }
+
+    fn gossip(&mut self) {
+        let now = self.time();
+        let count = self.instances.len();
+        let interval = (count as u64 * 1000 / 60).max(200);
+        for at in 0..count {
+            let instance = &mut self.instances[at];
+            let regular = instance.next_report <= self.now;
+            let spread = instance.has_news && instance.next_spread <= self.now;
+            if !regular && !spread {
+                continue;
+            }
+            let report = instance.blame.report(now).fit(SPACE);
+            let mut peers: Vec<usize> = (0..count).filter(|p| *p != at).collect();
+            if regular {
+                instance.next_report = self.now + interval;
+            } else {
+                instance.has_news = false;
+                instance.next_spread = self.now + SPREAD_INTERVAL;
+                peers = peers.choose_multiple(&mut self.rng, SPREAD_PEERS).copied().collect();
+            }
+            let cut = instance.cut > self.now;
+            for peer in peers {
+                if cut || self.instances[peer].cut > self.now || report.suspects.is_empty() {
+                    continue;
+                }
+                let copies = match self.rng.random_range(0.0..1.0) {
+                    x if x < self.plan.loss => 0,
+                    x if x < 2.0 * self.plan.loss => 2,
+                    _ => 1,
+                };
+                for _ in 0..copies {
+                    self.datagrams.push((peer, report.clone()));
+                }
+            }
+        }
+    }
+}
+
+fn play(plan: Plan, seed: u64) -> World {
+    let mut world = World::new(plan, seed);
+    world.play();
+    world
+}
+
+fn assert_found(plan: Plan, seed: u64) {
+    let world = play(plan, seed);
+    let name = format!("{} instances, seed {seed}", plan.instances);
+    let Some(fifth) = world.ends.get(4) else { return };
+    let late = world.arrivals.iter().filter(|at| **at > fifth + CONTACT).count();
+    assert!(late <= 3, "{name}: {late} late arrivals, {} ends", world.ends.len());
+    let (sent, refused) = world.sound;
+    assert!(refused * 100 <= sent, "{name}: {refused} of {sent} sound requests were refused");
+}
+
+/// Seeds of a range, or those that the environment names.
+fn seeds(default: Range<u64>) -> Range<u64> {
+    let Ok(text) = std::env::var("FATAL_SEARCH_SEEDS") else { return default };
+    let (from, to) = text.split_once("..").expect("a range of seeds, as in 0..200");
+    from.parse().expect("a number")..to.parse().expect("a number")
+}
+
+#[test]
+fn a_fatal_part_is_found_by_few_instances() {
+    for seed in seeds(0..40) {
+        let instances = [3, 4, 6, 8, 12][seed as usize % 5];
+        let loss = [0.0, 0.1, 0.3][seed as usize % 3];
+        assert_found(Plan { instances, fatal: true, loss, trouble: seed % 2 == 1 }, seed);
+    }
+}
+
+#[test]
+fn a_fatal_part_is_found_by_many_instances() {
+    for seed in seeds(0..4) {
+        let instances = [24, 91][seed as usize % 2];
+        assert_found(Plan { instances, fatal: true, loss: 0.1, trouble: seed % 4 > 1 }, seed);
+    }
+}
+
+#[test]
+fn a_fatal_part_is_found_by_320_instances() {
+    for seed in seeds(0..1) {
+        assert_found(Plan { instances: 320, fatal: true, loss: 0.1, trouble: true }, seed);
+    }
+}
+
+#[test]
+fn ends_without_a_fatal_part_refuse_nothing() {
+    for seed in seeds(0..40) {
+        let instances = [3, 8, 24][seed as usize % 3];
+        let plan = Plan { instances, fatal: false, loss: 0.1, trouble: true };
+        let world = play(plan, seed);
+        let (sent, refused) = world.sound;
+        assert!(world.ends.len() > 20, "seed {seed}: {} ends", world.ends.len());
+        assert_eq!(refused, 0, "{instances} instances, seed {seed}: of {sent}");
+    }
+}
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -59,6 +59,13 @@
         /// Delay after which the caller may retry.
         retry_delay: Duration,
     },
+    /// Replicas ended under a part of the request's prompt. The request did not run and will not;
+    /// the caller may retry after the delay.
+    #[error("not run: replicas ended under a part of this prompt; come back after the pause")]
+    Barred {
+        /// Delay after which the part may be tried again.
+        retry_delay: Duration,
+    },
     /// The request may have run, but no complete answer came.
     #[error("the replica gave no whole answer; the request may have run")]
     Lost,
@@ -79,7 +86,9 @@
             Self::NoKey => StatusCode::UNAUTHORIZED,
             Self::TooLong(_) => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
-            Self::Unready | Self::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Unready | Self::NotRun { .. } | Self::Barred { .. } => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -96,6 +105,7 @@
             Self::BodyTimeout => "slow_body",
             Self::Unready => "unready",
             Self::NotRun { .. } => "refused",
+            Self::Barred { .. } => "barred",
             Self::Lost => "lost",
             Self::TimedOut => "late",
         }
@@ -103,7 +113,7 @@
 
     fn retry_delay(&self) -> Option<Duration> {
         match self {
-            Self::NotRun { retry_delay, .. } => Some(*retry_delay),
+            Self::NotRun { retry_delay, .. } | Self::Barred { retry_delay } => Some(*retry_delay),
             Self::Unready => Some(UNREADY_RETRY_DELAY),
             _ => None,
         }
--- a/crates/relay/src/conns.rs
+++ b/crates/relay/src/conns.rs
@@ -2,6 +2,7 @@
 //! its answer was read to the end.
 
 use std::{
+    io::ErrorKind,
     net::SocketAddr,
     sync::{
         Arc,
@@ -44,6 +45,12 @@
     /// The connection could not be opened. Nothing was sent.
     #[error("no connection: {0}")]
     Connect(Arc<str>),
+    /// The connection was refused: nothing listens at the address. Nothing was sent.
+    #[error("connection refused: {0}")]
+    Refused(Arc<str>),
+    /// The request may no longer be sent. Nothing was sent.
+    #[error("the request may not be sent")]
+    Withheld,
     /// All connections that this instance may have to the replica are in use. Nothing was sent.
     #[error("all connections to the replica are in use")]
     NoFreeConn,
@@ -85,17 +92,22 @@
 
 impl ConnPool {
     /// Sends a request to the replica `id` at `addr`, over a kept connection if there is one. At
-    /// most `max_conns` connections to the replica are open at a time.
+    /// most `max_conns` connections to the replica are open at a time. `may_send` is asked each time
+    /// before the request is written.
     pub async fn send(
         &self,
         id: &Arc<str>,
         addr: SocketAddr,
         max_conns: u32,
         mut request: Request<Full<Bytes>>,
+        may_send: &(dyn Fn() -> bool + Sync),
         now: Time,
     ) -> Result<(Response<Incoming>, Conn), SendError> {
         let replica = self.conns_of(id, addr);
         while let Some(mut conn) = replica.take_idle(now) {
+            if !may_send() {
+                return Err(SendError::Withheld);
+            }
             match conn.sender.try_send_request(request).await {
                 Ok(response) => return Ok((response, conn)),
                 // The connection closed before anything was written, so the request can be sent
@@ -107,6 +119,9 @@
             }
         }
         let mut conn = connect(replica, max_conns).await?;
+        if !may_send() {
+            return Err(SendError::Withheld);
+        }
         match conn.sender.try_send_request(request).await {
             Ok(response) => Ok((response, conn)),
             Err(mut e) => match e.take_message() {
@@ -190,24 +205,36 @@
         Ok((sender, task)) => Ok(Conn { sender, task, replica, expires: Time(0) }),
         Err(e) => {
             replica.open.fetch_sub(1, Ordering::Relaxed);
-            Err(SendError::Connect(e))
+            Err(e)
         }
     }
 }
 
 type Handshake = (http1::SendRequest<Full<Bytes>>, AbortHandle);
 
-async fn handshake(addr: SocketAddr) -> Result<Handshake, Arc<str>> {
-    let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(e)) => return Err(e.to_string().into()),
-        Err(_) => return Err("no answer in time".into()),
-    };
-    set_socket_options(&stream, UNACKED_TIMEOUT).map_err(|e| Arc::<str>::from(e.to_string()))?;
-    let (sender, conn) = http1::Builder::new()
-        .handshake(TokioIo::new(stream))
-        .await
-        .map_err(|e| Arc::<str>::from(e.to_string()))?;
+/// Opens a connection to `addr`.
+async fn open(addr: SocketAddr, limit: Duration) -> Result<TcpStream, SendError> {
+    match timeout(limit, TcpStream::connect(addr)).await {
+        Ok(Ok(stream)) => Ok(stream),
+        Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => {
+            Err(SendError::Refused(e.to_string().into()))
+        }
+        Ok(Err(e)) => Err(SendError::Connect(e.to_string().into())),
+        Err(_) => Err(SendError::Connect("no answer in time".into())),
+    }
+}
+
+/// Opens a connection to `addr` and closes it.
+pub(crate) async fn try_connect(addr: SocketAddr, limit: Duration) -> Result<(), SendError> {
+    open(addr, limit).await.map(drop)
+}
+
+async fn handshake(addr: SocketAddr) -> Result<Handshake, SendError> {
+    let stream = open(addr, CONNECT_TIMEOUT).await?;
+    let failed = |e: &dyn std::error::Error| SendError::Connect(e.to_string().into());
+    set_socket_options(&stream, UNACKED_TIMEOUT).map_err(|e| failed(&e))?;
+    let (sender, conn) =
+        http1::Builder::new().handshake(TokioIo::new(stream)).await.map_err(|e| failed(&e))?;
     let task = tokio::spawn(async move {
         // The end of the connection shows as an error of its sender and bodies.
         let _ = conn.await;
@@ -224,7 +251,7 @@
 ) -> Result<Bytes, SendError> {
     let broken = |e: hyper::Error| SendError::Broken(e.to_string().into());
     let exchange = async {
-        let (mut sender, task) = handshake(addr).await.map_err(SendError::Connect)?;
+        let (mut sender, task) = handshake(addr).await?;
         let mut request = Request::new(Full::new(Bytes::new()));
         *request.uri_mut() = path.parse().expect("the path constant is valid");
         let value = HeaderValue::from_str(&addr.to_string()).expect("the address is a valid value");
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use blame::{Blame, EndId};
 use bytes::Bytes;
 use fleet::{Config, Replica, Snapshot, Store, View};
 use ident::{Clock, Time};
@@ -109,6 +110,9 @@
 /// older registry entry does not mark it as available again.
 const DEPARTED_TTL: Duration = Duration::from_secs(4);
 
+/// How long after it was heard a peer or the registry shows that this instance's links work.
+const CONTACT_TTL: Duration = Duration::from_millis(1000);
+
 /// A replica that began to leave or disappeared.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Departed {
@@ -175,6 +179,12 @@
     pub closing: watch::Sender<bool>,
     /// Wakes the task that sends datagrams to peers.
     pub notify_peers: Notify,
+    /// Parts of prompts under which replicas end.
+    pub blame: Mutex<Blame>,
+    /// Incarnations of replicas that are being checked after a connection to them broke.
+    pub(crate) checked: Mutex<Vec<EndId>>,
+    /// Wakes the task that tells some peers of new evidence in `blame`.
+    pub(crate) notify_evidence: Notify,
 }
 
 impl Core {
@@ -207,6 +217,9 @@
             loading: Mutex::default(),
             closing: watch::Sender::new(false),
             notify_peers: Notify::new(),
+            blame: Mutex::default(),
+            checked: Mutex::default(),
+            notify_evidence: Notify::new(),
         })
     }
 
@@ -301,6 +314,16 @@
         found.is_ok_and(|at| now.since(heard[at].1) < HEARD_TTL)
     }
 
+    /// Whether a peer or the registry was heard lately, or there is no peer. Without that, silence
+    /// of a replica may be this instance's own.
+    pub(crate) fn is_in_contact(&self) -> bool {
+        let now = self.now();
+        let snapshot = self.view.snapshot();
+        let alone = snapshot.instances.iter().all(|i| i.name == self.settings.name);
+        let heard = self.last_datagrams.lock().iter().any(|(_, at)| now.since(*at) < CONTACT_TTL);
+        alone || heard || now.since(snapshot.confirmed.registry) < CONTACT_TTL
+    }
+
     /// Records the era of the registry's newest answer.
     pub(crate) fn observe_era(&self) {
         let confirmed = self.view.snapshot().confirmed.registry;
--- /dev/null
+++ b/crates/relay/src/ends.rs
@@ -0,0 +1,261 @@
+//! Ends of replicas: how they are found, which requests were there, and trials of parts of prompts
+//! under which replicas ended.
+
+use std::{sync::Arc, time::Duration};
+
+use blame::{EndId, Flight, PartKey, Parts, Report};
+use fleet::Replica;
+use hyper::StatusCode;
+use outbound::Framing;
+use serde::{Deserialize, Serialize};
+use table::{Expect, TableError, Write};
+use tokio::time::timeout;
+use tracing::{info, warn};
+
+use crate::{
+    conns::{SendError, try_connect},
+    core::Core,
+    services::CallError,
+};
+
+/// Timeout for a connection to a replica that is being checked.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Timeout for the report of a replica that is being checked.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(700);
+/// Pause before a replica that responded is checked again: it may have been ending.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(150);
+/// Partition of the rows that record trials.
+const PARTITION: &str = "trials";
+/// Number of these rows; parts share them by digest.
+const ROWS: u64 = 64;
+/// Age from which a row may be taken over, in ms on the registry's clock: as long as a part is
+/// fatal.
+const ROW_TTL_MS: u64 = 3_600_000;
+/// Timeout for taking a trial.
+const TRIAL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The digest of an incarnation of a replica.
+fn end_id(replica: &Replica) -> EndId {
+    EndId::new(&replica.id, replica.started_ms)
+}
+
+/// A request at a replica. It tells nothing about its parts if the guard is dropped.
+pub(crate) struct FlightGuard {
+    core: Arc<Core>,
+    replica: Arc<Replica>,
+    parts: Parts,
+    /// `None` once its end is recorded.
+    flight: Option<Flight>,
+}
+
+impl FlightGuard {
+    pub(crate) fn new(core: &Arc<Core>, replica: &Arc<Replica>, parts: Parts) -> Self {
+        let flight = core.blame.lock().begin(end_id(replica), parts.clone(), core.now());
+        Self { core: core.clone(), replica: replica.clone(), parts, flight: Some(flight) }
+    }
+
+    /// Records that the replica has begun to answer: it has outlived what was lost before this
+    /// request was sent.
+    pub(crate) fn begun(&self) {
+        if let Some(flight) = self.flight {
+            self.core.blame.lock().begun(flight, self.core.now());
+        }
+    }
+
+    /// Records that the connection broke before the answer was whole.
+    pub(crate) fn lost(mut self) {
+        self.record_lost(false);
+        check_replica(&self.core, &self.replica);
+    }
+
+    /// Records that the answer ended as its framing tells.
+    pub(crate) fn ended(mut self, status: StatusCode, framing: Framing) {
+        if framing == Framing::Connection {
+            self.record_lost(true);
+            // The end of the connection is that of the answer if the replica has outlived it. Parts
+            // that were answered before need no check.
+            let known = self.core.blame.lock().all_answered(&self.parts);
+            if !known {
+                check_replica(&self.core, &self.replica);
+            }
+        } else if status.is_success()
+            && let Some(flight) = self.flight.take()
+        {
+            self.core.blame.lock().answered(flight, self.core.now());
+        }
+    }
+
+    fn record_lost(&mut self, unframed: bool) {
+        let Some(flight) = self.flight.take() else { return };
+        let news = self.core.blame.lock().lost(flight, unframed, self.core.now());
+        if news {
+            spread(&self.core);
+        }
+    }
+}
+
+impl Drop for FlightGuard {
+    fn drop(&mut self) {
+        if let Some(flight) = self.flight.take() {
+            self.core.blame.lock().forget(flight);
+        }
+    }
+}
+
+/// Records that an incarnation of a replica has ended.
+pub(crate) fn replica_ended(core: &Core, replica: &Replica) {
+    let end = end_id(replica);
+    let (known, news) = {
+        let mut blame = core.blame.lock();
+        (blame.has_ended(end), blame.replica_ended(end, core.now()))
+    };
+    if !known {
+        core.metrics.replica_ends.inc();
+        info!(replica = &*replica.id, evidence = news, "replica ended");
+    }
+    if news {
+        spread(core);
+    }
+}
+
+/// Merges a peer's report of parts that were at replicas which ended.
+pub(crate) fn merge(core: &Core, report: &Report) {
+    let news = core.blame.lock().merge(report, core.now());
+    if news {
+        spread(core);
+    }
+}
+
+/// Passes new evidence on to peers.
+fn spread(core: &Core) {
+    let fatal = core.blame.lock().fatal(core.now());
+    if core.metrics.fatal_parts.get() != fatal.len() as i64 {
+        core.metrics.fatal_parts.set(fatal.len() as i64);
+        let ends: Vec<usize> = fatal.iter().map(|f| f.ends).collect();
+        info!(parts = fatal.len(), ?ends, "number of fatal parts changed");
+    }
+    core.notify_evidence.notify_one();
+}
+
+/// Finds out whether a replica has ended or only a connection to it.
+pub(crate) fn check_replica(core: &Arc<Core>, replica: &Arc<Replica>) {
+    let end = end_id(replica);
+    let known = core.blame.lock().has_ended(end);
+    let mut checked = core.checked.lock();
+    if known || checked.contains(&end) {
+        return;
+    }
+    checked.push(end);
+    drop(checked);
+    let (core, replica) = (core.clone(), replica.clone());
+    tokio::spawn(async move {
+        loop {
+            let mut found = check(&core, &replica).await;
+            let mut asked_at = core.now();
+            if found != Finding::Ended {
+                tokio::time::sleep(RECHECK_INTERVAL).await;
+                asked_at = core.now();
+                found = check(&core, &replica).await;
+            }
+            match found {
+                Finding::Ended | Finding::Closed => replica_ended(&core, &replica),
+                // Connections that were lost since then need another check.
+                Finding::Alive if core.blame.lock().alive(end, asked_at, core.now()) => continue,
+                Finding::Alive | Finding::Unknown => {}
+            }
+            break;
+        }
+        core.checked.lock().retain(|e| *e != end);
+    });
+}
+
+/// What a check of a replica showed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Finding {
+    /// This incarnation has ended.
+    Ended,
+    /// It closes connections without an answer.
+    Closed,
+    /// It responds.
+    Alive,
+    /// It does not respond, which may have other reasons.
+    Unknown,
+}
+
+async fn check(core: &Core, replica: &Replica) -> Finding {
+    match try_connect(replica.addr, CONNECT_TIMEOUT).await {
+        Ok(()) => {}
+        Err(SendError::Refused(_)) => return Finding::Ended,
+        Err(_) if core.is_in_contact() => return Finding::Ended,
+        Err(_) => return Finding::Unknown,
+    }
+    let report = core.adapters.engines.report(replica.addr);
+    match timeout(REPORT_TIMEOUT, report).await {
+        Ok(Ok(report)) => {
+            let known = report.started_ms != 0 && replica.started_ms != 0;
+            match known && report.started_ms != replica.started_ms {
+                true => Finding::Ended,
+                false => Finding::Alive,
+            }
+        }
+        // It accepts connections and closes them.
+        Ok(Err(CallError::Silent(_))) => Finding::Closed,
+        Err(_) => Finding::Unknown,
+        // A refusal is an answer as well.
+        Ok(Err(_)) => Finding::Alive,
+    }
+}
+
+/// The trial that was taken last of the parts that share a row.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct TrialWire {
+    /// Digest of the part.
+    part: u64,
+    number: u8,
+    /// When it was taken, in ms on the registry's clock.
+    taken: u64,
+}
+
+/// Takes a trial of a part, which only one instance can. Returns whether this one has it.
+pub(crate) async fn take_trial(core: &Core, part: PartKey, number: u8) -> bool {
+    match timeout(TRIAL_TIMEOUT, write_trial(core, part, number)).await {
+        Ok(Ok(())) => {
+            core.blame.lock().trial_taken(part, number);
+            core.notify_evidence.notify_one();
+            true
+        }
+        Ok(Err(TableError::Conflict)) => {
+            core.blame.lock().trial_taken(part, number);
+            false
+        }
+        Ok(Err(error)) => {
+            warn!(%error, "trial of a part could not be taken");
+            false
+        }
+        Err(_) => {
+            warn!("trial of a part could not be taken in time");
+            false
+        }
+    }
+}
+
+/// Records a trial of a part. Fails with [`TableError::Conflict`] if it was taken before.
+async fn write_trial(core: &Core, part: PartKey, number: u8) -> Result<(), TableError> {
+    let table = &core.adapters.table;
+    let sort: Arc<str> = format!("{:02}", part.0 % ROWS).into();
+    let clock = core.registry_clock.lock().to_registry(core.now()).unwrap_or(0);
+    let row = table.get(PARTITION, &sort).await?;
+    let last = row.as_ref().and_then(|row| serde_json::from_str::<TrialWire>(&row.body).ok());
+    let is_taken = |last: &TrialWire| {
+        last.part == part.0 && last.number >= number && clock < last.taken + ROW_TTL_MS
+    };
+    if last.is_some_and(|last| is_taken(&last)) {
+        return Err(TableError::Conflict);
+    }
+    let wire = TrialWire { part: part.0, number, taken: clock };
+    let body = serde_json::to_string(&wire);
+    let body = body.map_err(|e| TableError::Malformed(e.to_string().into()))?;
+    let expect = row.map_or(Expect::Absent, |row| Expect::Version(row.version));
+    let write = Write { part: PARTITION.into(), sort, expect, body: Some(body.into()) };
+    table.commit(vec![write]).await
+}
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use blame::{Admission, Parts};
 use bytes::{Bytes, BytesMut};
 use fleet::{RequestKind, Route, Snapshot};
 use http_body_util::BodyExt;
@@ -18,6 +19,7 @@
 use crate::{
     answer::{Body, Refusal, full_body, unsized_body},
     core::Core,
+    ends,
     job::Job,
     relay,
     send::{AttemptOutcome, ReplicaAnswer},
@@ -35,6 +37,8 @@
 const MAX_BUFFERED_BYTES: u64 = 256 * 1024;
 /// Delay after which callers should retry where all replicas are full or loading weights.
 const BUSY_RETRY_DELAY: Duration = Duration::from_millis(400);
+/// Delay after which callers should retry while a part of their prompts is being tried.
+const TRIAL_RETRY_DELAY: Duration = Duration::from_secs(2);
 /// Delay after which callers should retry where a target has no replica.
 const NO_REPLICA_RETRY_DELAY: Duration = Duration::from_millis(800);
 
@@ -54,6 +58,10 @@
         why: &'static str,
         retry_delay: Duration,
     },
+    /// Replicas ended under a part of the prompt.
+    Bar {
+        retry_delay: Duration,
+    },
 }
 
 /// Forwards one request and keeps the record of its attempts.
@@ -64,6 +72,10 @@
     /// Replicas chosen for an attempt so far, also where nothing could be sent. They are not chosen
     /// again.
     pub(crate) tried: Vec<Arc<str>>,
+    /// Digests of the prompt's shared parts.
+    pub(crate) parts: Parts,
+    /// Whether the next attempt is a trial of a part under which replicas ended.
+    is_trial: bool,
     /// Number of replicas that may have run the request.
     possible_runs: u32,
     /// Number of attempts that reached a replica or may have.
@@ -73,7 +85,10 @@
 impl Forwarder {
     pub(crate) fn new(core: Arc<Core>, job: Arc<Job>) -> Self {
         let target = job.target(rand::random());
-        Self { core, job, target, tried: Vec::new(), possible_runs: 0, arrivals: 0 }
+        let parts = job.parts();
+        let (possible_runs, arrivals) = (0, 0);
+        let (tried, is_trial) = (Vec::new(), false);
+        Self { core, job, target, tried, parts, is_trial, possible_runs, arrivals }
     }
 
     /// Makes attempts until an answer begins or no further attempt is allowed. `last` is the event
@@ -82,6 +97,7 @@
         &mut self,
         last: Option<u64>,
     ) -> Result<ReplicaAnswer, Refusal> {
+        self.try_trial().await;
         loop {
             let attempt = match self.next_step() {
                 Step::Send(attempt) => attempt,
@@ -90,6 +106,8 @@
                     continue;
                 }
                 Step::Stop { why, retry_delay } => return Err(self.refusal(why, retry_delay)),
+                Step::Bar { .. } if self.possible_runs > 0 => return Err(Refusal::Lost),
+                Step::Bar { retry_delay } => return Err(Refusal::Barred { retry_delay }),
             };
             match self.attempt(attempt, last).await {
                 AttemptOutcome::Answered(answer) if self.should_retry(&answer) => {
@@ -112,9 +130,55 @@
         };
         self.arrivals += arrivals;
         self.possible_runs += runs;
+        // A trial is one arrival.
+        self.is_trial &= arrivals == 0;
         outcome
     }
 
+    /// Whether the request may be sent now, as far as its parts are concerned.
+    pub(crate) fn may_send(&self) -> bool {
+        self.is_trial || self.admission() == Admission::Free
+    }
+
+    fn admission(&self) -> Admission {
+        self.core.blame.lock().admit(&self.parts, self.core.now())
+    }
+
+    /// Takes the trial of a part under which replicas ended, if one is due.
+    async fn try_trial(&mut self) {
+        if let Admission::Trial { part, number } = self.admission() {
+            self.is_trial = ends::take_trial(&self.core, part, number).await;
+            if self.is_trial {
+                info!(request = &*self.job.meta.id, number, "request sent as a trial of a part");
+            }
+        }
+    }
+
+    /// Refuses the request if replicas ended under a part of its prompt.
+    fn check_parts(&self, now: Time) -> Option<Step> {
+        let admission = if self.is_trial { Admission::Free } else { self.admission() };
+        let until = match admission {
+            Admission::Free => return None,
+            // Another request has taken the trial, or the table does not answer.
+            Admission::Trial { .. } => now.after(TRIAL_RETRY_DELAY),
+            Admission::Barred { part, ends, since, until } => {
+                let at = self.parts.iter().position(|p| *p == part);
+                let prompt = self.job.meta.prompt.as_ref();
+                let part = at.and_then(|at| prompt?.parts.get(at));
+                info!(
+                    request = &*self.job.meta.id,
+                    part = part.map(|p| &*p.id),
+                    ends,
+                    age_ms = now.since(since).as_millis() as u64,
+                    runs = self.possible_runs,
+                    "request refused, replicas ended under a part of its prompt"
+                );
+                until
+            }
+        };
+        Some(Step::Bar { retry_delay: until.since(now) })
+    }
+
     /// Chooses the replica for the next attempt and takes the attempt from the retry budget, or
     /// returns why no attempt can be made now.
     pub(crate) fn next_step(&mut self) -> Step {
@@ -126,6 +190,9 @@
         if self.possible_runs >= self.job.route.attempts || self.tried.len() >= MAX_ATTEMPTS {
             return stop("all allowed replicas refused", BUSY_RETRY_DELAY);
         }
+        if let Some(step) = self.check_parts(now) {
+            return step;
+        }
         let snapshot = self.core.view.snapshot();
         let choice = match self.choose(&snapshot, now) {
             Ok(choice) => choice,
@@ -241,7 +308,7 @@
             Some(Start::Part(bytes)) => {
                 return Ok(relay::relay_answer(forwarder, answer, bytes, false));
             }
-            None => {}
+            None => answer.flight.lost(),
         }
         core.pool.lock().record_outcome(&answer.replica.id, Outcome::NoAnswer, core.now());
         if !job.route.repeatable() || forwarder.possible_runs() >= job.route.attempts {
@@ -282,8 +349,9 @@
 
 /// The response for the caller to an answer whose body is `bytes`.
 fn whole_answer(core: &Core, job: &Job, answer: ReplicaAnswer, bytes: Bytes) -> Response<Body> {
-    let ReplicaAnswer { status, mut headers, conn, .. } = answer;
+    let ReplicaAnswer { status, mut headers, conn, flight, .. } = answer;
     let framing = Framing::of(&job.method, status, &headers);
+    flight.ended(status, framing);
     core.metrics.ended.with_label_values(&[framing.name(), "event"]).inc();
     let unframed = framing == Framing::Connection;
     if !unframed {
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -5,6 +5,7 @@
     time::Duration,
 };
 
+use blame::{PartKey, Parts};
 use bytes::Bytes;
 use fleet::{Route, Snapshot, Team};
 use hyper::{HeaderMap, Method, Uri};
@@ -64,6 +65,15 @@
         self.meta.prompt.as_ref().filter(|_| self.route.sticky)
     }
 
+    /// Digests of the prompt's shared parts, in its order.
+    pub fn parts(&self) -> Parts {
+        let prompt = self.meta.prompt.as_ref();
+        let keys = prompt.iter().flat_map(|p| {
+            p.shared().iter().map(|part| PartKey::new(&p.model, self.dedicated_team(), &part.id))
+        });
+        keys.collect()
+    }
+
     /// The time left until the deadline.
     pub fn time_left(&self, now: Time) -> Duration {
         self.deadline.since(now)
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,6 +13,7 @@
 mod dates;
 mod directory;
 mod duty;
+mod ends;
 mod events;
 mod follow;
 mod forward;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -36,6 +36,10 @@
     pub store_returns: IntCounter,
     /// Highest era in which the platform's registry has answered.
     pub store_era: IntGauge,
+    /// Ends of replicas that this instance found while requests were there.
+    pub replica_ends: IntCounter,
+    /// Parts of prompts, or groups of them, under which replicas end.
+    pub fatal_parts: IntGauge,
     /// Seconds from the request to the head of a replica's answer, before its body is read.
     pub first_byte: Histogram,
     /// Seconds from the request to the end of a relayed answer.
@@ -76,6 +80,14 @@
         let store_era = IntGauge::new("lentil_store_era", "Era of the platform's registry");
         let store_era = store_era.expect("the metric name is valid");
         registry.register(Box::new(store_era.clone())).expect("metric names are unique");
+        let replica_ends =
+            IntCounter::new("lentil_replica_ends_total", "Ends of replicas that were noticed");
+        let replica_ends = replica_ends.expect("the metric name is valid");
+        registry.register(Box::new(replica_ends.clone())).expect("metric names are unique");
+        let fatal_parts =
+            IntGauge::new("lentil_fatal_parts", "Parts of prompts under which replicas end");
+        let fatal_parts = fatal_parts.expect("the metric name is valid");
+        registry.register(Box::new(fatal_parts.clone())).expect("metric names are unique");
         Self {
             requests: family("lentil_requests_total", "Requests by outcome", "outcome"),
             attempts: family("lentil_sends_total", "Sends to replicas by outcome", "outcome"),
@@ -97,6 +109,8 @@
             resumed,
             store_returns,
             store_era,
+            replica_ends,
+            fatal_parts,
             registry,
         }
     }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -9,14 +9,16 @@
     time::Duration,
 };
 
+use blame::{Report, SuspectReport};
 use fleet::{Announcement, Replica, Snapshot};
 use ident::Time;
 use place::{Load, PeerLoad};
+use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, time::timeout};
 use tracing::{info, warn};
 
-use crate::{conns::fetch_from_peer, core::Core, dates::RegistryClock};
+use crate::{conns::fetch_from_peer, core::Core, dates::RegistryClock, ends};
 
 /// How long after its last datagram a peer is listed to callers. Where limits are divided among
 /// the instances, a peer counts four times as long.
@@ -27,6 +29,10 @@
 const SEND_INTERVAL: Duration = Duration::from_millis(200);
 /// Most datagrams that an instance sends per second; with more peers the interval gets longer.
 const MAX_DATAGRAMS_PER_SECOND: u32 = 60;
+/// Most peers that are told at once of new evidence.
+const SPREAD_PEERS: usize = 30;
+/// Shortest interval between two datagrams with new evidence.
+const SPREAD_INTERVAL: Duration = Duration::from_millis(250);
 /// Longest datagram, in bytes, so that it fits into one packet.
 const MAX_DATAGRAM_BYTES: usize = 1400;
 /// Most leaving replicas in one datagram.
@@ -96,6 +102,8 @@
     era: u64,
     /// [`fleet::Replica::started_ms`] of each replica in [`Datagram::leaving`], 0 if unknown.
     started: Vec<u64>,
+    /// Parts of prompts that were at replicas which ended, as far as there is space for them.
+    suspects: Vec<SuspectReport>,
 }
 
 /// Decodes a datagram and its trailer.
@@ -112,8 +120,12 @@
     if rest.is_empty() {
         return Ok((datagram, Trailer { era, ..Trailer::default() }));
     }
-    let started = postcard::from_bytes(rest).map_err(|_| DatagramError::Malformed)?;
-    Ok((datagram, Trailer { era, started }))
+    let (started, rest) = postcard::take_from_bytes(rest).map_err(|_| DatagramError::Malformed)?;
+    if rest.is_empty() {
+        return Ok((datagram, Trailer { era, started, ..Trailer::default() }));
+    }
+    let suspects = postcard::from_bytes(rest).map_err(|_| DatagramError::Malformed)?;
+    Ok((datagram, Trailer { era, started, suspects }))
 }
 
 fn datagram(core: &Core, clock: &RegistryClock) -> (Datagram, Trailer) {
@@ -138,7 +150,22 @@
         weights: announced_weights(core, clock, &snapshot),
         confirmed: clock.to_registry(snapshot.confirmed.weights).unwrap_or(0),
     };
-    (datagram, Trailer { era: clock.era(), started })
+    (datagram, Trailer { era: clock.era(), started, suspects: Vec::new() })
+}
+
+/// Encodes the datagram for peers, with as much of the evidence against parts as fits. `None` if
+/// it is too long without.
+fn encode(core: &Core) -> Option<Vec<u8>> {
+    let clock = *core.registry_clock.lock();
+    let (datagram, mut trailer) = datagram(core, &clock);
+    let bare = postcard::to_stdvec(&(&datagram, &trailer)).ok()?.len();
+    if bare > MAX_DATAGRAM_BYTES {
+        warn!(bytes = bare, "datagram for peers is too long and was not sent");
+        return None;
+    }
+    let report = core.blame.lock().report(core.now());
+    trailer.suspects = report.fit(MAX_DATAGRAM_BYTES - bare).suspects;
+    postcard::to_stdvec(&(&datagram, &trailer)).ok()
 }
 
 /// The newest versions of each model and when they were announced.
@@ -173,14 +200,22 @@
     }
 }
 
+/// Sends datagrams to some peers when there is new evidence against a part of a prompt. Those that
+/// learn from it do the same.
+pub(crate) async fn spread_loop(core: Arc<Core>, socket: Arc<UdpSocket>) {
+    loop {
+        core.notify_evidence.notified().await;
+        let peers = peer_addresses(&core);
+        let some = peers.choose_multiple(&mut rand::rng(), SPREAD_PEERS);
+        let some: Vec<SocketAddr> = some.copied().collect();
+        send(&core, &socket, &some).await;
+        tokio::time::sleep(SPREAD_INTERVAL).await;
+    }
+}
+
 /// Sends one datagram to each peer.
 pub(crate) async fn send(core: &Core, socket: &UdpSocket, peers: &[SocketAddr]) {
-    let clock = *core.registry_clock.lock();
-    let Ok(bytes) = postcard::to_stdvec(&datagram(core, &clock)) else { return };
-    if bytes.len() > MAX_DATAGRAM_BYTES {
-        warn!(bytes = bytes.len(), "datagram for peers is too long and was not sent");
-        return;
-    }
+    let Some(bytes) = encode(core) else { return };
     for peer in peers {
         // The next datagram makes up for a lost one.
         let _ = socket.send_to(&bytes, peer).await;
@@ -285,6 +320,10 @@
         core.view.confirm_weights(at.min(now));
         core.view.confirm_registry(at.min(now));
     }
+    if !trailer.suspects.is_empty() {
+        let report = Report { suspects: trailer.suspects.clone() };
+        ends::merge(core, &report);
+    }
     fetch_config(core, &name, datagram.rev);
     note_peer(core, name, datagram.ready, now);
 }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -172,7 +172,7 @@
     async fn copy_answer(&mut self, answer: ReplicaAnswer) -> End {
         let core = self.forwarder.core.clone();
         let sender = self.sender.clone();
-        let ReplicaAnswer { status, headers, mut body, conn, mut load, replica } = answer;
+        let ReplicaAnswer { status, headers, mut body, conn, mut load, flight, replica } = answer;
         self.framing = Framing::of(&self.forwarder.job.method, status, &headers);
         loop {
             let frame = tokio::select! {
@@ -181,13 +181,18 @@
             };
             let bytes = match frame {
                 Err(end) => return end,
-                Ok(Some(Err(e))) => return End::Broken(Interruption::Conn(e)),
+                Ok(Some(Err(e))) => {
+                    flight.lost();
+                    return End::Broken(Interruption::Conn(e));
+                }
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
                 Ok(None) => {
                     self.count_end();
                     if self.is_cut() {
+                        flight.lost();
                         return End::Broken(StreamError::Incomplete.into());
                     }
+                    flight.ended(status, self.framing);
                     if self.framing != Framing::Connection {
                         core.conns.keep(conn, &headers, core.now());
                     }
@@ -270,6 +275,10 @@
                     self.log_silence(replica, "kept", why);
                     return None;
                 }
+                Step::Bar { .. } => {
+                    self.log_silence(replica, "kept", "replicas ended under a part of its prompt");
+                    return None;
+                }
             };
             match self.forwarder.attempt(attempt, last).await {
                 AttemptOutcome::Answered(answer) if answer.status.is_success() => {
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -13,6 +13,7 @@
 use crate::{
     conns::{Conn, SendError},
     core::Core,
+    ends::{self, FlightGuard},
     forward::{Attempt, Forwarder},
     protocol::{ForwardHeaders, ResponseMeta},
 };
@@ -64,6 +65,7 @@
     pub(crate) body: Incoming,
     pub(crate) conn: Conn,
     pub(crate) load: LoadGuard,
+    pub(crate) flight: FlightGuard,
     pub(crate) replica: Arc<Replica>,
 }
 
@@ -138,23 +140,37 @@
         let guard = LoadGuard::new(core, &replica.id, load);
         self.log_attempt(&choice, plan.as_ref(), forward_headers.time_left, &snapshot);
         let max_conns = self.max_conns(&snapshot);
-        let sent = core.conns.send(&replica.id, replica.addr, max_conns, request, now);
+        let flight = FlightGuard::new(core, replica, self.parts.clone());
+        let may_send = || self.may_send();
+        let sent = core.conns.send(&replica.id, replica.addr, max_conns, request, &may_send, now);
         let latest = self.latest_start(&choice);
         let wait = latest
             .map_or(forward_headers.time_left, |at| forward_headers.time_left.min(at.since(now)));
         match timeout(wait, sent).await {
-            Ok(Ok((response, conn))) => self.check_head(response, conn, guard, &choice),
+            Ok(Ok((response, conn))) => self.check_head(response, conn, guard, flight, &choice),
+            Ok(Err(SendError::Refused(why))) => {
+                ends::replica_ended(core, replica);
+                core.pool.lock().mark_unreachable(&replica.id, core.now());
+                self.log_outcome("unreachable", &choice, &why);
+                AttemptOutcome::Unsent
+            }
             Ok(Err(SendError::Connect(why))) => {
+                ends::check_replica(core, replica);
                 core.pool.lock().mark_unreachable(&replica.id, core.now());
                 self.log_outcome("unreachable", &choice, &why);
                 AttemptOutcome::Unsent
             }
+            Ok(Err(SendError::Withheld)) => {
+                self.count_outcome("withheld", &replica.id);
+                AttemptOutcome::Unsent
+            }
             Ok(Err(SendError::NoFreeConn)) => {
                 core.pool.lock().record_outcome(&replica.id, Outcome::Full, core.now());
                 self.count_outcome("crowded", &replica.id);
                 AttemptOutcome::Unsent
             }
             Ok(Err(SendError::Broken(why))) => {
+                flight.lost();
                 core.pool.lock().record_outcome(&replica.id, Outcome::NoAnswer, core.now());
                 self.log_outcome("broken", &choice, &why);
                 AttemptOutcome::Lost
@@ -229,6 +245,7 @@
         response: Response<Incoming>,
         conn: Conn,
         load: LoadGuard,
+        flight: FlightGuard,
         choice: &Choice,
     ) -> AttemptOutcome {
         let (core, job) = (&self.core, &self.job);
@@ -249,6 +266,7 @@
             );
             return AttemptOutcome::Lost;
         }
+        flight.begun();
         if meta.refused {
             self.handle_refusal(head.status, &meta, choice, now);
             return AttemptOutcome::NotRun;
@@ -276,6 +294,7 @@
             body,
             conn,
             load,
+            flight,
             replica,
         }))
     }
@@ -287,6 +306,7 @@
         let other_replica = meta.replica.as_ref().is_some_and(|r| r != id);
         if misdirected && other_replica {
             // Another incarnation listens at the address: this one is gone.
+            ends::replica_ended(&self.core, &choice.replica);
             self.core.view.mark_leaving(id);
             self.core.record_departure(id);
             self.core.pool.lock().sync(&self.core.view.snapshot().replicas);
--- a/crates/relay/src/services.rs
+++ b/crates/relay/src/services.rs
@@ -108,6 +108,8 @@
     pub busy: bool,
     /// Number of orders accepted since the replica started.
     pub orders: u64,
+    /// [`fleet::Replica::started_ms`] of the replica that reports; 0 if it does not say.
+    pub started_ms: u64,
 }
 
 /// An order to load another version of a model's weights.
