--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod budget;
 mod catalog;
+mod limits;
 mod plan;
 mod pool;
 mod prompt;
@@ -15,6 +16,7 @@
 pub use crate::{
     budget::{RetryBudget, RetryBudgets},
     catalog::{Catalog, Change, HeldPart},
+    limits::{Limits, NamedLimit},
     plan::{Plan, Source, Transfer, cache_salt, free_delay, old_part_grace, parse_salt},
     pool::{Choice, Load, Outcome, PeerLoad, PlacementError, PlacementRequest, Pool},
     prompt::{Part, Prompt},
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -14,7 +14,7 @@
 use fleet::{Config, Replica, Snapshot, Store, View};
 use ident::{Clock, Time};
 use parking_lot::Mutex;
-use place::{Catalog, Pool, RetryBudgets};
+use place::{Catalog, Limits, Pool, RetryBudgets};
 use table::Table;
 use tokio::sync::{Notify, Semaphore, watch};
 use tracing::info;
@@ -179,6 +179,8 @@
     pub closing: watch::Sender<bool>,
     /// Wakes the task that sends datagrams to peers.
     pub notify_peers: Notify,
+    /// Limits on requests that replicas name.
+    pub limits: Mutex<Limits>,
     /// Parts of prompts under which replicas end.
     pub blame: Mutex<Blame>,
     /// Incarnations of replicas that are being checked after a connection to them broke.
@@ -217,6 +219,7 @@
             loading: Mutex::default(),
             closing: watch::Sender::new(false),
             notify_peers: Notify::new(),
+            limits: Mutex::default(),
             blame: Mutex::default(),
             checked: Mutex::default(),
             notify_evidence: Notify::new(),
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -40,6 +40,8 @@
     pub replica_ends: IntCounter,
     /// Parts of prompts, or groups of them, under which replicas end.
     pub fatal_parts: IntGauge,
+    /// Replicas that name a limit on requests.
+    pub limited_replicas: IntGauge,
     /// Seconds from the request to the head of a replica's answer, before its body is read.
     pub first_byte: Histogram,
     /// Seconds from the request to the end of a relayed answer.
@@ -88,6 +90,10 @@
             IntGauge::new("lentil_fatal_parts", "Parts of prompts under which replicas end");
         let fatal_parts = fatal_parts.expect("the metric name is valid");
         registry.register(Box::new(fatal_parts.clone())).expect("metric names are unique");
+        let limited_replicas =
+            IntGauge::new("lentil_limited_replicas", "Replicas that name a limit on requests");
+        let limited_replicas = limited_replicas.expect("the metric name is valid");
+        registry.register(Box::new(limited_replicas.clone())).expect("metric names are unique");
         Self {
             requests: family("lentil_requests_total", "Requests by outcome", "outcome"),
             attempts: family("lentil_sends_total", "Sends to replicas by outcome", "outcome"),
@@ -111,6 +117,7 @@
             store_era,
             replica_ends,
             fatal_parts,
+            limited_replicas,
             registry,
         }
     }
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use fleet::Instance;
+use fleet::{Instance, Replica};
 use rand::Rng;
 use socket2::{Domain, Socket, Type};
 use tokio::{
@@ -214,6 +214,11 @@
         tokio::time::sleep(SWEEP_INTERVAL).await;
         let snapshot = core.view.snapshot();
         let now = core.now();
+        let same = |r: &Replica, started_ms: u64| r.started_ms == started_ms;
+        let mut limits = core.limits.lock();
+        limits.retain(|id, started_ms| snapshot.replica(id).is_some_and(|r| same(r, started_ms)));
+        core.metrics.limited_replicas.set(limits.count() as i64);
+        drop(limits);
         core.conns.sweep(|id| snapshot.replica(id).is_some(), now);
         core.budgets.lock().record_instances(core.instance_count(&snapshot), now);
     }
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use hyper::{HeaderMap, StatusCode};
-use place::{Plan, Prompt};
+use place::{NamedLimit, Plan, Prompt};
 
 /// What a caller's headers say about its request.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -56,7 +56,7 @@
 
 /// What the head of a replica's answer says. An optional field is `None` where its header is
 /// missing or unreadable.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct ResponseMeta {
     /// Identifier of the request that the replica answers.
     pub request_id: Option<Arc<str>>,
@@ -70,6 +70,8 @@
     pub version: Option<u64>,
     /// Identifier of the replica that answers.
     pub replica: Option<Arc<str>>,
+    /// Limit on requests that the replica names.
+    pub limit: NamedLimit,
 }
 
 /// The protocol of callers and replicas.
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -6,9 +6,9 @@
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming, header::CONTENT_ENCODING};
 use ident::Time;
-use place::{Choice, Load, Outcome, Plan, Source, Transfer, cache_salt};
+use place::{Choice, Load, NamedLimit, Outcome, Plan, Source, Transfer, cache_salt};
 use tokio::time::timeout;
-use tracing::info;
+use tracing::{info, warn};
 
 use crate::{
     conns::{Conn, SendError},
@@ -267,6 +267,7 @@
             return AttemptOutcome::Lost;
         }
         flight.begun();
+        self.observe_limit(&meta.limit, &choice.replica);
         if meta.refused {
             self.handle_refusal(head.status, &meta, choice, now);
             return AttemptOutcome::NotRun;
@@ -299,6 +300,23 @@
         }))
     }
 
+    /// Records the limit that the replica names, and logs a change.
+    fn observe_limit(&self, limit: &NamedLimit, replica: &Replica) {
+        let rate = match limit {
+            NamedLimit::None => None,
+            NamedLimit::Rate(rate) => Some(*rate),
+            NamedLimit::Malformed(text) => {
+                warn!(replica = &*replica.id, %text, "replica names a malformed limit");
+                return;
+            }
+        };
+        let mut limits = self.core.limits.lock();
+        if limits.observe(replica, rate) {
+            self.core.metrics.limited_replicas.set(limits.count() as i64);
+            info!(replica = &*replica.id, rate, "replica's limit changed");
+        }
+    }
+
     /// Updates the view and the replica's health after a refusal.
     fn handle_refusal(&self, status: StatusCode, meta: &ResponseMeta, choice: &Choice, now: Time) {
         let id = &choice.replica.id;
