Keep the limit that a replica names among few instances

A share for each instance would not do either: with 91 instances one request each is 91 where a limit of 4 allows 29.

A limited replica now has few senders, the first instances in the rendezvous order for it, with an equal share of the limit each and a burst of one or two requests; the others send nothing there. Limits travel behind the datagrams, as the sender itself saw them; the youngest observation counts. Where all replicas are left out, requests are refused at once with the time of the next one. The header is not passed on.

--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -16,7 +16,7 @@
 pub use crate::{
     budget::{RetryBudget, RetryBudgets},
     catalog::{Catalog, Change, HeldPart},
-    limits::{Limits, NamedLimit},
+    limits::{LimitReport, Limits, NamedLimit, Peers, Permit},
     plan::{Plan, Source, Transfer, cache_salt, free_delay, old_part_grace, parse_salt},
     pool::{Choice, Load, Outcome, PeerLoad, PlacementError, PlacementRequest, Pool},
     prompt::{Part, Prompt},
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -5,7 +5,7 @@
 use fleet::{Engine, Replica};
 use ident::{Time, rendezvous_order};
 
-use crate::Headroom;
+use crate::{Headroom, Permit};
 
 /// Prompt tokens that an engine prefills per ms.
 const PREFILL_TOKENS_PER_MS: f64 = 45.0;
@@ -50,6 +50,9 @@
 const SHORT_FALLBACK_COST_MS: f64 = 40.0;
 /// Cost of a long prompt at a replica for short prompts, in ms.
 const LONG_FALLBACK_COST_MS: f64 = 400.0;
+/// Delay after which a caller finds another instance, where this one sends to none of the limited
+/// replicas.
+const LIMITED_DELAY: Duration = Duration::from_secs(1);
 /// Number of attempts in a row without an answer from which a replica counts as unhealthy.
 const FAILURE_THRESHOLD: u32 = 2;
 
@@ -121,6 +124,8 @@
     pub zone: &'a str,
     /// Identifiers of the replicas that this request was sent to already.
     pub tried: &'a [Arc<str>],
+    /// Limited replicas and whether this instance may send to them. Sorted by replica.
+    pub permits: &'a [(Arc<str>, Permit)],
     /// Description of the target's engines; `None` if its replicas are not engines.
     pub engine: Option<&'a Engine>,
     /// Random tie-breaker; any number.
@@ -154,6 +159,12 @@
     /// No usable replica has the required headroom.
     #[error("all replicas are full")]
     Overloaded,
+    /// The replicas with suitable weights are at their limits, or excluded for now.
+    #[error("the replicas are at their limits")]
+    Limited {
+        /// Time at which this instance may send the next request to one of them.
+        until: Time,
+    },
     /// All replicas with suitable weights were tried already or are excluded for now.
     #[error("no replica is usable now")]
     Excluded {
@@ -188,6 +199,12 @@
 }
 
 impl PlacementRequest<'_> {
+    /// Whether this instance may send to a replica; `None` if the replica has no limit.
+    fn permit(&self, entry: &Entry) -> Option<Permit> {
+        let found = self.permits.binary_search_by(|(id, _)| id.cmp(&entry.replica.id));
+        found.ok().map(|at| self.permits[at].1)
+    }
+
     /// Whether the prompt is a short one.
     fn is_short(&self) -> bool {
         self.load.prefill_tokens < SHORT_PROMPT_TOKENS
@@ -388,6 +405,9 @@
             if any_usable {
                 return Err(PlacementError::Overloaded);
             }
+            if let Some(until) = self.limited_until(&members, request, now) {
+                return Err(PlacementError::Limited { until });
+            }
             let first =
                 members.iter().map(|m| m.entry.excluded_until).filter(|t| !t.passed(now)).min();
             return Err(PlacementError::Excluded {
@@ -401,6 +421,23 @@
         Ok(Choice { replica: entry.replica.clone(), preferred, version, delay_ms, load, requests })
     }
 
+    /// When this instance may next send to a replica that only its limit excludes; `None` if there is
+    /// no such replica.
+    fn limited_until(
+        &self,
+        members: &[Member<'_>],
+        request: &PlacementRequest<'_>,
+        now: Time,
+    ) -> Option<Time> {
+        let limited = members.iter().filter(|m| self.sound(m.entry, request, now));
+        let until = limited.filter_map(|m| match request.permit(m.entry)? {
+            Permit::Now => None,
+            Permit::At(at) => Some(at),
+            Permit::Elsewhere => Some(now.after(LIMITED_DELAY)),
+        });
+        until.min()
+    }
+
     /// Returns the target's replicas that accept requests. Which replicas of an engine target are
     /// preferred for short prompts depends on their ids only, so that all instances agree.
     fn members(&self, request: &PlacementRequest<'_>) -> Vec<Member<'_>> {
@@ -429,6 +466,12 @@
     }
 
     fn usable(&self, entry: &Entry, request: &PlacementRequest<'_>, now: Time) -> bool {
+        let permitted = matches!(request.permit(entry), None | Some(Permit::Now));
+        permitted && self.sound(entry, request, now)
+    }
+
+    /// Whether the request may be sent to the replica, but for its limit.
+    fn sound(&self, entry: &Entry, request: &PlacementRequest<'_>, now: Time) -> bool {
         let tried = request.tried.contains(&entry.replica.id);
         let version = request.model.is_none_or(|(model, _)| {
             entry.version(model).is_some_and(|v| v >= request.min_version)
@@ -456,8 +499,11 @@
                 + noise;
         };
         let is_preferred = preferred.is_some_and(|p| p.replica.id == entry.replica.id);
-        let fallback =
-            if is_preferred || request.shared_tokens == 0 { 0.0 } else { FALLBACK_COST_MS };
+        // A limited replica gets few requests; those that are permitted should be used.
+        let fallback = match is_preferred || request.shared_tokens == 0 {
+            false if request.permit(entry).is_none() => FALLBACK_COST_MS,
+            _ => 0.0,
+        };
         let transfer = request.shared_tokens as f64 * engine.token_bytes as f64 * 8.0
             / (engine.link_mbps * 1000.0);
         let transfer = if is_preferred { 0.0 } else { transfer };
--- a/crates/place/tests/replica_choice.rs
+++ b/crates/place/tests/replica_choice.rs
@@ -52,6 +52,7 @@
         headroom: Headroom::Ample,
         zone: "a",
         tried: &[],
+        permits: &[],
         engine: Some(engine),
         tie_breaker: 0,
     }
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -14,7 +14,7 @@
 use fleet::{Config, Replica, Snapshot, Store, View};
 use ident::{Clock, Time};
 use parking_lot::Mutex;
-use place::{Catalog, Limits, Pool, RetryBudgets};
+use place::{Catalog, Limits, Peers, Pool, RetryBudgets};
 use table::Table;
 use tokio::sync::{Notify, Semaphore, watch};
 use tracing::info;
@@ -327,6 +327,21 @@
         alone || heard || now.since(snapshot.confirmed.registry) < CONTACT_TTL
     }
 
+    /// The instances among which the limits of replicas are shared.
+    pub(crate) fn limit_peers(&self) -> Peers {
+        let snapshot = self.view.snapshot();
+        let own = &self.settings.name;
+        let heard = self.last_heard.lock();
+        let is_alive =
+            |name: &Arc<str>| name == own || heard.binary_search_by(|(n, _)| n.cmp(name)).is_ok();
+        let names = snapshot.instances.iter().filter(|i| !i.leaving).map(|i| &i.name);
+        let mut alive: Vec<Arc<str>> = names.filter(|n| is_alive(n)).cloned().collect();
+        alive.push(own.clone());
+        alive.sort();
+        alive.dedup();
+        Peers { own: own.clone(), alive, registered: snapshot.instances.len() }
+    }
+
     /// Records the era of the registry's newest answer.
     pub(crate) fn observe_era(&self) {
         let confirmed = self.view.snapshot().confirmed.registry;
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -196,6 +196,10 @@
         let snapshot = self.core.view.snapshot();
         let choice = match self.choose(&snapshot, now) {
             Ok(choice) => choice,
+            Err(PlacementError::Limited { until }) => {
+                let delay = until.since(now).max(MIN_TIME_LEFT);
+                return stop("the replicas are at their limits", delay);
+            }
             Err(PlacementError::NoReplica) => {
                 return stop("the target has no replica", NO_REPLICA_RETRY_DELAY);
             }
@@ -208,6 +212,10 @@
                 return Step::Wait(wait.max(Duration::from_millis(5)));
             }
         };
+        if !self.core.limits.lock().take(&choice.replica.id, now) {
+            // Another request has taken it since the choice.
+            return Step::Wait(Duration::ZERO);
+        }
         if !self.within_budget(&snapshot, now) {
             return stop("the budget of repeats is used up", BUSY_RETRY_DELAY);
         }
@@ -259,6 +267,7 @@
         let prompt = self.job.prompt();
         let newest = |model: &str| snapshot.announced(model).map_or(1, |w| w.version);
         let total = self.job.deadline.since(self.job.start);
+        let permits = self.core.limits.lock().permits(now);
         let request = PlacementRequest {
             target: &self.target,
             context: prompt.and_then(|p| p.context()).map(|c| &*c.id),
@@ -269,6 +278,7 @@
             headroom: Headroom::after_wait(now.since(self.job.start), self.job.route.goal, total),
             zone: &self.core.settings.zone,
             tried: &self.tried,
+            permits: &permits,
             engine,
             tie_breaker: rand::random(),
         };
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -211,6 +211,7 @@
 
 async fn sweep(core: Arc<Core>) {
     loop {
+        core.limits.lock().set_peers(core.limit_peers());
         tokio::time::sleep(SWEEP_INTERVAL).await;
         let snapshot = core.view.snapshot();
         let now = core.now();
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -12,7 +12,7 @@
 use blame::{Report, SuspectReport};
 use fleet::{Announcement, Replica, Snapshot};
 use ident::Time;
-use place::{Load, PeerLoad};
+use place::{LimitReport, Load, PeerLoad};
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, time::timeout};
@@ -43,6 +43,8 @@
 const CONFIG_TIMEOUT: Duration = Duration::from_millis(800);
 /// Most versions of a model in one datagram.
 const MAX_VERSIONS: usize = 2;
+/// Most limits of replicas in one datagram.
+const MAX_LIMITS: usize = 8;
 /// Most replicas with their load in one datagram.
 const MAX_LOADS: usize = 40;
 
@@ -104,6 +106,41 @@
     started: Vec<u64>,
     /// Parts of prompts that were at replicas which ended, as far as there is space for them.
     suspects: Vec<SuspectReport>,
+    /// Limits that replicas named in answers to the sender.
+    limits: Vec<LimitWire>,
+}
+
+/// A [`LimitReport`].
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct LimitWire {
+    replica: String,
+    started_ms: u64,
+    rate: Option<f64>,
+    age_ms: u64,
+}
+
+impl From<LimitReport> for LimitWire {
+    fn from(report: LimitReport) -> Self {
+        let LimitReport { replica, started_ms, rate, age } = report;
+        let age_ms = age.as_millis() as u64;
+        Self { replica: replica.to_string(), started_ms, rate, age_ms }
+    }
+}
+
+impl TryFrom<&LimitWire> for LimitReport {
+    type Error = DatagramError;
+
+    fn try_from(wire: &LimitWire) -> Result<Self, DatagramError> {
+        if wire.rate.is_some_and(|rate| !rate.is_finite() || rate < 0.0) {
+            return Err(DatagramError::Malformed);
+        }
+        Ok(Self {
+            replica: wire.replica.as_str().into(),
+            started_ms: wire.started_ms,
+            rate: wire.rate,
+            age: Duration::from_millis(wire.age_ms),
+        })
+    }
 }
 
 /// Decodes a datagram and its trailer.
@@ -124,8 +161,12 @@
     if rest.is_empty() {
         return Ok((datagram, Trailer { era, started, ..Trailer::default() }));
     }
-    let suspects = postcard::from_bytes(rest).map_err(|_| DatagramError::Malformed)?;
-    Ok((datagram, Trailer { era, started, suspects }))
+    let (suspects, rest) = postcard::take_from_bytes(rest).map_err(|_| DatagramError::Malformed)?;
+    if rest.is_empty() {
+        return Ok((datagram, Trailer { era, started, suspects, limits: Vec::new() }));
+    }
+    let limits = postcard::from_bytes(rest).map_err(|_| DatagramError::Malformed)?;
+    Ok((datagram, Trailer { era, started, suspects, limits }))
 }
 
 fn datagram(core: &Core, clock: &RegistryClock) -> (Datagram, Trailer) {
@@ -150,7 +191,7 @@
         weights: announced_weights(core, clock, &snapshot),
         confirmed: clock.to_registry(snapshot.confirmed.weights).unwrap_or(0),
     };
-    (datagram, Trailer { era: clock.era(), started, suspects: Vec::new() })
+    (datagram, Trailer { era: clock.era(), started, ..Trailer::default() })
 }
 
 /// Encodes the datagram for peers, with as much of the evidence against parts as fits. `None` if
@@ -158,6 +199,8 @@
 fn encode(core: &Core) -> Option<Vec<u8>> {
     let clock = *core.registry_clock.lock();
     let (datagram, mut trailer) = datagram(core, &clock);
+    let limits = core.limits.lock().report(core.now());
+    trailer.limits = limits.into_iter().take(MAX_LIMITS).map(LimitWire::from).collect();
     let bare = postcard::to_stdvec(&(&datagram, &trailer)).ok()?.len();
     if bare > MAX_DATAGRAM_BYTES {
         warn!(bytes = bare, "datagram for peers is too long and was not sent");
@@ -324,10 +367,25 @@
         let report = Report { suspects: trailer.suspects.clone() };
         ends::merge(core, &report);
     }
+    for limit in &trailer.limits {
+        match LimitReport::try_from(limit) {
+            Ok(report) => merge_limit(core, &report, &name, now),
+            Err(error) => warn!(%error, peer = %name, "peer reported a malformed limit"),
+        }
+    }
     fetch_config(core, &name, datagram.rev);
     note_peer(core, name, datagram.ready, now);
 }
 
+/// Applies a limit that a peer saw in an answer.
+fn merge_limit(core: &Core, report: &LimitReport, peer: &str, now: Time) {
+    let mut limits = core.limits.lock();
+    if limits.merge(report, now) {
+        core.metrics.limited_replicas.set(limits.count() as i64);
+        info!(replica = %report.replica, rate = report.rate, peer, "peer reported a replica's limit");
+    }
+}
+
 /// Records that a peer is ready, or removes one that is not.
 fn note_peer(core: &Core, name: Arc<str>, ready: bool, now: Time) {
     let mut datagrams = core.last_datagrams.lock();
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -88,7 +88,7 @@
     /// Parses the head of a replica's answer.
     fn parse_response(&self, status: StatusCode, headers: &HeaderMap) -> ResponseMeta;
 
-    /// Removes hop-by-hop headers from an answer.
+    /// Removes hop-by-hop headers and a replica's limit from an answer.
     fn strip_response(&self, headers: &mut HeaderMap);
 
     /// The endpoint of the instance itself that a request asks for, by path and query.
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -267,7 +267,7 @@
             return AttemptOutcome::Lost;
         }
         flight.begun();
-        self.observe_limit(&meta.limit, &choice.replica);
+        self.observe_limit(&meta.limit, &choice.replica, now);
         if meta.refused {
             self.handle_refusal(head.status, &meta, choice, now);
             return AttemptOutcome::NotRun;
@@ -301,7 +301,7 @@
     }
 
     /// Records the limit that the replica names, and logs a change.
-    fn observe_limit(&self, limit: &NamedLimit, replica: &Replica) {
+    fn observe_limit(&self, limit: &NamedLimit, replica: &Replica, now: Time) {
         let rate = match limit {
             NamedLimit::None => None,
             NamedLimit::Rate(rate) => Some(*rate),
@@ -311,9 +311,10 @@
             }
         };
         let mut limits = self.core.limits.lock();
-        if limits.observe(replica, rate) {
+        if limits.observe(replica, rate, now) {
             self.core.metrics.limited_replicas.set(limits.count() as i64);
             info!(replica = &*replica.id, rate, "replica's limit changed");
+            self.core.notify_evidence.notify_one();
         }
     }
 
--- a/crates/trial/src/run.rs
+++ b/crates/trial/src/run.rs
@@ -246,6 +246,7 @@
             headroom,
             zone: "a",
             tried: &[],
+            permits: &[],
             engine: Some(&self.engine_spec),
             tie_breaker: self.rng.random(),
         };
