Cut off replicas whose informational answers never end

Heads are bounded to 32 KiB, for calls to 64 KiB, which also bounds what is read at once. Bodies from peers and those that both clients read are bounded; small frames of answers to calls are copied, since each kept the buffer that it was read into (by reading, memory was not measured).

--- a/crates/lentilctl/src/client/send.rs
+++ b/crates/lentilctl/src/client/send.rs
@@ -4,7 +4,7 @@
 
 use admin::{CHANGE_ID, etag, parse_etag};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Method, Request, header};
 use hyper_util::{
     client::legacy::{Client, Error, connect::HttpConnector},
@@ -12,6 +12,9 @@
 };
 use ident::{RequestId, Rev};
 
+/// Longest answer that is read, in bytes.
+const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+
 /// A request to the administration API.
 #[derive(Debug, Clone)]
 pub struct AdminRequest {
@@ -119,7 +122,8 @@
         let answer = self.http.request(request).await?;
         let tag = answer.headers().get(header::ETAG).and_then(|v| v.to_str().ok());
         let (status, rev) = (answer.status().as_u16(), tag.and_then(parse_etag));
-        let body = answer.into_body().collect().await?.to_bytes();
+        let body = Limited::new(answer.into_body(), MAX_BODY_BYTES).collect().await;
+        let body = body.map_err(ExchangeError::Body)?.to_bytes();
         Ok(Answer { status, rev, body })
     }
 }
@@ -130,5 +134,5 @@
     #[error("{0}")]
     Request(#[from] Error),
     #[error("{0}")]
-    Body(#[from] hyper::Error),
+    Body(Box<dyn std::error::Error + Send + Sync>),
 }
--- a/crates/outbound/src/client.rs
+++ b/crates/outbound/src/client.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming, header::CONTENT_TYPE};
 use hyper_util::{
@@ -12,10 +12,12 @@
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::time::timeout;
 
-use crate::CallError;
+use crate::{CallError, InformationalLimit};
 
 /// Maximum size of an answer that is read into memory.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+/// Longest head of an answer, in bytes. It also bounds what is read at once.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Time after which an unused pooled connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Timeout for opening a connection.
@@ -77,18 +79,20 @@
     /// does not arrive within `limit`.
     pub async fn send(
         &self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
         connection: Connection,
         limit: Duration,
     ) -> Result<Response<Incoming>, CallError> {
+        let informational = InformationalLimit::new(&mut request);
         let client = match connection {
             Connection::Pooled => &self.pooled,
             Connection::New => &self.unpooled,
         };
-        match timeout(limit, client.request(request)).await {
-            Ok(Ok(response)) => Ok(response),
-            Ok(Err(e)) if e.is_connect() => Err(CallError::Connect(cause(&e))),
-            Ok(Err(e)) => Err(CallError::Broken(cause(&e))),
+        match timeout(limit, informational.within(client.request(request))).await {
+            Ok(Ok(Ok(response))) => Ok(response),
+            Ok(Ok(Err(e))) if e.is_connect() => Err(CallError::Connect(cause(&e))),
+            Ok(Ok(Err(e))) => Err(CallError::Broken(cause(&e))),
+            Ok(Err(e)) => Err(CallError::Broken(e.to_string().into())),
             Err(_) => Err(CallError::Silent),
         }
     }
@@ -219,10 +223,17 @@
 
 /// Reads the body of an answer, up to [`MAX_ANSWER_BYTES`].
 pub(crate) async fn read(body: Incoming) -> Result<Bytes, CallError> {
-    match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(e) => Err(CallError::Broken(e.to_string().into())),
+    let broken = |e: &dyn std::error::Error| CallError::Broken(e.to_string().into());
+    let mut body = Limited::new(body, MAX_ANSWER_BYTES);
+    // Copied, since many small frames would keep the buffers that they were read into.
+    let mut read = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| broken(&*e))?;
+        if let Ok(bytes) = frame.into_data() {
+            read.extend_from_slice(&bytes);
+        }
     }
+    Ok(read.freeze())
 }
 
 fn build_client(max_idle: usize) -> HttpClient {
@@ -233,6 +244,7 @@
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(IDLE_TIMEOUT)
         .pool_max_idle_per_host(max_idle)
+        .http1_max_buf_size(MAX_HEAD_BYTES)
         // The caller decides about retries, since it knows whether the call is idempotent.
         .retry_canceled_requests(false)
         .build(connector)
--- a/crates/outbound/src/lib.rs
+++ b/crates/outbound/src/lib.rs
@@ -11,6 +11,7 @@
 mod engine;
 mod error;
 mod framing;
+mod informational;
 mod list;
 mod service;
 mod store;
@@ -24,6 +25,7 @@
     },
     error::{CallError, Refusal},
     framing::{Framing, end_with_connection},
+    informational::{InformationalLimit, TooManyInformational},
     list::{InstanceList, InstanceListClient, ListEntry, ListState, Role},
     service::{MaySend, Reply, Service, ServiceCall, ServiceClient},
     store::{Store, StoreClient},
--- a/crates/outbound/src/service.rs
+++ b/crates/outbound/src/service.rs
@@ -15,7 +15,7 @@
 use tokio::{net::TcpStream, time::timeout};
 
 use crate::{
-    CallError, Framing, Refusal,
+    CallError, Framing, InformationalLimit, Refusal,
     checked_connection::{CheckedConnection, WriteRefused},
     client::{CONNECT_TIMEOUT, read},
 };
@@ -118,14 +118,16 @@
 async fn exchange<T>(
     mut sender: SendRequest<Full<Bytes>>,
     connection: http1::Connection<T, Full<Bytes>>,
-    request: Request<Full<Bytes>>,
+    mut request: Request<Full<Bytes>>,
 ) -> Result<Reply, CallError>
 where
     T: hyper::rt::Read + hyper::rt::Write + Unpin,
 {
     let method = request.method().clone();
+    let informational = InformationalLimit::new(&mut request);
     let answer = async {
-        let response = sender.send_request(request).await;
+        let response = informational.within(sender.send_request(request)).await;
+        let response = response.map_err(|e| CallError::Broken(e.to_string().into()))?;
         reply(&method, response.map_err(|e| CallError::Broken(e.to_string().into()))?).await
     };
     let (mut answer, mut connection) = (pin!(answer), pin!(connection));
--- a/crates/relay/src/conns.rs
+++ b/crates/relay/src/conns.rs
@@ -12,7 +12,7 @@
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
     HeaderMap, Request, Response,
     body::Incoming,
@@ -21,6 +21,7 @@
 };
 use hyper_util::rt::TokioIo;
 use ident::Time;
+use outbound::{InformationalLimit, TooManyInformational};
 use parking_lot::Mutex;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
@@ -36,6 +37,10 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// How long an unused connection is kept if the replica names no keep-alive timeout.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(2500);
+/// Longest head of an answer, in bytes. It also bounds what is read at once.
+const MAX_HEAD_BYTES: usize = 32 * 1024;
+/// Longest body that is read from a peer, in bytes.
+const MAX_PEER_BYTES: usize = 8 * 1024 * 1024;
 /// A kept connection is closed this long before the replica would close it.
 const IDLE_MARGIN: Duration = Duration::from_millis(900);
 
@@ -59,6 +64,12 @@
     Broken(Arc<str>),
 }
 
+impl From<TooManyInformational> for SendError {
+    fn from(error: TooManyInformational) -> Self {
+        Self::Broken(error.to_string().into())
+    }
+}
+
 /// A connection in use. Dropping it closes the connection, and the replica cancels the request.
 pub struct Conn {
     sender: http1::SendRequest<Full<Bytes>>,
@@ -103,12 +114,13 @@
         may_send: &(dyn Fn() -> bool + Sync),
         now: Time,
     ) -> Result<(Response<Incoming>, Conn), SendError> {
+        let informational = InformationalLimit::new(&mut request);
         let replica = self.conns_of(id, addr);
         while let Some(mut conn) = replica.take_idle(now) {
             if !may_send() {
                 return Err(SendError::Withheld);
             }
-            match conn.sender.try_send_request(request).await {
+            match informational.within(conn.sender.try_send_request(request)).await? {
                 Ok(response) => return Ok((response, conn)),
                 // The connection closed before anything was written, so the request can be sent
                 // again.
@@ -122,7 +134,7 @@
         if !may_send() {
             return Err(SendError::Withheld);
         }
-        match conn.sender.try_send_request(request).await {
+        match informational.within(conn.sender.try_send_request(request)).await? {
             Ok(response) => Ok((response, conn)),
             Err(mut e) => match e.take_message() {
                 Some(_) => Err(SendError::Connect(e.into_error().to_string().into())),
@@ -233,8 +245,9 @@
     let stream = open(addr, CONNECT_TIMEOUT).await?;
     let failed = |e: &dyn std::error::Error| SendError::Connect(e.to_string().into());
     set_socket_options(&stream, UNACKED_TIMEOUT).map_err(|e| failed(&e))?;
-    let (sender, conn) =
-        http1::Builder::new().handshake(TokioIo::new(stream)).await.map_err(|e| failed(&e))?;
+    let mut builder = http1::Builder::new();
+    let handshake = builder.max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream));
+    let (sender, conn) = handshake.await.map_err(|e| failed(&e))?;
     let task = tokio::spawn(async move {
         // The end of the connection shows as an error of its sender and bodies.
         let _ = conn.await;
@@ -242,6 +255,15 @@
     Ok((sender, task.abort_handle()))
 }
 
+/// Ends a connection's task, also if the future that uses the connection is dropped.
+struct AbortOnDrop(AbortHandle);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
 /// Reads a short body from a peer over a new connection. A status other than success gives
 /// [`SendError::Broken`], a timeout [`SendError::Connect`], also where the request was sent.
 pub(crate) async fn fetch_from_peer(
@@ -256,10 +278,13 @@
         *request.uri_mut() = path.parse().expect("the path constant is valid");
         let value = HeaderValue::from_str(&addr.to_string()).expect("the address is a valid value");
         request.headers_mut().insert(HOST, value);
-        let response = sender.send_request(request).await.map_err(broken)?;
+        let informational = InformationalLimit::new(&mut request);
+        let conn = AbortOnDrop(task);
+        let response = informational.within(sender.send_request(request)).await?.map_err(broken)?;
         let status = response.status();
-        let body = response.into_body().collect().await.map_err(broken)?.to_bytes();
-        task.abort();
+        let body = Limited::new(response.into_body(), MAX_PEER_BYTES).collect().await;
+        let body = body.map_err(|e| SendError::Broken(e.to_string().into()))?.to_bytes();
+        drop(conn);
         if status.is_success() { Ok(body) } else { Err(SendError::Broken(status.as_str().into())) }
     };
     let timed_out = || SendError::Connect("no answer in time".into());
--- a/crates/rig/src/http.rs
+++ b/crates/rig/src/http.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use eventsource_stream::{EventStreamError, Eventsource};
 use futures_util::{Stream, StreamExt, TryStreamExt};
-use http_body_util::{BodyExt, BodyStream, Full};
+use http_body_util::{BodyExt, BodyStream, Full, Limited};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, body::Incoming};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
@@ -15,6 +15,9 @@
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::time::Instant;
 
+/// Longest body that is read into memory, in bytes.
+const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+
 /// A call that got no usable answer.
 #[derive(Debug, thiserror::Error)]
 pub enum HttpError {
@@ -24,9 +27,9 @@
     /// The connection could not be made or broke before the answer began.
     #[error("no answer: {0}")]
     Connect(#[from] hyper_util::client::legacy::Error),
-    /// The connection broke before the end of the answer.
+    /// The connection broke before the end of the answer, or the answer is too long.
     #[error("the answer broke off: {0}")]
-    Body(#[from] hyper::Error),
+    Body(Box<dyn std::error::Error + Send + Sync>),
     /// The connection broke before the end of the event stream, or the stream is malformed.
     #[error("the event stream broke off: {0}")]
     Events(#[from] EventStreamError<io::Error>),
@@ -181,7 +184,7 @@
         body: Bytes,
     ) -> Result<Reply, HttpError> {
         let (head, body) = self.open(method, url, headers, body).await?.into_parts();
-        let body = body.collect().await?.to_bytes();
+        let body = read(body).await?;
         Ok(Reply { status: head.status, headers: head.headers, body })
     }
 
@@ -225,11 +228,17 @@
         if head.status.is_success() && kind.is_some_and(|k| k.starts_with("text/event-stream")) {
             return Ok(Ok(EventReader::new(body)));
         }
-        let body = body.collect().await?.to_bytes();
+        let body = read(body).await?;
         Ok(Err(Reply { status: head.status, headers: head.headers, body }))
     }
 }
 
+/// Reads a body to its end, up to [`MAX_BODY_BYTES`].
+async fn read(body: Incoming) -> Result<Bytes, HttpError> {
+    let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
+    Ok(body.map_err(HttpError::Body)?.to_bytes())
+}
+
 /// Content type header of a JSON body.
 pub(crate) const JSON: (&str, &str) = ("content-type", "application/json");
 
