Keep the verdict on a fatal part over the end of all instances

After all instances had been killed at once, nobody knew which part ends replicas, and three more replicas would have ended before it was known again. The evidence against a fatal part is a row of the instances' table now, written when the part becomes fatal and deleted when it is freed; an instance reads these rows once when it starts. Replicas are checked only if requests with shared parts were there.

Evidence: a_verdict_outlives_all_instances; the instance that starts alone refuses requests with the part without an arrival, but for a trial that is due.

--- a/crates/blame/src/lib.rs
+++ b/crates/blame/src/lib.rs
@@ -60,11 +60,10 @@
         self.flights.remove(flight);
     }
 
-    /// Records that a request got its whole answer.
-    pub fn answered(&mut self, flight: Flight, now: Time) {
-        if let Some(parts) = self.flights.remove(flight) {
-            self.clear(&parts, now);
-        }
+    /// Records that a request got its whole answer. Returns whether the verdict may have changed.
+    pub fn answered(&mut self, flight: Flight, now: Time) -> bool {
+        let Some(parts) = self.flights.remove(flight) else { return false };
+        self.clear(&parts, now)
     }
 
     /// Records that a request's connection ended before its answer was certainly whole. `unframed`
@@ -87,6 +86,11 @@
         self.flights.has_lost(replica)
     }
 
+    /// Whether requests are at a replica or were lost there lately.
+    pub fn has_flights(&self, replica: EndId, now: Time) -> bool {
+        !self.flights.at(replica, now).is_empty()
+    }
+
     /// Whether a replica is known to have ended.
     pub fn has_ended(&self, replica: EndId) -> bool {
         self.evidence.has_ended(replica)
@@ -136,6 +140,11 @@
         self.evidence.report(named, now)
     }
 
+    /// The evidence against one part; `None` if there is none.
+    pub fn report_on(&mut self, part: PartKey, now: Time) -> Option<SuspectReport> {
+        self.report(now).suspects.into_iter().find(|s| s.part == part)
+    }
+
     /// The fatal parts. Parts that can't be told apart are together.
     pub fn fatal(&mut self, now: Time) -> Arc<[Fatal]> {
         if self.evidence.expire(now) {
@@ -172,13 +181,16 @@
         self.evidence.trial_taken(part, number);
     }
 
-    fn clear(&mut self, parts: &[PartKey], now: Time) {
+    fn clear(&mut self, parts: &[PartKey], now: Time) -> bool {
+        let mut changed = false;
         for part in parts {
             self.answered.insert(*part, now);
-            if self.evidence.answered(*part, now, true) {
-                self.fatal = None;
-            }
+            changed |= self.evidence.answered(*part, now, true);
+        }
+        if changed {
+            self.fatal = None;
         }
+        changed
     }
 
     fn accuse(&mut self, replica: EndId, parts: &[PartKey], now: Time) -> bool {
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use blame::{Blame, EndId};
+use blame::{Blame, EndId, PartKey};
 use bytes::Bytes;
 use fleet::{Config, Replica, Snapshot, Store, View};
 use ident::{Clock, Time};
@@ -183,6 +183,8 @@
     pub limits: Mutex<Limits>,
     /// Parts of prompts under which replicas end.
     pub blame: Mutex<Blame>,
+    /// Fatal parts when they were last stored.
+    pub(crate) fatal_parts: Mutex<Vec<PartKey>>,
     /// Incarnations of replicas that are being checked after a connection to them broke.
     pub(crate) checked: Mutex<Vec<EndId>>,
     /// Wakes the task that tells some peers of new evidence in `blame`.
@@ -221,6 +223,7 @@
             notify_peers: Notify::new(),
             limits: Mutex::default(),
             blame: Mutex::default(),
+            fatal_parts: Mutex::default(),
             checked: Mutex::default(),
             notify_evidence: Notify::new(),
         })
--- a/crates/relay/src/ends.rs
+++ b/crates/relay/src/ends.rs
@@ -1,5 +1,4 @@
-//! Ends of replicas: how they are found, which requests were there, and trials of parts of prompts
-//! under which replicas ended.
+//! Ends of replicas: how they are found, and which requests were there.
 
 use std::{sync::Arc, time::Duration};
 
@@ -7,15 +6,14 @@
 use fleet::Replica;
 use hyper::StatusCode;
 use outbound::Framing;
-use serde::{Deserialize, Serialize};
-use table::{Expect, TableError, Write};
 use tokio::time::timeout;
-use tracing::{info, warn};
+use tracing::info;
 
 use crate::{
     conns::{SendError, try_connect},
     core::Core,
     services::CallError,
+    verdicts,
 };
 
 /// Timeout for a connection to a replica that is being checked.
@@ -24,15 +22,6 @@
 const REPORT_TIMEOUT: Duration = Duration::from_millis(700);
 /// Pause before a replica that responded is checked again: it may have been ending.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(150);
-/// Partition of the rows that record trials.
-const PARTITION: &str = "trials";
-/// Number of these rows; parts share them by digest.
-const ROWS: u64 = 64;
-/// Age from which a row may be taken over, in ms on the registry's clock: as long as a part is
-/// fatal.
-const ROW_TTL_MS: u64 = 3_600_000;
-/// Timeout for taking a trial.
-const TRIAL_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The digest of an incarnation of a replica.
 fn end_id(replica: &Replica) -> EndId {
@@ -44,14 +33,15 @@
     core: Arc<Core>,
     replica: Arc<Replica>,
     parts: Parts,
-    /// `None` once its end is recorded.
+    /// `None` once its end is recorded, and for a request without shared parts.
     flight: Option<Flight>,
 }
 
 impl FlightGuard {
     pub(crate) fn new(core: &Arc<Core>, replica: &Arc<Replica>, parts: Parts) -> Self {
-        let flight = core.blame.lock().begin(end_id(replica), parts.clone(), core.now());
-        Self { core: core.clone(), replica: replica.clone(), parts, flight: Some(flight) }
+        let begin = || core.blame.lock().begin(end_id(replica), parts.clone(), core.now());
+        let flight = (!parts.is_empty()).then(begin);
+        Self { core: core.clone(), replica: replica.clone(), parts, flight }
     }
 
     /// Records that the replica has begun to answer: it has outlived what was lost before this
@@ -81,7 +71,10 @@
         } else if status.is_success()
             && let Some(flight) = self.flight.take()
         {
-            self.core.blame.lock().answered(flight, self.core.now());
+            let changed = self.core.blame.lock().answered(flight, self.core.now());
+            if changed {
+                spread(&self.core);
+            }
         }
     }
 
@@ -103,7 +96,7 @@
 }
 
 /// Records that an incarnation of a replica has ended.
-pub(crate) fn replica_ended(core: &Core, replica: &Replica) {
+pub(crate) fn replica_ended(core: &Arc<Core>, replica: &Replica) {
     let end = end_id(replica);
     let (known, news) = {
         let mut blame = core.blame.lock();
@@ -119,30 +112,40 @@
 }
 
 /// Merges a peer's report of parts that were at replicas which ended.
-pub(crate) fn merge(core: &Core, report: &Report) {
+pub(crate) fn merge(core: &Arc<Core>, report: &Report) {
     let news = core.blame.lock().merge(report, core.now());
     if news {
         spread(core);
     }
 }
 
-/// Passes new evidence on to peers.
-fn spread(core: &Core) {
+/// Passes new evidence on to peers, and stores a changed verdict.
+fn spread(core: &Arc<Core>) {
     let fatal = core.blame.lock().fatal(core.now());
-    if core.metrics.fatal_parts.get() != fatal.len() as i64 {
+    let mut parts: Vec<PartKey> = fatal.iter().flat_map(|f| f.parts.clone()).collect();
+    parts.sort_unstable();
+    let before = std::mem::replace(&mut *core.fatal_parts.lock(), parts.clone());
+    if parts != before {
         core.metrics.fatal_parts.set(fatal.len() as i64);
         let ends: Vec<usize> = fatal.iter().map(|f| f.ends).collect();
-        info!(parts = fatal.len(), ?ends, "number of fatal parts changed");
+        info!(parts = fatal.len(), ?ends, "fatal parts changed");
+        let is_changed = |part: &&PartKey| parts.contains(part) != before.contains(part);
+        for part in before.iter().chain(&parts).filter(is_changed) {
+            tokio::spawn(verdicts::store(core.clone(), *part));
+        }
     }
     core.notify_evidence.notify_one();
 }
 
-/// Finds out whether a replica has ended or only a connection to it.
+/// Finds out whether a replica has ended or only a connection to it, if that matters for a request.
 pub(crate) fn check_replica(core: &Arc<Core>, replica: &Arc<Replica>) {
     let end = end_id(replica);
-    let known = core.blame.lock().has_ended(end);
+    let is_needed = {
+        let blame = core.blame.lock();
+        blame.has_flights(end, core.now()) && !blame.has_ended(end)
+    };
     let mut checked = core.checked.lock();
-    if known || checked.contains(&end) {
+    if !is_needed || checked.contains(&end) {
         return;
     }
     checked.push(end);
@@ -205,57 +208,3 @@
         Ok(Err(_)) => Finding::Alive,
     }
 }
-
-/// The trial that was taken last of the parts that share a row.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-struct TrialWire {
-    /// Digest of the part.
-    part: u64,
-    number: u8,
-    /// When it was taken, in ms on the registry's clock.
-    taken: u64,
-}
-
-/// Takes a trial of a part, which only one instance can. Returns whether this one has it.
-pub(crate) async fn take_trial(core: &Core, part: PartKey, number: u8) -> bool {
-    match timeout(TRIAL_TIMEOUT, write_trial(core, part, number)).await {
-        Ok(Ok(())) => {
-            core.blame.lock().trial_taken(part, number);
-            core.notify_evidence.notify_one();
-            true
-        }
-        Ok(Err(TableError::Conflict)) => {
-            core.blame.lock().trial_taken(part, number);
-            false
-        }
-        Ok(Err(error)) => {
-            warn!(%error, "trial of a part could not be taken");
-            false
-        }
-        Err(_) => {
-            warn!("trial of a part could not be taken in time");
-            false
-        }
-    }
-}
-
-/// Records a trial of a part. Fails with [`TableError::Conflict`] if it was taken before.
-async fn write_trial(core: &Core, part: PartKey, number: u8) -> Result<(), TableError> {
-    let table = &core.adapters.table;
-    let sort: Arc<str> = format!("{:02}", part.0 % ROWS).into();
-    let clock = core.registry_clock.lock().to_registry(core.now()).unwrap_or(0);
-    let row = table.get(PARTITION, &sort).await?;
-    let last = row.as_ref().and_then(|row| serde_json::from_str::<TrialWire>(&row.body).ok());
-    let is_taken = |last: &TrialWire| {
-        last.part == part.0 && last.number >= number && clock < last.taken + ROW_TTL_MS
-    };
-    if last.is_some_and(|last| is_taken(&last)) {
-        return Err(TableError::Conflict);
-    }
-    let wire = TrialWire { part: part.0, number, taken: clock };
-    let body = serde_json::to_string(&wire);
-    let body = body.map_err(|e| TableError::Malformed(e.to_string().into()))?;
-    let expect = row.map_or(Expect::Absent, |row| Expect::Version(row.version));
-    let write = Write { part: PARTITION.into(), sort, expect, body: Some(body.into()) };
-    table.commit(vec![write]).await
-}
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -19,10 +19,10 @@
 use crate::{
     answer::{Body, Refusal, full_body, unsized_body},
     core::Core,
-    ends,
     job::Job,
     relay,
     send::{AttemptOutcome, ReplicaAnswer},
+    verdicts,
 };
 
 /// Shortest time left for which a request is still sent.
@@ -147,7 +147,7 @@
     /// Takes the trial of a part under which replicas ended, if one is due.
     async fn try_trial(&mut self) {
         if let Admission::Trial { part, number } = self.admission() {
-            self.is_trial = ends::take_trial(&self.core, part, number).await;
+            self.is_trial = verdicts::take_trial(&self.core, part, number).await;
             if self.is_trial {
                 info!(request = &*self.job.meta.id, number, "request sent as a trial of a part");
             }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -28,6 +28,7 @@
 mod send;
 mod serve;
 pub mod services;
+mod verdicts;
 
 pub use crate::{
     dates::RegistryClock,
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -21,6 +21,7 @@
     duty, follow, peers,
     serve::{ListenerKind, listen},
     services::Topic,
+    verdicts,
 };
 
 /// Length of a listener's queue of pending connections.
@@ -114,6 +115,7 @@
         tokio::spawn(follow::follow(core.clone(), topic));
     }
     tokio::spawn(register(core.clone()));
+    tokio::spawn(verdicts::load(core.clone()));
     tokio::spawn(duty::run(core.clone()));
     tokio::spawn(sweep(core.clone()));
     shutdown.await;
--- /dev/null
+++ b/crates/relay/src/verdicts.rs
@@ -0,0 +1,174 @@
+//! Rows in the instances' table about parts of prompts under which replicas end: the verdict, for
+//! instances that start while no other knows it, and the trials that were taken.
+
+use std::{sync::Arc, time::Duration};
+
+use blame::{PartKey, Report, SuspectReport};
+use rand::Rng;
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use table::{Expect, Row, TableError, Write};
+use tokio::time::timeout;
+use tracing::{info, warn};
+
+use crate::{core::Core, ends};
+
+/// Partition of the rows that record trials.
+const TRIALS: &str = "trials";
+/// Partition of the rows that record evidence against fatal parts.
+const VERDICTS: &str = "verdicts";
+/// Number of rows in each partition; parts share them by digest.
+const ROWS: u64 = 64;
+/// Age from which a row may be taken over, in ms on the registry's clock: as long as a part is
+/// fatal.
+const ROW_TTL_MS: u64 = 3_600_000;
+/// Timeout for taking a trial.
+const TRIAL_TIMEOUT: Duration = Duration::from_millis(500);
+/// A verdict is stored at a random moment within this time, since all instances reach it at once.
+const STORE_SPREAD: Duration = Duration::from_secs(1);
+/// Pause between attempts to read the verdicts at the start.
+const LOAD_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The trial that was taken last of the parts that share a row.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct TrialWire {
+    /// Digest of the part.
+    part: u64,
+    number: u8,
+    /// When it was taken, in ms on the registry's clock.
+    taken: u64,
+}
+
+/// Takes a trial of a part, which only one instance can. Returns whether this one has it.
+pub(crate) async fn take_trial(core: &Core, part: PartKey, number: u8) -> bool {
+    match timeout(TRIAL_TIMEOUT, write_trial(core, part, number)).await {
+        Ok(Ok(())) => {
+            core.blame.lock().trial_taken(part, number);
+            core.notify_evidence.notify_one();
+            true
+        }
+        Ok(Err(TableError::Conflict)) => {
+            core.blame.lock().trial_taken(part, number);
+            false
+        }
+        Ok(Err(error)) => {
+            warn!(%error, "trial of a part could not be taken");
+            false
+        }
+        Err(_) => {
+            warn!("trial of a part could not be taken in time");
+            false
+        }
+    }
+}
+
+/// Records a trial of a part. Fails with [`TableError::Conflict`] if it was taken before.
+async fn write_trial(core: &Core, part: PartKey, number: u8) -> Result<(), TableError> {
+    let table = &core.adapters.table;
+    let sort = sort_key(part);
+    let clock = core.registry_clock.lock().to_registry(core.now()).unwrap_or(0);
+    let row = table.get(TRIALS, &sort).await?;
+    let last: Option<TrialWire> = row.as_ref().and_then(parse);
+    let is_taken = |last: &TrialWire| {
+        last.part == part.0 && last.number >= number && clock < last.taken + ROW_TTL_MS
+    };
+    if last.is_some_and(|last| is_taken(&last)) {
+        return Err(TableError::Conflict);
+    }
+    write(core, TRIALS, sort, row, Some(&TrialWire { part: part.0, number, taken: clock })).await
+}
+
+/// Evidence against a fatal part.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct VerdictWire {
+    suspect: SuspectReport,
+    /// When it was written, in ms on the registry's clock.
+    written: u64,
+}
+
+/// Stores the verdict on a part: the evidence if it is fatal, else nothing.
+pub(crate) async fn store(core: Arc<Core>, part: PartKey) {
+    let spread = rand::rng().random_range(0.0..1.0);
+    tokio::time::sleep(STORE_SPREAD.mul_f64(spread)).await;
+    match write_verdict(&core, part).await {
+        // Another instance was faster.
+        Ok(()) | Err(TableError::Conflict) => {}
+        Err(error) => warn!(%error, "verdict on a part could not be stored"),
+    }
+}
+
+async fn write_verdict(core: &Core, part: PartKey) -> Result<(), TableError> {
+    let sort = sort_key(part);
+    let row = core.adapters.table.get(VERDICTS, &sort).await?;
+    let stored: Option<VerdictWire> = row.as_ref().and_then(parse);
+    let is_stored = stored.is_some_and(|stored| stored.suspect.part == part);
+    let is_fatal = core.fatal_parts.lock().contains(&part);
+    if is_stored == is_fatal {
+        return Ok(());
+    }
+    let now = core.now();
+    let clock = core.registry_clock.lock().to_registry(now);
+    let suspect = core.blame.lock().report_on(part, now).filter(|_| is_fatal);
+    let wire = suspect.zip(clock).map(|(suspect, written)| VerdictWire { suspect, written });
+    if is_fatal && wire.is_none() {
+        return Ok(());
+    }
+    write(core, VERDICTS, sort, row, wire.as_ref()).await
+}
+
+/// Reads the stored verdicts, once they can be read.
+pub(crate) async fn load(core: Arc<Core>) {
+    loop {
+        let clock = core.registry_clock.lock().to_registry(core.now());
+        let rows = core.adapters.table.range(VERDICTS, "", ROWS as usize);
+        if let (Some(clock), Ok(rows)) = (clock, rows.await) {
+            let suspects = rows.iter().filter_map(parse).map(|wire| aged(wire, clock)).collect();
+            let report = Report { suspects };
+            if !report.suspects.is_empty() {
+                info!(parts = report.suspects.len(), "verdicts on parts read");
+                ends::merge(&core, &report);
+            }
+            return;
+        }
+        tokio::time::sleep(LOAD_INTERVAL).await;
+    }
+}
+
+/// The evidence of a row, with its age at `clock`.
+fn aged(wire: VerdictWire, clock: u64) -> SuspectReport {
+    let VerdictWire { mut suspect, written } = wire;
+    let age = Duration::from_millis(clock.saturating_sub(written));
+    suspect.ends.iter_mut().for_each(|(_, since)| *since += age);
+    suspect.answer = suspect.answer.map(|since| since + age);
+    suspect
+}
+
+fn sort_key(part: PartKey) -> Arc<str> {
+    format!("{:02}", part.0 % ROWS).into()
+}
+
+/// The content of a row; `None` if it is of another release.
+fn parse<T>(row: &Row) -> Option<T>
+where
+    T: DeserializeOwned,
+{
+    serde_json::from_str(&row.body).ok()
+}
+
+/// Replaces the row that was read, or deletes it.
+async fn write<T>(
+    core: &Core,
+    partition: &str,
+    sort: Arc<str>,
+    row: Option<Row>,
+    content: Option<&T>,
+) -> Result<(), TableError>
+where
+    T: Serialize,
+{
+    let body = content.map(serde_json::to_string).transpose();
+    let body = body.map_err(|e| TableError::Malformed(e.to_string().into()))?;
+    let expect = row.map_or(Expect::Absent, |row| Expect::Version(row.version));
+    let part = partition.into();
+    let write = Write { part, sort, expect, body: body.map(Arc::from) };
+    core.adapters.table.commit(vec![write]).await
+}
