Take another incarnation in the registry for the end of the one before

A replica that was back at its address under another id before it was asked for its report could look alive, if the report named no start time. Such a report proves nothing now; another incarnation at the id or the address, in the registry or in an answer, shows the end.

--- a/crates/relay/src/ends.rs
+++ b/crates/relay/src/ends.rs
@@ -179,9 +179,9 @@
     Ended,
     /// It closes connections without an answer.
     Closed,
-    /// It responds.
+    /// This incarnation responds.
     Alive,
-    /// It does not respond, which may have other reasons.
+    /// It does not respond, which may have other reasons, or it is not known which one responds.
     Unknown,
 }
 
@@ -194,17 +194,12 @@
     }
     let report = core.adapters.engines.report(replica.addr);
     match timeout(REPORT_TIMEOUT, report).await {
-        Ok(Ok(report)) => {
-            let known = report.started_ms != 0 && replica.started_ms != 0;
-            match known && report.started_ms != replica.started_ms {
-                true => Finding::Ended,
-                false => Finding::Alive,
-            }
-        }
+        // Without a start time it may be another incarnation at the same address.
+        Ok(Ok(report)) if report.started_ms == 0 || replica.started_ms == 0 => Finding::Unknown,
+        Ok(Ok(report)) if report.started_ms == replica.started_ms => Finding::Alive,
+        Ok(Ok(_)) => Finding::Ended,
         // It accepts connections and closes them.
         Ok(Err(CallError::Silent(_))) => Finding::Closed,
-        Err(_) => Finding::Unknown,
-        // A refusal is an answer as well.
-        Ok(Err(_)) => Finding::Alive,
+        Ok(Err(_)) | Err(_) => Finding::Unknown,
     }
 }
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     core::Core,
-    dates,
+    dates, ends,
     services::{CallError, Topic, Update},
 };
 
@@ -234,6 +234,7 @@
         if !leaving {
             core.forget_departure(&id);
         }
+        self.note_ended(&replica);
         let new = previous.is_none_or(|k| k.leaving != leaving || k.addr != addr);
         if core.view.put_replica(replica) && new {
             info!(replica = %id, leaving, %addr, "replica registered");
@@ -243,6 +244,20 @@
         }
     }
 
+    /// Records the end of each incarnation that `replica` has replaced, by its id or its address.
+    fn note_ended(&self, replica: &Replica) {
+        let replaced = |r: &Replica| match r.id == replica.id {
+            true => r.started_ms != replica.started_ms,
+            false => r.addr == replica.addr,
+        };
+        let snapshot = self.core.view.snapshot();
+        snapshot
+            .replicas
+            .iter()
+            .filter(|r| replaced(r))
+            .for_each(|r| ends::replica_ended(&self.core, r));
+    }
+
     fn put_instance(&mut self, instance: Instance) {
         let (name, leaving) = (instance.name.clone(), instance.leaving);
         self.heard.retain(|known| *known != name);
