--- a/crates/relay/src/verdicts.rs
+++ b/crates/relay/src/verdicts.rs
@@ -118,18 +118,20 @@
 /// Reads the stored verdicts, once they can be read.
 pub(crate) async fn load(core: Arc<Core>) {
     loop {
+        tokio::time::sleep(LOAD_INTERVAL).await;
+        // Unknown until the registry has answered, which shares the service with the table.
         let clock = core.registry_clock.lock().to_registry(core.now());
-        let rows = core.adapters.table.range(VERDICTS, "", ROWS as usize);
-        if let (Some(clock), Ok(rows)) = (clock, rows.await) {
-            let suspects = rows.iter().filter_map(parse).map(|wire| aged(wire, clock)).collect();
-            let report = Report { suspects };
-            if !report.suspects.is_empty() {
-                info!(parts = report.suspects.len(), "verdicts on parts read");
-                ends::merge(&core, &report);
-            }
-            return;
+        let Some(clock) = clock else { continue };
+        let Ok(rows) = core.adapters.table.range(VERDICTS, "", ROWS as usize).await else {
+            continue;
+        };
+        let suspects = rows.iter().filter_map(parse).map(|wire| aged(wire, clock)).collect();
+        let report = Report { suspects };
+        if !report.suspects.is_empty() {
+            info!(parts = report.suspects.len(), "verdicts on parts read");
+            ends::merge(&core, &report);
         }
-        tokio::time::sleep(LOAD_INTERVAL).await;
+        return;
     }
 }
 
