--- a/crates/place/src/limits.rs
+++ b/crates/place/src/limits.rs
@@ -121,8 +121,8 @@
 
 /// Number of senders of a replica with a limit of `rate` requests per second.
 fn sender_count(rate: f64, registered: usize) -> usize {
-    let count = (rate / 2.0) as usize + 2;
-    count.min(MAX_SENDERS).min(registered.max(1))
+    let count = (rate / 2.0 + 2.0).min(MAX_SENDERS as f64) as usize;
+    count.min(registered.max(1))
 }
 
 /// Most requests that one sender may send at once.
--- a/crates/place/tests/limit_senders.rs
+++ b/crates/place/tests/limit_senders.rs
@@ -270,6 +270,14 @@
     assert!((5..=7).contains(&sent), "{sent} in 4 s");
 }
 
+#[test]
+fn a_huge_limit_limits_nothing_that_matters() {
+    let mut limits = alone();
+    let NamedLimit::Rate(rate) = NamedLimit::parse(&"9".repeat(300)) else { panic!() };
+    limits.observe(&replica(), Some(rate), Time(0));
+    assert!((1..100).all(|n| limits.take("replica", Time(n * 10))));
+}
+
 #[test]
 fn a_frozen_instance_brings_no_burst() {
     let mut limits = alone();
