Take limits from signed answers only, and ends from older incarnations only

An answer without the replica's signature, which may be anybody's, ended a limit that it did not name. An entry of an incarnation that had ended, read after that of its successor at the same address, passed for the end of the successor.

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -245,10 +245,11 @@
     }
 
     /// Records the end of each incarnation that `replica` has replaced, by its id or its address.
+    /// The entry of the one before may still be there, and be read after it.
     fn note_ended(&self, replica: &Replica) {
-        let replaced = |r: &Replica| match r.id == replica.id {
-            true => r.started_ms != replica.started_ms,
-            false => r.addr == replica.addr,
+        let replaced = |r: &Replica| {
+            let same_place = r.id == replica.id || r.addr == replica.addr;
+            same_place && r.started_ms != 0 && r.started_ms < replica.started_ms
         };
         let snapshot = self.core.view.snapshot();
         snapshot
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -267,7 +267,9 @@
             return AttemptOutcome::Lost;
         }
         flight.begun();
-        self.observe_limit(&meta.limit, &choice.replica, now);
+        if meta.sealed || meta.refused {
+            self.observe_limit(&meta.limit, &choice.replica, now);
+        }
         if meta.refused {
             self.handle_refusal(head.status, &meta, choice, now);
             return AttemptOutcome::NotRun;
