--- a/crates/blame/src/evidence.rs
+++ b/crates/blame/src/evidence.rs
@@ -148,7 +148,7 @@
     }
 
     /// Creates the entry of a part if there is none.
-    pub(crate) fn expect(&mut self, part: PartKey) {
+    pub(crate) fn ensure(&mut self, part: PartKey) {
         if let Err(at) = self.position(part) {
             let suspect =
                 Suspect { part, ends: Vec::new(), answer: None, mentioned: Time(0), trials: 0 };
@@ -159,7 +159,7 @@
     /// Records that a replica ended under a part. Returns whether that was not known.
     pub(crate) fn accuse(&mut self, part: PartKey, replica: EndId, now: Time) -> bool {
         self.note_end(replica, now);
-        self.expect(part);
+        self.ensure(part);
         let at = self.position(part).expect("the entry was created");
         self.suspects[at].mentioned = now;
         let new = self.suspects[at].add_end(replica, now);
@@ -183,7 +183,7 @@
 
     /// Merges what a peer reports of a part, and returns whether it held anything new.
     pub(crate) fn merge(&mut self, report: &SuspectReport, now: Time) -> bool {
-        self.expect(report.part);
+        self.ensure(report.part);
         let mut news = false;
         for (end, age) in &report.ends {
             let at = now.before(*age);
--- a/crates/blame/src/lib.rs
+++ b/crates/blame/src/lib.rs
@@ -116,7 +116,7 @@
         let mut news = false;
         for suspect in &report.suspects {
             if let Some(last) = self.answered.last(suspect.part) {
-                self.evidence.expect(suspect.part);
+                self.evidence.ensure(suspect.part);
                 self.evidence.answered(suspect.part, last, true);
             }
             news |= self.evidence.merge(suspect, now);
@@ -196,7 +196,7 @@
     fn accuse(&mut self, replica: EndId, parts: &[PartKey], now: Time) -> bool {
         let mut news = false;
         for part in parts {
-            self.evidence.expect(*part);
+            self.evidence.ensure(*part);
             if let Some(last) = self.answered.last(*part) {
                 self.evidence.answered(*part, last, true);
             }
