Blame no part where many replicas end at once, and store few verdicts

The store refused its callers, and the configuration came late.

A part is fatal only if it was at half or more of the replicas that ended in the time in which those under it did.

--- a/crates/blame/src/evidence.rs
+++ b/crates/blame/src/evidence.rs
@@ -15,6 +15,8 @@
 const FATAL_ENDS: usize = 3;
 /// The same for a part that was ever answered whole.
 const FATAL_ENDS_ANSWERED: usize = 6;
+/// Ends this long before the first and after the last one under a part are counted beside them.
+const SPAN_MARGIN: Duration = Duration::from_millis(500);
 /// How long after its last end a part is under suspicion.
 const SUSPECT_TTL: Duration = Duration::from_secs(600);
 /// The same for a part that is fatal.
@@ -126,11 +128,22 @@
         &self.suspects
     }
 
+    /// Whether a suspect was at most of the replicas that ended in the time in which those under it
+    /// did. If not, something else has ended them, such as the loss of a zone.
+    pub(crate) fn is_specific(&self, suspect: &Suspect) -> bool {
+        let open = suspect.open_ends();
+        let (Some((_, first)), Some((_, last))) = (open.first(), open.last()) else { return false };
+        let (from, to) = (first.before(SPAN_MARGIN), last.after(SPAN_MARGIN));
+        let around = self.ended.iter().filter(|(_, at)| (from..=to).contains(at)).count();
+        open.len() * 2 >= around
+    }
+
     pub(crate) fn has_ended(&self, replica: EndId) -> bool {
         self.ended.iter().any(|(end, _)| *end == replica)
     }
 
-    /// Records that a replica ended. Returns whether that was not known.
+    /// Records that a replica ended. Returns whether that was not known, which may change the
+    /// verdict.
     pub(crate) fn note_end(&mut self, replica: EndId, now: Time) -> bool {
         if self.has_ended(replica) {
             return false;
--- a/crates/blame/src/lib.rs
+++ b/crates/blame/src/lib.rs
@@ -103,7 +103,9 @@
 
     /// Records the end of a replica, and returns whether this is new evidence against a part.
     pub fn replica_ended(&mut self, replica: EndId, now: Time) -> bool {
-        self.evidence.note_end(replica, now);
+        if self.evidence.note_end(replica, now) {
+            self.fatal = None;
+        }
         let mut news = false;
         for parts in self.flights.at(replica, now) {
             news |= self.accuse(replica, &parts, now);
@@ -122,7 +124,11 @@
             news |= self.evidence.merge(suspect, now);
         }
         // Requests of this instance may have been at the replicas that ended.
-        for replica in self.evidence.take_new_ends() {
+        let new_ends = self.evidence.take_new_ends();
+        if !new_ends.is_empty() {
+            self.fatal = None;
+        }
+        for replica in new_ends {
             for parts in self.flights.at(replica, now) {
                 news |= self.accuse(replica, &parts, now);
             }
--- a/crates/blame/src/verdict.rs
+++ b/crates/blame/src/verdict.rs
@@ -55,9 +55,10 @@
             ends.sort_unstable();
             ends
         };
+        let specific = |s: &Suspect| evidence.is_specific(s);
         let candidates = evidence.suspects().iter().map(|s| (s, open(s)));
         let candidates: Vec<_> =
-            candidates.filter(|(s, ends)| ends.len() >= s.fatal_ends()).collect();
+            candidates.filter(|(s, ends)| ends.len() >= s.fatal_ends() && specific(s)).collect();
         let Some((_, ends)) = candidates.iter().max_by_key(|(_, ends)| ends.len()) else {
             return out;
         };
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -183,6 +183,8 @@
     pub limits: Mutex<Limits>,
     /// Parts of prompts under which replicas end.
     pub blame: Mutex<Blame>,
+    /// Time from which this instance may try to take a trial of a part.
+    pub(crate) next_trial: Mutex<Time>,
     /// Fatal parts when they were last stored.
     pub(crate) fatal_parts: Mutex<Vec<PartKey>>,
     /// Incarnations of replicas that are being checked after a connection to them broke.
@@ -223,6 +225,7 @@
             notify_peers: Notify::new(),
             limits: Mutex::default(),
             blame: Mutex::default(),
+            next_trial: Mutex::new(Time(0)),
             fatal_parts: Mutex::default(),
             checked: Mutex::default(),
             notify_evidence: Notify::new(),
--- a/crates/relay/src/verdicts.rs
+++ b/crates/relay/src/verdicts.rs
@@ -4,6 +4,8 @@
 use std::{sync::Arc, time::Duration};
 
 use blame::{PartKey, Report, SuspectReport};
+use ident::rendezvous_order;
+use place::Peers;
 use rand::Rng;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use table::{Expect, Row, TableError, Write};
@@ -21,6 +23,10 @@
 /// Age from which a row may be taken over, in ms on the registry's clock: as long as a part is
 /// fatal.
 const ROW_TTL_MS: u64 = 3_600_000;
+/// Shortest interval between two attempts of an instance to take a trial.
+const TRIAL_INTERVAL: Duration = Duration::from_secs(1);
+/// Number of instances that store a verdict, the first in the rendezvous order for the part.
+const WRITERS: usize = 2;
 /// Timeout for taking a trial.
 const TRIAL_TIMEOUT: Duration = Duration::from_millis(500);
 /// A verdict is stored at a random moment within this time, since all instances reach it at once.
@@ -40,6 +46,10 @@
 
 /// Takes a trial of a part, which only one instance can. Returns whether this one has it.
 pub(crate) async fn take_trial(core: &Core, part: PartKey, number: u8) -> bool {
+    if !core.next_trial.lock().passed(core.now()) {
+        return false;
+    }
+    *core.next_trial.lock() = core.now().after(TRIAL_INTERVAL);
     match timeout(TRIAL_TIMEOUT, write_trial(core, part, number)).await {
         Ok(Ok(())) => {
             core.blame.lock().trial_taken(part, number);
@@ -87,6 +97,11 @@
 
 /// Stores the verdict on a part: the evidence if it is fatal, else nothing.
 pub(crate) async fn store(core: Arc<Core>, part: PartKey) {
+    let Peers { own, alive, .. } = core.limit_peers();
+    let order = rendezvous_order(&part.0.to_be_bytes(), &alive, |name| name);
+    if !order.into_iter().take(WRITERS).any(|name| *name == own) {
+        return;
+    }
     let spread = rand::rng().random_range(0.0..1.0);
     tokio::time::sleep(STORE_SPREAD.mul_f64(spread)).await;
     match write_verdict(&core, part).await {
