Register counters and gauges of relay in one place each

Each of six metrics repeated the four lines that create, check and register it; a seventh would have too. Names, help texts and order of registration's result are unchanged; nothing else reads them.

--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -70,30 +70,16 @@
             registry.register(Box::new(out.clone())).expect("metric names are unique");
             out
         };
-        let resumed = IntCounter::new("lentil_streams_resumed_total", "Streams resumed elsewhere");
-        let resumed = resumed.expect("the metric name is valid");
-        registry.register(Box::new(resumed.clone())).expect("metric names are unique");
-        let store_returns = IntCounter::new(
-            "lentil_store_returns_total",
-            "Returns of the platform's registry from an older copy",
-        );
-        let store_returns = store_returns.expect("the metric name is valid");
-        registry.register(Box::new(store_returns.clone())).expect("metric names are unique");
-        let store_era = IntGauge::new("lentil_store_era", "Era of the platform's registry");
-        let store_era = store_era.expect("the metric name is valid");
-        registry.register(Box::new(store_era.clone())).expect("metric names are unique");
-        let replica_ends =
-            IntCounter::new("lentil_replica_ends_total", "Ends of replicas that were noticed");
-        let replica_ends = replica_ends.expect("the metric name is valid");
-        registry.register(Box::new(replica_ends.clone())).expect("metric names are unique");
-        let fatal_parts =
-            IntGauge::new("lentil_fatal_parts", "Parts of prompts under which replicas end");
-        let fatal_parts = fatal_parts.expect("the metric name is valid");
-        registry.register(Box::new(fatal_parts.clone())).expect("metric names are unique");
-        let limited_replicas =
-            IntGauge::new("lentil_limited_replicas", "Replicas that name a limit on requests");
-        let limited_replicas = limited_replicas.expect("the metric name is valid");
-        registry.register(Box::new(limited_replicas.clone())).expect("metric names are unique");
+        let counter = |name: &str, help: &str| {
+            let out = IntCounter::new(name, help).expect("metric names are valid");
+            registry.register(Box::new(out.clone())).expect("metric names are unique");
+            out
+        };
+        let gauge = |name: &str, help: &str| {
+            let out = IntGauge::new(name, help).expect("metric names are valid");
+            registry.register(Box::new(out.clone())).expect("metric names are unique");
+            out
+        };
         Self {
             requests: family("lentil_requests_total", "Requests by outcome", "outcome"),
             attempts: family("lentil_sends_total", "Sends to replicas by outcome", "outcome"),
@@ -111,13 +97,22 @@
                 "Checks of replicas whose stream was silent by outcome",
                 "outcome",
             ),
+            resumed: counter("lentil_streams_resumed_total", "Streams resumed elsewhere"),
+            store_returns: counter(
+                "lentil_store_returns_total",
+                "Returns of the platform's registry from an older copy",
+            ),
+            store_era: gauge("lentil_store_era", "Era of the platform's registry"),
+            replica_ends: counter(
+                "lentil_replica_ends_total",
+                "Ends of replicas that were noticed",
+            ),
+            fatal_parts: gauge("lentil_fatal_parts", "Parts of prompts under which replicas end"),
+            limited_replicas: gauge(
+                "lentil_limited_replicas",
+                "Replicas that name a limit on requests",
+            ),
             ended,
-            resumed,
-            store_returns,
-            store_era,
-            replica_ends,
-            fatal_parts,
-            limited_replicas,
             registry,
         }
     }
