Move the choice of a replica out of the pool of replicas

pool.rs had grown to 556 lines with two jobs: what is known of the replicas, and the choice of one for a request.

--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod budget;
 mod catalog;
+mod choice;
 mod limits;
 mod plan;
 mod pool;
@@ -16,9 +17,10 @@
 pub use crate::{
     budget::{RetryBudget, RetryBudgets},
     catalog::{Catalog, Change, HeldPart},
+    choice::{Choice, PlacementError, PlacementRequest},
     limits::{LimitReport, Limits, NamedLimit, Peers, Permit},
     plan::{Plan, Source, Transfer, cache_salt, free_delay, old_part_grace, parse_salt},
-    pool::{Choice, Load, Outcome, PeerLoad, PlacementError, PlacementRequest, Pool},
+    pool::{Load, Outcome, PeerLoad, Pool},
     prompt::{Part, Prompt},
     room::Headroom,
 };
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -1,60 +1,23 @@
-//! The replicas of all targets with their load and health, and the choice of one for a request.
+//! The replicas of all targets with their load and health.
 
 use std::{sync::Arc, time::Duration};
 
-use fleet::{Engine, Replica};
-use ident::{Time, rendezvous_order};
+use fleet::Replica;
+use ident::Time;
 
-use crate::{Headroom, Permit};
-
-/// Prompt tokens that an engine prefills per ms.
-const PREFILL_TOKENS_PER_MS: f64 = 45.0;
-/// Delay of a first token for each request that runs at the replica, in ms.
-const RUNNING_COST_MS: f64 = 1.5;
-/// Cost of each request beyond the number of an engine's slots, in ms.
-const QUEUED_COST_MS: f64 = 50.0;
-/// Cost of a replica that is not an engine and whose slots are all in use, in ms. The cost of other
-/// loads is proportional.
-const FULL_SLOTS_COST_MS: f64 = 100.0;
-/// Cost of a replica in another zone, in ms.
-const CROSS_ZONE_COST_MS: f64 = 3.0;
-/// Cost of a fallback replica instead of the preferred one for the context, in ms, in addition to
-/// the time of the transfer. 25 ms and 160 ms give a lower benchmark score; with 300 ms fewer
-/// requests are answered in time.
-const FALLBACK_COST_MS: f64 = 80.0;
-/// Cost of memory that an engine would have to take from other requests, in ms for its whole
-/// memory. The cost of smaller amounts is proportional.
-const MEMORY_COST_MS: f64 = 4000.0;
-/// Share of an engine's memory above which [`MEMORY_COST_MS`] applies.
-const MEMORY_COST_THRESHOLD: f64 = 0.85;
-/// Cost of a replica whose weights are not the newest, in ms.
-const OLD_WEIGHTS_COST_MS: f64 = 150.0;
 /// How long a replica is excluded after [`FAILURE_THRESHOLD`] attempts in a row without an answer.
 /// Each further one doubles the time.
 const FAILURE_COOLDOWN: Duration = Duration::from_millis(600);
 /// Longest time for which failures exclude a replica.
 const MAX_COOLDOWN: Duration = Duration::from_secs(4);
 /// How long a replica is excluded after it refused a request because it was full.
-const FULL_COOLDOWN: Duration = Duration::from_millis(150);
+pub(crate) const FULL_COOLDOWN: Duration = Duration::from_millis(150);
 /// How long a peer's report of its own requests is used.
 const PEER_LOAD_TTL: Duration = Duration::from_millis(1500);
 /// How long a replica's own report of its load is used.
 const LOAD_REPORT_TTL: Duration = Duration::from_millis(500);
-/// Prompts with fewer tokens than this are short: their prefill does not noticeably delay others.
-const SHORT_PROMPT_TOKENS: u64 = 2048;
-/// One in this many replicas of an engine target is preferred for short prompts, the others for
-/// long prompts. Long prompts evict the parts of short ones from a replica's memory within seconds,
-/// and each prefill chunk of a long prompt delays all short prompts at the same replica.
-const SHORT_REPLICA_DIVISOR: usize = 4;
-/// Cost of a short prompt at a replica for long prompts, in ms.
-const SHORT_FALLBACK_COST_MS: f64 = 40.0;
-/// Cost of a long prompt at a replica for short prompts, in ms.
-const LONG_FALLBACK_COST_MS: f64 = 400.0;
-/// Delay after which a caller finds another instance, where this one sends to none of the limited
-/// replicas.
-const LIMITED_DELAY: Duration = Duration::from_secs(1);
 /// Number of attempts in a row without an answer from which a replica counts as unhealthy.
-const FAILURE_THRESHOLD: u32 = 2;
+pub(crate) const FAILURE_THRESHOLD: u32 = 2;
 
 /// What one or more requests still need of a replica.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -103,116 +66,26 @@
     NoAnswer,
 }
 
-/// The request for which [`Pool::choose`] chooses a replica.
-#[derive(Debug, Clone)]
-pub struct PlacementRequest<'a> {
-    /// Name of the target.
-    pub target: &'a str,
-    /// Context that determines the preferred replica; `None` if the request has none.
-    pub context: Option<&'a str>,
-    /// Load of the request if nothing of its prompt is cached.
-    pub load: Load,
-    /// Prompt tokens that the preferred replica most likely has in its cache.
-    pub shared_tokens: u64,
-    /// Model and its newest weights version; `None` if the request names no model.
-    pub model: Option<(&'a str, u64)>,
-    /// Oldest weights version that may be used.
-    pub min_version: u64,
-    /// Headroom that the replica must have.
-    pub headroom: Headroom,
-    /// Zone of the instance that makes the choice.
-    pub zone: &'a str,
-    /// Identifiers of the replicas that this request was sent to already.
-    pub tried: &'a [Arc<str>],
-    /// Limited replicas and whether this instance may send to them. Sorted by replica.
-    pub permits: &'a [(Arc<str>, Permit)],
-    /// Description of the target's engines; `None` if its replicas are not engines.
-    pub engine: Option<&'a Engine>,
-    /// Random tie-breaker; any number.
-    pub tie_breaker: u64,
-}
-
-/// The result of [`Pool::choose`].
-#[derive(Debug, Clone)]
-pub struct Choice {
-    /// The chosen replica.
-    pub replica: Arc<Replica>,
-    /// Preferred replica for the context; `None` if it was chosen or there is none.
-    pub preferred: Option<Arc<Replica>>,
-    /// The chosen replica's weights version of the model, if known.
-    pub version: Option<u64>,
-    /// Expected delay of the first token, in ms.
-    pub delay_ms: f64,
-    /// Load that all instances have in flight at the replica, as far as is known.
-    pub load: Load,
-    /// Requests at the replica: the instances' count or the replica's own report, whichever is
-    /// higher.
-    pub requests: u32,
-}
-
-/// Why no replica was chosen.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-pub enum PlacementError {
-    /// The target has no replica that accepts new requests.
-    #[error("the target has no replica that takes work")]
-    NoReplica,
-    /// No usable replica has the required headroom.
-    #[error("all replicas are full")]
-    Overloaded,
-    /// The replicas with suitable weights are at their limits, or excluded for now.
-    #[error("the replicas are at their limits")]
-    Limited {
-        /// Time at which this instance may send the next request to one of them.
-        until: Time,
-    },
-    /// All replicas with suitable weights were tried already or are excluded for now.
-    #[error("no replica is usable now")]
-    Excluded {
-        /// Time at which the first of them may be tried again.
-        until: Time,
-    },
-}
-
 #[derive(Debug)]
-struct Entry {
-    replica: Arc<Replica>,
+pub(crate) struct Entry {
+    pub(crate) replica: Arc<Replica>,
     /// Load of this instance's own requests at the replica.
     own: Load,
     /// Running and queued requests that the replica last reported, and when the report arrived.
     reported: Option<(u32, Time)>,
     /// Number of attempts without an answer since the last [`Outcome::Answered`].
-    failures: u32,
+    pub(crate) failures: u32,
     /// Time until which the replica is excluded.
-    excluded_until: Time,
+    pub(crate) excluded_until: Time,
     /// Time until which the replica loads weights, as far as is known.
-    loading_until: Time,
+    pub(crate) loading_until: Time,
     /// Model and weights version that the replica itself reported. They take precedence over the
     /// registered ones until the registered ones change.
     observed: Option<(Arc<str>, u64)>,
 }
 
-/// A replica that accepts requests, and whether it is preferred for short prompts.
-#[derive(Debug, Clone, Copy)]
-struct Member<'e> {
-    entry: &'e Entry,
-    for_short: bool,
-}
-
-impl PlacementRequest<'_> {
-    /// Whether this instance may send to a replica; `None` if the replica has no limit.
-    fn permit(&self, entry: &Entry) -> Option<Permit> {
-        let found = self.permits.binary_search_by(|(id, _)| id.cmp(&entry.replica.id));
-        found.ok().map(|at| self.permits[at].1)
-    }
-
-    /// Whether the prompt is a short one.
-    fn is_short(&self) -> bool {
-        self.load.prefill_tokens < SHORT_PROMPT_TOKENS
-    }
-}
-
 impl Entry {
-    fn version(&self, model: &str) -> Option<u64> {
+    pub(crate) fn version(&self, model: &str) -> Option<u64> {
         match &self.observed {
             Some((m, version)) if &**m == model => Some(*version),
             _ => self.replica.version(model),
@@ -229,38 +102,13 @@
     received: Time,
 }
 
-/// Returns the preferred replica of the context for each weights version of the model. KV cache of
-/// one version can't be used with another.
-fn preferred_replicas<'e>(
-    members: &[Member<'e>],
-    request: &PlacementRequest<'_>,
-    now: Time,
-) -> Vec<(Option<u64>, &'e Entry)> {
-    let Some(context) = request.context else { return Vec::new() };
-    let mut out: Vec<(Option<u64>, &'e Entry)> = Vec::new();
-    let order = rendezvous_order(context.as_bytes(), members, |m| &m.entry.replica.id);
-    // A replica that loads weights loses its KV cache.
-    let is_healthy =
-        |m: &&Member<'e>| m.entry.failures < FAILURE_THRESHOLD && m.entry.loading_until.passed(now);
-    let healthy = order.into_iter().filter(is_healthy);
-    let (own, other): (Vec<&Member<'e>>, Vec<&Member<'e>>) =
-        healthy.partition(|m| m.for_short == request.is_short());
-    for entry in own.into_iter().chain(other).map(|m| m.entry) {
-        let version = request.model.and_then(|(model, _)| entry.version(model));
-        if out.iter().all(|(v, _)| *v != version) {
-            out.push((version, entry));
-        }
-    }
-    out
-}
-
 /// The replicas that an instance knows, with their load and health.
 ///
 /// Invariant: `entries` is sorted by id, and `own` of each entry covers just this instance's
 /// requests in flight.
 #[derive(Debug, Default)]
 pub struct Pool {
-    entries: Vec<Entry>,
+    pub(crate) entries: Vec<Entry>,
     /// Sorted by name.
     peers: Vec<Peer>,
 }
@@ -377,159 +225,8 @@
         self.entries[at].version(model)
     }
 
-    /// Chooses the replica with the least expected delay.
-    ///
-    /// Returns an error if the target has no replica, if all are excluded or tried already, or if
-    /// none has the required headroom.
-    pub fn choose(
-        &self,
-        request: &PlacementRequest<'_>,
-        now: Time,
-    ) -> Result<Choice, PlacementError> {
-        let members = self.members(request);
-        if members.is_empty() {
-            return Err(PlacementError::NoReplica);
-        }
-        let preferred = preferred_replicas(&members, request, now);
-        let preferred_for = |entry: &Entry| {
-            let version = request.model.and_then(|(model, _)| entry.version(model));
-            preferred.iter().find(|(v, _)| *v == version).map(|(_, entry)| *entry)
-        };
-        let usable = members.iter().filter(|m| self.usable(m.entry, request, now));
-        let fitting = usable.clone().filter(|m| self.has_headroom(m, request, now));
-        let any_usable = usable.count() > 0;
-        let best = fitting
-            .map(|m| (self.cost(m, preferred_for(m.entry), request, now), m.entry))
-            .min_by(|(a, _), (b, _)| a.total_cmp(b));
-        let Some((delay_ms, entry)) = best else {
-            if any_usable {
-                return Err(PlacementError::Overloaded);
-            }
-            if let Some(until) = self.limited_until(&members, request, now) {
-                return Err(PlacementError::Limited { until });
-            }
-            let first =
-                members.iter().map(|m| m.entry.excluded_until).filter(|t| !t.passed(now)).min();
-            return Err(PlacementError::Excluded {
-                until: first.unwrap_or(now.after(FULL_COOLDOWN)),
-            });
-        };
-        let version = request.model.and_then(|(model, _)| entry.version(model));
-        let other = preferred_for(entry).filter(|p| p.replica.id != entry.replica.id);
-        let preferred = other.map(|p| p.replica.clone());
-        let (load, requests) = (self.total_load(entry, now), self.requests(entry, now));
-        Ok(Choice { replica: entry.replica.clone(), preferred, version, delay_ms, load, requests })
-    }
-
-    /// When this instance may next send to a replica that only its limit excludes; `None` if there is
-    /// no such replica.
-    fn limited_until(
-        &self,
-        members: &[Member<'_>],
-        request: &PlacementRequest<'_>,
-        now: Time,
-    ) -> Option<Time> {
-        let limited = members.iter().filter(|m| self.sound(m.entry, request, now));
-        let until = limited.filter_map(|m| match request.permit(m.entry)? {
-            Permit::Now => None,
-            Permit::At(at) => Some(at),
-            Permit::Elsewhere => Some(now.after(LIMITED_DELAY)),
-        });
-        until.min()
-    }
-
-    /// Returns the target's replicas that accept requests. Which replicas of an engine target are
-    /// preferred for short prompts depends on their ids only, so that all instances agree.
-    fn members(&self, request: &PlacementRequest<'_>) -> Vec<Member<'_>> {
-        let accepts = |e: &&Entry| &*e.replica.target == request.target && !e.replica.leaving;
-        let entries: Vec<&Entry> = self.entries.iter().filter(accepts).collect();
-        if request.engine.is_none() {
-            return entries.into_iter().map(|entry| Member { entry, for_short: false }).collect();
-        }
-        let count = entries.len() / SHORT_REPLICA_DIVISOR;
-        let order = rendezvous_order(request.target.as_bytes(), &entries, |e| &e.replica.id);
-        let short: Vec<&str> = order.iter().take(count).map(|e| &*e.replica.id).collect();
-        let is_short = |e: &Entry| short.contains(&&*e.replica.id);
-        entries.into_iter().map(|entry| Member { entry, for_short: is_short(entry) }).collect()
-    }
-
-    /// Whether the replica has the required headroom.
-    fn has_headroom(&self, member: &Member<'_>, request: &PlacementRequest<'_>, now: Time) -> bool {
-        let (Some(engine), false) =
-            (request.engine, request.headroom == Headroom::Any || request.is_short())
-        else {
-            return true;
-        };
-        let taken = self.total_load(member.entry, now).memory_tokens;
-        let suits = request.headroom == Headroom::Tight || !member.for_short;
-        suits && request.headroom.fits(taken, request.load.memory_tokens, engine.capacity_tokens)
-    }
-
-    fn usable(&self, entry: &Entry, request: &PlacementRequest<'_>, now: Time) -> bool {
-        let permitted = matches!(request.permit(entry), None | Some(Permit::Now));
-        permitted && self.sound(entry, request, now)
-    }
-
-    /// Whether the request may be sent to the replica, but for its limit.
-    fn sound(&self, entry: &Entry, request: &PlacementRequest<'_>, now: Time) -> bool {
-        let tried = request.tried.contains(&entry.replica.id);
-        let version = request.model.is_none_or(|(model, _)| {
-            entry.version(model).is_some_and(|v| v >= request.min_version)
-        });
-        !tried && version && entry.excluded_until.passed(now)
-    }
-
-    /// Expected delay of the first token, or of the answer if the replica is not an engine, in ms.
-    fn cost(
-        &self,
-        member: &Member<'_>,
-        preferred: Option<&Entry>,
-        request: &PlacementRequest<'_>,
-        now: Time,
-    ) -> f64 {
-        let entry = member.entry;
-        let total = self.total_load(entry, now);
-        let zone = if &*entry.replica.zone == request.zone { 0.0 } else { CROSS_ZONE_COST_MS };
-        let noise =
-            (request.tie_breaker.wrapping_mul(entry.replica.addr.port().into()) % 64) as f64 / 64.0;
-        let Some(engine) = request.engine else {
-            let load = f64::from(self.requests(entry, now) + 1);
-            return load / f64::from(entry.replica.slots.max(1)) * FULL_SLOTS_COST_MS
-                + zone
-                + noise;
-        };
-        let is_preferred = preferred.is_some_and(|p| p.replica.id == entry.replica.id);
-        // A limited replica gets few requests; those that are permitted should be used.
-        let fallback = match is_preferred || request.shared_tokens == 0 {
-            false if request.permit(entry).is_none() => FALLBACK_COST_MS,
-            _ => 0.0,
-        };
-        let transfer = request.shared_tokens as f64 * engine.token_bytes as f64 * 8.0
-            / (engine.link_mbps * 1000.0);
-        let transfer = if is_preferred { 0.0 } else { transfer };
-        let own = request.load.prefill_tokens.saturating_sub(request.shared_tokens);
-        let prefill = (total.prefill_tokens + own) as f64 / PREFILL_TOKENS_PER_MS;
-        let capacity = engine.capacity_tokens.max(1) as f64;
-        let over = ((total.memory_tokens + request.load.memory_tokens) as f64 / capacity
-            - MEMORY_COST_THRESHOLD)
-            .max(0.0);
-        let old = match request.model {
-            Some((model, newest)) if entry.version(model) < Some(newest) => OLD_WEIGHTS_COST_MS,
-            _ => 0.0,
-        };
-        let running = f64::from(self.requests(entry, now));
-        let queued = (running + 1.0 - f64::from(engine.slots)).max(0.0) * QUEUED_COST_MS;
-        let mismatch = match (request.is_short(), member.for_short) {
-            (true, false) => SHORT_FALLBACK_COST_MS,
-            (false, true) => LONG_FALLBACK_COST_MS,
-            _ => 0.0,
-        };
-        let load = prefill + transfer + queued + running * RUNNING_COST_MS + over * MEMORY_COST_MS;
-        load + fallback + zone + noise + old + mismatch
-    }
-
     /// Load that all instances have in flight at a replica, as far as is known.
-    fn total_load(&self, entry: &Entry, now: Time) -> Load {
+    pub(crate) fn total_load(&self, entry: &Entry, now: Time) -> Load {
         let mut out = entry.own;
         let fresh = self.peers.iter().filter(|p| now.since(p.received) < PEER_LOAD_TTL);
         for peer in fresh {
@@ -543,7 +240,7 @@
 
     /// Requests at a replica: the instances' count or the replica's own report, whichever is
     /// higher.
-    fn requests(&self, entry: &Entry, now: Time) -> u32 {
+    pub(crate) fn requests(&self, entry: &Entry, now: Time) -> u32 {
         let counted = self.total_load(entry, now).requests;
         let recent = |(_, received): &(u32, Time)| now.since(*received) < LOAD_REPORT_TTL;
         entry.reported.filter(recent).map_or(counted, |(n, _)| n.max(counted))
