Name what publishes evidence, and measure its costs by a program of the repository

spread_loop and spread were taken for the jitter that other files call a spread; the delay of a limited target borrowed a constant with another meaning.

--- /dev/null
+++ b/crates/blame/examples/costs.rs
@@ -0,0 +1,59 @@
+//! Measures what decisions about fatal parts cost with as many suspects as are kept.
+
+use std::{hint::black_box, time::Instant};
+
+use blame::{Blame, EndId, PartKey, Parts};
+use ident::Time;
+
+const NOW: Time = Time(1_000_000);
+const ROUNDS: u32 = 20_000;
+
+fn measure<F>(name: &str, mut step: F)
+where
+    F: FnMut(),
+{
+    let begin = Instant::now();
+    (0..ROUNDS).for_each(|_| step());
+    println!("{name}: {} ns", begin.elapsed().as_nanos() / u128::from(ROUNDS));
+}
+
+fn end(blame: &mut Blame, replica: u32, parts: Parts, at: Time) {
+    let flight = blame.begin(EndId(replica), parts, at);
+    blame.lost(flight, false, at);
+    blame.replica_ended(EndId(replica), at);
+}
+
+fn main() {
+    let sound: Parts = [PartKey(97), PartKey(98), PartKey(99)].into();
+    let mut empty = Blame::default();
+    measure("admission without suspects", || {
+        black_box(empty.admit(&sound, NOW));
+    });
+    let mut blame = Blame::default();
+    (0..3).for_each(|n| end(&mut blame, n, [PartKey(7)].into(), Time(0)));
+    for n in 0..256 {
+        end(&mut blame, 1000 + n, [PartKey(u64::from(n) << 30)].into(), NOW);
+    }
+    let report = blame.report(NOW).fit(600);
+    println!("suspects in 600 bytes: {}", report.suspects.len());
+    measure("admission with 256 suspects", || {
+        black_box(blame.admit(&sound, NOW));
+    });
+    measure("merge of a report of 600 bytes", || {
+        black_box(blame.merge(&report, NOW));
+    });
+    measure("report of 600 bytes", || {
+        black_box(blame.report(NOW).fit(600));
+    });
+    measure("an attempt from its start to its whole answer", || {
+        let flight = blame.begin(EndId(1), sound.clone(), NOW);
+        blame.begun(flight, NOW);
+        black_box(blame.answered(flight, NOW));
+    });
+    let mut next = 10_000;
+    measure("an end that changes the verdict, and the next admission", || {
+        next += 1;
+        end(&mut blame, next, [PartKey(7)].into(), NOW);
+        black_box(blame.admit(&sound, NOW));
+    });
+}
--- a/crates/relay/src/ends.rs
+++ b/crates/relay/src/ends.rs
@@ -73,7 +73,7 @@
         {
             let changed = self.core.blame.lock().answered(flight, self.core.now());
             if changed {
-                spread(&self.core);
+                publish_evidence(&self.core);
             }
         }
     }
@@ -82,7 +82,7 @@
         let Some(flight) = self.flight.take() else { return };
         let news = self.core.blame.lock().lost(flight, unframed, self.core.now());
         if news {
-            spread(&self.core);
+            publish_evidence(&self.core);
         }
     }
 }
@@ -107,7 +107,7 @@
         info!(replica = &*replica.id, evidence = news, "replica ended");
     }
     if news {
-        spread(core);
+        publish_evidence(core);
     }
 }
 
@@ -115,12 +115,12 @@
 pub(crate) fn merge(core: &Arc<Core>, report: &Report) {
     let news = core.blame.lock().merge(report, core.now());
     if news {
-        spread(core);
+        publish_evidence(core);
     }
 }
 
 /// Passes new evidence on to peers, and stores a changed verdict.
-fn spread(core: &Arc<Core>) {
+fn publish_evidence(core: &Arc<Core>) {
     let fatal = core.blame.lock().fatal(core.now());
     let mut parts: Vec<PartKey> = fatal.iter().flat_map(|f| f.parts.clone()).collect();
     parts.sort_unstable();
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -37,6 +37,8 @@
 const MAX_BUFFERED_BYTES: u64 = 256 * 1024;
 /// Delay after which callers should retry where all replicas are full or loading weights.
 const BUSY_RETRY_DELAY: Duration = Duration::from_millis(400);
+/// Shortest delay after which callers should retry where the replicas are at their limits.
+const MIN_LIMITED_DELAY: Duration = Duration::from_millis(30);
 /// Delay after which callers should retry while a part of their prompts is being tried.
 const TRIAL_RETRY_DELAY: Duration = Duration::from_secs(2);
 /// Delay after which callers should retry where a target has no replica.
@@ -197,7 +199,7 @@
         let choice = match self.choose(&snapshot, now) {
             Ok(choice) => choice,
             Err(PlacementError::Limited { until }) => {
-                let delay = until.since(now).max(MIN_TIME_LEFT);
+                let delay = until.since(now).max(MIN_LIMITED_DELAY);
                 return stop("the replicas are at their limits", delay);
             }
             Err(PlacementError::NoReplica) => {
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -110,7 +110,7 @@
     tokio::spawn(listen(core.clone(), peer_listener, ListenerKind::Peer));
     tokio::spawn(peers::receive_loop(core.clone(), socket.clone()));
     tokio::spawn(peers::send_loop(core.clone(), socket.clone()));
-    tokio::spawn(peers::spread_loop(core.clone(), socket.clone()));
+    tokio::spawn(peers::evidence_loop(core.clone(), socket.clone()));
     for topic in Topic::ALL {
         tokio::spawn(follow::follow(core.clone(), topic));
     }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -30,9 +30,9 @@
 /// Most datagrams that an instance sends per second; with more peers the interval gets longer.
 const MAX_DATAGRAMS_PER_SECOND: u32 = 60;
 /// Most peers that are told at once of new evidence.
-const SPREAD_PEERS: usize = 30;
+const EVIDENCE_PEERS: usize = 30;
 /// Shortest interval between two datagrams with new evidence.
-const SPREAD_INTERVAL: Duration = Duration::from_millis(250);
+const EVIDENCE_INTERVAL: Duration = Duration::from_millis(250);
 /// Longest datagram, in bytes, so that it fits into one packet.
 const MAX_DATAGRAM_BYTES: usize = 1400;
 /// Most leaving replicas in one datagram.
@@ -251,14 +251,14 @@
 
 /// Sends datagrams to some peers when there is new evidence against a part of a prompt. Those that
 /// learn from it do the same.
-pub(crate) async fn spread_loop(core: Arc<Core>, socket: Arc<UdpSocket>) {
+pub(crate) async fn evidence_loop(core: Arc<Core>, socket: Arc<UdpSocket>) {
     loop {
         core.notify_evidence.notified().await;
         let peers = peer_addresses(&core);
-        let some = peers.choose_multiple(&mut rand::rng(), SPREAD_PEERS);
+        let some = peers.choose_multiple(&mut rand::rng(), EVIDENCE_PEERS);
         let some: Vec<SocketAddr> = some.copied().collect();
         send(&core, &socket, &some).await;
-        tokio::time::sleep(SPREAD_INTERVAL).await;
+        tokio::time::sleep(EVIDENCE_INTERVAL).await;
     }
 }
 
