Log a digest of each request that is the same when it comes again

Each attempt of a caller has an id of its own, and neither path nor body is logged, so the logs of BUDGET can't tell whether one request is at every replica that ends. The digest covers host, method, path and query, team, prompt and body. The last part of a prompt is left out where there is a body, which holds its text.

--- a/crates/ident/src/digest.rs
+++ b/crates/ident/src/digest.rs
@@ -17,6 +17,12 @@
         Self::truncate(blake3::hash(bytes))
     }
 
+    /// Returns the unkeyed digest of `parts`. Each part is preceded by its length, so that the
+    /// digest depends on where the parts begin and end.
+    pub fn of_parts(parts: &[&[u8]]) -> Self {
+        Self::truncate(hash_parts(blake3::Hasher::new(), parts))
+    }
+
     fn truncate(hash: blake3::Hash) -> Self {
         let mut bytes = [0; 16];
         bytes.copy_from_slice(&hash.as_bytes()[..16]);
@@ -24,6 +30,14 @@
     }
 }
 
+fn hash_parts(mut hasher: blake3::Hasher, parts: &[&[u8]]) -> blake3::Hash {
+    for part in parts {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    hasher.finalize()
+}
+
 impl fmt::Display for Digest {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:032x}", u128::from_be_bytes(self.0))
@@ -75,12 +89,7 @@
     /// Returns the keyed digest of `parts`. Each part is preceded by its length, so that the digest
     /// depends on where the parts begin and end.
     pub fn mac(&self, parts: &[&[u8]]) -> Digest {
-        let mut hasher = blake3::Hasher::new_keyed(&self.0);
-        for part in parts {
-            hasher.update(&(part.len() as u64).to_le_bytes());
-            hasher.update(part);
-        }
-        Digest::truncate(hasher.finalize())
+        Digest::truncate(hash_parts(blake3::Hasher::new_keyed(&self.0), parts))
     }
 
     /// Returns whether `mac` is the keyed digest of `parts`. The comparison takes constant time.
--- a/crates/relay/src/accept.rs
+++ b/crates/relay/src/accept.rs
@@ -17,7 +17,7 @@
 use crate::{
     answer::Refusal,
     core::{BODY_PERMIT_BYTES, Core},
-    job::{ActiveGuard, Job},
+    job::{ActiveGuard, Job, request_digest},
 };
 
 /// How long a request waits for memory for its body.
@@ -41,6 +41,7 @@
     let meta = core.adapters.protocol.parse_request(&head.headers)?;
     let host = host(&head).ok_or(Refusal::NoRoute)?;
     let route = config.route(host, head.uri.path()).ok_or(Refusal::NoRoute)?.clone();
+    let host = host.to_owned();
     let team = match meta.key.as_deref().and_then(|k| config.team(k)) {
         Some(team) => Some(team.clone()),
         None if config.requires_key && !route.public => return Err(Refusal::NoKey),
@@ -53,11 +54,14 @@
     let mut headers = head.headers;
     core.adapters.protocol.strip_request(&mut headers);
     let (method, uri) = (head.method, origin_form(head.uri));
+    let name = team.as_ref().map(|t| &*t.name);
+    let digest = request_digest(&host, &method, &uri, name, meta.prompt.as_ref(), &body);
     Ok(Job {
         method,
         uri,
         headers,
         body,
+        digest,
         meta,
         route,
         team,
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use fleet::{Route, Snapshot, Team};
 use hyper::{HeaderMap, Method, Uri};
-use ident::Time;
+use ident::{Digest, Time};
 use place::Prompt;
 use tokio::sync::OwnedSemaphorePermit;
 
@@ -42,6 +42,9 @@
     pub headers: HeaderMap,
     /// Body of the request.
     pub body: Bytes,
+    /// Digest of what makes the request the same one if it comes again: host, method, path and
+    /// query, team, prompt and body.
+    pub digest: Digest,
     /// What the caller's headers say about the request.
     pub meta: RequestMeta,
     /// Route that the request matched.
@@ -113,6 +116,28 @@
     }
 }
 
+/// The digest of a request, see [`Job::digest`]. `uri` must have no authority. A body holds the text
+/// of the prompt's last part, which needs no place in the digest then.
+pub(crate) fn request_digest(
+    host: &str,
+    method: &Method,
+    uri: &Uri,
+    team: Option<&str>,
+    prompt: Option<&Prompt>,
+    body: &[u8],
+) -> Digest {
+    let path = uri.path_and_query().map_or("", |p| p.as_str());
+    let mut fields = vec![host, method.as_str(), path];
+    fields.extend(if team.is_some() { ["team", team.unwrap_or_default()] } else { ["", ""] });
+    if let Some(prompt) = prompt {
+        let parts = if body.is_empty() { &prompt.parts[..] } else { prompt.shared() };
+        fields.push(&prompt.model);
+        fields.extend(parts.iter().map(|part| &*part.id));
+    }
+    let fields = fields.into_iter().map(str::as_bytes);
+    Digest::of_parts(&fields.chain([body]).collect::<Vec<_>>())
+}
+
 /// Priorities at an engine, by an upper limit of prompt tokens. The second limit is what an engine
 /// prefills between two decoded tokens of other requests, the third is four times that. Priority 5
 /// is the engines' own default.
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -215,6 +215,7 @@
         let moved: String = plan.iter().flat_map(|p| p.parts.iter().map(source)).collect();
         info!(
             request = &*self.job.meta.id,
+            digest = %self.job.digest,
             replica = &*choice.replica.id,
             home = choice.preferred.as_ref().map(|h| &*h.id),
             version = choice.version,
@@ -361,6 +362,7 @@
             self.core.now().since(self.core.view.snapshot().confirmed.replicas).as_millis() as u64;
         info!(
             request = &*self.job.meta.id,
+            digest = %self.job.digest,
             replica = &*choice.replica.id,
             version = choice.version,
             known_ms = age,
