--- a/crates/blame/examples/costs.rs
+++ b/crates/blame/examples/costs.rs
@@ -2,7 +2,7 @@
 
 use std::{hint::black_box, time::Instant};
 
-use blame::{Blame, EndId, PartKey, Parts};
+use blame::{Blame, EndId, SuspectKey, Suspects};
 use ident::Time;
 
 const NOW: Time = Time(1_000_000);
@@ -17,22 +17,22 @@
     println!("{name}: {} ns", begin.elapsed().as_nanos() / u128::from(ROUNDS));
 }
 
-fn end(blame: &mut Blame, replica: u32, parts: Parts, at: Time) {
+fn end(blame: &mut Blame, replica: u32, parts: Suspects, at: Time) {
     let flight = blame.begin(EndId(replica), parts, at);
     blame.lost(flight, false, at);
-    blame.replica_ended(EndId(replica), at);
+    blame.replica_ended(EndId(replica), false, at);
 }
 
 fn main() {
-    let sound: Parts = [PartKey(97), PartKey(98), PartKey(99)].into();
+    let sound: Suspects = [SuspectKey::Part(97), SuspectKey::Part(98), SuspectKey::Part(99)].into();
     let mut empty = Blame::default();
     measure("admission without suspects", || {
         black_box(empty.admit(&sound, NOW));
     });
     let mut blame = Blame::default();
-    (0..3).for_each(|n| end(&mut blame, n, [PartKey(7)].into(), Time(0)));
+    (0..3).for_each(|n| end(&mut blame, n, [SuspectKey::Part(7)].into(), Time(0)));
     for n in 0..256 {
-        end(&mut blame, 1000 + n, [PartKey(u64::from(n) << 30)].into(), NOW);
+        end(&mut blame, 1000 + n, [SuspectKey::Part(u64::from(n) << 30)].into(), NOW);
     }
     let report = blame.report(NOW).fit(600);
     println!("suspects in 600 bytes: {}", report.suspects.len());
@@ -53,7 +53,7 @@
     let mut next = 10_000;
     measure("an end that changes the verdict, and the next admission", || {
         next += 1;
-        end(&mut blame, next, [PartKey(7)].into(), NOW);
+        end(&mut blame, next, [SuspectKey::Part(7)].into(), NOW);
         black_box(blame.admit(&sound, NOW));
     });
 }
--- a/crates/blame/src/answered.rs
+++ b/crates/blame/src/answered.rs
@@ -1,33 +1,49 @@
-//! The parts that were answered whole lately.
+//! The parts and requests that were answered whole lately.
 
 use std::collections::HashMap;
 
 use ident::Time;
 
-use crate::PartKey;
+use crate::SuspectKey;
 
 /// Number of parts in one generation.
-const GENERATION_SIZE: usize = 4096;
+const PARTS: usize = 4096;
+/// Number of requests in one generation. Only those that come often matter.
+const REQUESTS: usize = 1024;
 
-/// Parts with the time of their last whole answer. The oldest are forgotten when there are too
-/// many.
+/// Parts and requests with the time of their last whole answer. The oldest are forgotten when there
+/// are too many.
 #[derive(Debug, Default)]
 pub(crate) struct Answered {
-    young: HashMap<PartKey, Time>,
+    parts: Generations,
+    requests: Generations,
+}
+
+#[derive(Debug, Default)]
+struct Generations {
+    young: HashMap<SuspectKey, Time>,
     /// The generation before.
-    old: HashMap<PartKey, Time>,
+    old: HashMap<SuspectKey, Time>,
 }
 
 impl Answered {
-    pub(crate) fn insert(&mut self, part: PartKey, now: Time) {
-        if self.young.len() >= GENERATION_SIZE && !self.young.contains_key(&part) {
-            self.old = std::mem::take(&mut self.young);
+    pub(crate) fn insert(&mut self, key: SuspectKey, now: Time) {
+        let (size, generations) = match key {
+            SuspectKey::Part(_) => (PARTS, &mut self.parts),
+            SuspectKey::Request(_) => (REQUESTS, &mut self.requests),
+        };
+        if generations.young.len() >= size && !generations.young.contains_key(&key) {
+            generations.old = std::mem::take(&mut generations.young);
         }
-        self.young.insert(part, now);
+        generations.young.insert(key, now);
     }
 
     /// The last whole answer; `None` if none is remembered.
-    pub(crate) fn last(&self, part: PartKey) -> Option<Time> {
-        self.young.get(&part).or_else(|| self.old.get(&part)).copied()
+    pub(crate) fn last(&self, key: SuspectKey) -> Option<Time> {
+        let generations = match key {
+            SuspectKey::Part(_) => &self.parts,
+            SuspectKey::Request(_) => &self.requests,
+        };
+        generations.young.get(&key).or_else(|| generations.old.get(&key)).copied()
     }
 }
--- a/crates/blame/src/flights.rs
+++ b/crates/blame/src/flights.rs
@@ -4,9 +4,9 @@
 
 use ident::Time;
 
-use crate::{EndId, Flight, PartKey, Parts};
+use crate::{EndId, Flight, SuspectKey, Suspects};
 
-/// How long after a request was lost the end of its replica is evidence against its parts. A
+/// How long after a request was lost the end of its replica is evidence against it and its parts. A
 /// replica that falls silent is found within 2 s.
 const LOST_TTL: Duration = Duration::from_secs(3);
 
@@ -14,7 +14,7 @@
 struct Entry {
     flight: Flight,
     replica: EndId,
-    parts: Parts,
+    suspects: Suspects,
     sent: Time,
     /// When its connection ended; `None` while it is at the replica.
     lost: Option<Time>,
@@ -32,38 +32,45 @@
 }
 
 impl Flights {
-    pub(crate) fn begin(&mut self, replica: EndId, parts: Parts, now: Time) -> Flight {
+    pub(crate) fn begin(&mut self, replica: EndId, suspects: Suspects, now: Time) -> Flight {
         self.begun += 1;
         let flight = Flight(self.begun);
-        self.entries.push(Entry { flight, replica, parts, sent: now, lost: None, unframed: false });
+        self.entries.push(Entry {
+            flight,
+            replica,
+            suspects,
+            sent: now,
+            lost: None,
+            unframed: false,
+        });
         flight
     }
 
-    /// Removes a request and returns its parts.
-    pub(crate) fn remove(&mut self, flight: Flight) -> Option<Parts> {
+    /// Removes a request and returns its suspects.
+    pub(crate) fn remove(&mut self, flight: Flight) -> Option<Suspects> {
         let at = self.find(flight)?;
-        Some(self.entries.remove(at).parts)
+        Some(self.entries.remove(at).suspects)
     }
 
-    /// Marks a request as lost, and returns its replica and parts.
+    /// Marks a request as lost, and returns its replica and suspects.
     pub(crate) fn lose(
         &mut self,
         flight: Flight,
         unframed: bool,
         now: Time,
-    ) -> Option<(EndId, Parts)> {
+    ) -> Option<(EndId, Suspects)> {
         self.entries.retain(|e| e.lost.is_none_or(|at| now.since(at) < LOST_TTL));
         let at = self.find(flight)?;
         let entry = &mut self.entries[at];
         (entry.lost, entry.unframed) = (Some(now), unframed);
-        Some((entry.replica, entry.parts.clone()))
+        Some((entry.replica, entry.suspects.clone()))
     }
 
-    /// The parts of the requests that are at a replica, or were lost there lately.
-    pub(crate) fn at(&self, replica: EndId, now: Time) -> Vec<Vec<PartKey>> {
+    /// The suspects of the requests that are at a replica, or were lost there lately.
+    pub(crate) fn at(&self, replica: EndId, now: Time) -> Vec<Vec<SuspectKey>> {
         let near =
             |e: &&Entry| e.replica == replica && e.lost.is_none_or(|at| now.since(at) < LOST_TTL);
-        self.entries.iter().filter(near).map(|e| e.parts.to_vec()).collect()
+        self.entries.iter().filter(near).map(|e| e.suspects.to_vec()).collect()
     }
 
     /// The replica of a request and when it was sent.
@@ -78,11 +85,11 @@
     }
 
     /// Removes the requests that a replica lost before `alive`, since when it has shown that it
-    /// runs, and returns the parts of those whose answers are whole by that.
-    pub(crate) fn outlived(&mut self, replica: EndId, alive: Time) -> Vec<Parts> {
+    /// runs, and returns the suspects of those whose answers are whole by that.
+    pub(crate) fn outlived(&mut self, replica: EndId, alive: Time) -> Vec<Suspects> {
         let lost = |e: &Entry| e.replica == replica && e.lost.is_some_and(|at| at < alive);
         let whole = self.entries.iter().filter(|e| lost(e) && e.unframed);
-        let whole = whole.map(|e| e.parts.clone()).collect();
+        let whole = whole.map(|e| e.suspects.clone()).collect();
         self.entries.retain(|e| !lost(e));
         whole
     }
--- a/crates/blame/src/lib.rs
+++ b/crates/blame/src/lib.rs
@@ -1,4 +1,4 @@
-//! Finds the part of a prompt under which replicas end, from what all instances saw.
+//! Finds the part of a prompt, or the request, under which replicas end, from what all instances saw.
 //!
 //! The code does no I/O and reads neither a clock nor a random source. Evidence merges in any
 //! order and any number of times, so that lost and doubled datagrams do no harm.
@@ -14,24 +14,28 @@
 use ident::Time;
 
 pub use crate::{
-    evidence::{EndId, PartKey},
-    report::{Report, SuspectReport},
+    evidence::{EndId, SuspectKey},
+    report::{Report, ReportWire, SuspectReport, SuspectWire},
     verdict::{Admission, Fatal},
 };
 
-use crate::{answered::Answered, evidence::Evidence, flights::Flights};
+use crate::{
+    answered::Answered,
+    evidence::{Evidence, Merged},
+    flights::Flights,
+};
 
-/// Times after the end that made a part fatal at which one request is let through as a trial.
+/// Times after the end that made a suspect fatal at which one request is let through as a trial.
 const TRIAL_DELAYS: [Duration; 2] = [Duration::from_secs(4), Duration::from_secs(60)];
 
-/// The shared parts of a request that is at a replica.
-pub type Parts = Arc<[PartKey]>;
+/// The shared parts of a request's prompt, and the request itself.
+pub type Suspects = Arc<[SuspectKey]>;
 
 /// Names a request at a replica, unique within the process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Flight(u64);
 
-/// What an instance knows of the ends of replicas and of the parts that were there.
+/// What an instance knows of the ends of replicas and of what was there.
 #[derive(Debug, Default)]
 pub struct Blame {
     flights: Flights,
@@ -42,9 +46,14 @@
 }
 
 impl Blame {
+    /// An instance that starts at `now`.
+    pub fn new(now: Time) -> Self {
+        Self { evidence: Evidence::new(now), ..Self::default() }
+    }
+
     /// Records that a request is sent to a replica.
-    pub fn begin(&mut self, replica: EndId, parts: Parts, now: Time) -> Flight {
-        self.flights.begin(replica, parts, now)
+    pub fn begin(&mut self, replica: EndId, suspects: Suspects, now: Time) -> Flight {
+        self.flights.begin(replica, suspects, now)
     }
 
     /// Records that a replica has begun to answer a request. It has outlived what was lost there
@@ -55,15 +64,24 @@
         }
     }
 
-    /// Records that a request ended without telling anything about its parts.
+    /// Records that a request ended without telling anything about what it holds.
     pub fn forget(&mut self, flight: Flight) {
         self.flights.remove(flight);
     }
 
     /// Records that a request got its whole answer. Returns whether the verdict may have changed.
     pub fn answered(&mut self, flight: Flight, now: Time) -> bool {
-        let Some(parts) = self.flights.remove(flight) else { return false };
-        self.clear(&parts, now)
+        let Some(suspects) = self.flights.remove(flight) else { return false };
+        self.clear(&suspects, now)
+    }
+
+    /// Records that a replica rejected a request for what it asks. It has read the request, and
+    /// perhaps not its prompt. Returns whether the verdict may have changed.
+    pub fn rejected(&mut self, flight: Flight, now: Time) -> bool {
+        let Some(suspects) = self.flights.remove(flight) else { return false };
+        let requests: Vec<SuspectKey> =
+            suspects.iter().copied().filter(|key| matches!(key, SuspectKey::Request(_))).collect();
+        self.clear(&requests, now)
     }
 
     /// Records that a request's connection ended before its answer was certainly whole. `unframed`
@@ -71,17 +89,17 @@
     /// replica has outlived it. Returns whether this is new evidence, because the replica is known
     /// to have ended.
     pub fn lost(&mut self, flight: Flight, unframed: bool, now: Time) -> bool {
-        let Some((replica, parts)) = self.flights.lose(flight, unframed, now) else {
+        let Some((replica, suspects)) = self.flights.lose(flight, unframed, now) else {
             return false;
         };
-        self.evidence.has_ended(replica) && self.accuse(replica, &parts, now)
+        self.evidence.has_ended(replica) && self.accuse(replica, &suspects, now)
     }
 
     /// Records that a replica ran at the time `at` or later. It has outlived what was lost there
     /// before. Returns whether something was lost there since.
     pub fn alive(&mut self, replica: EndId, at: Time, now: Time) -> bool {
-        for parts in self.flights.outlived(replica, at) {
-            self.clear(&parts, now);
+        for suspects in self.flights.outlived(replica, at) {
+            self.clear(&suspects, now);
         }
         self.flights.has_lost(replica)
     }
@@ -96,32 +114,40 @@
         self.evidence.has_ended(replica)
     }
 
-    /// Whether all parts were answered whole before, as far as this instance knows.
-    pub fn all_answered(&self, parts: &[PartKey]) -> bool {
-        parts.iter().all(|part| self.answered.last(*part).is_some())
+    /// Whether all parts were answered whole before, as far as this instance knows. Requests are not
+    /// asked about: most are new.
+    pub fn parts_answered(&self, suspects: &[SuspectKey]) -> bool {
+        let mut parts = suspects.iter().filter(|key| matches!(key, SuspectKey::Part(_)));
+        parts.all(|part| self.answered.last(*part).is_some())
     }
 
-    /// Records the end of a replica, and returns whether this is new evidence against a part.
-    pub fn replica_ended(&mut self, replica: EndId, now: Time) -> bool {
-        if self.evidence.note_end(replica, now) {
+    /// Records the end of a replica, and returns whether this is new evidence. `planned` tells
+    /// whether the replica had announced that it leaves.
+    pub fn replica_ended(&mut self, replica: EndId, planned: bool, now: Time) -> bool {
+        if self.evidence.note_end(replica, !planned, now) {
             self.fatal = None;
         }
         let mut news = false;
-        for parts in self.flights.at(replica, now) {
-            news |= self.accuse(replica, &parts, now);
+        for suspects in self.flights.at(replica, now) {
+            news |= self.accuse(replica, &suspects, now);
         }
         news
     }
 
-    /// Merges a peer's report, and returns whether it held anything new.
+    /// Merges a peer's report, and returns whether it held anything that others should hear of at
+    /// once.
     pub fn merge(&mut self, report: &Report, now: Time) -> bool {
         let mut news = false;
         for suspect in &report.suspects {
-            if let Some(last) = self.answered.last(suspect.part) {
-                self.evidence.ensure(suspect.part);
-                self.evidence.answered(suspect.part, last, true);
+            if let Some(last) = self.answered.last(suspect.key) {
+                self.evidence.ensure(suspect.key);
+                self.evidence.answered(suspect.key, last, true);
+            }
+            let merged = self.evidence.merge(suspect, now);
+            news |= merged == Merged::News;
+            if merged != Merged::Known {
+                self.fatal = None;
             }
-            news |= self.evidence.merge(suspect, now);
         }
         // Requests of this instance may have been at the replicas that ended.
         let new_ends = self.evidence.take_new_ends();
@@ -129,29 +155,26 @@
             self.fatal = None;
         }
         for replica in new_ends {
-            for parts in self.flights.at(replica, now) {
-                news |= self.accuse(replica, &parts, now);
+            for suspects in self.flights.at(replica, now) {
+                news |= self.accuse(replica, &suspects, now);
             }
         }
-        if news {
-            self.fatal = None;
-        }
         news
     }
 
     /// The evidence for peers, most important first.
     pub fn report(&mut self, now: Time) -> Report {
         let fatal = self.fatal(now);
-        let named = |part: &PartKey| fatal.iter().any(|f| f.parts.contains(part));
+        let named = |key: &SuspectKey| fatal.iter().any(|f| f.suspects.contains(key));
         self.evidence.report(named, now)
     }
 
-    /// The evidence against one part; `None` if there is none.
-    pub fn report_on(&mut self, part: PartKey, now: Time) -> Option<SuspectReport> {
-        self.report(now).suspects.into_iter().find(|s| s.part == part)
+    /// The evidence against one suspect; `None` if there is none.
+    pub fn report_on(&mut self, key: SuspectKey, now: Time) -> Option<SuspectReport> {
+        self.report(now).suspects.into_iter().find(|s| s.key == key)
     }
 
-    /// The fatal parts. Parts that can't be told apart are together.
+    /// The fatal requests and parts. Parts that can't be told apart are together.
     pub fn fatal(&mut self, now: Time) -> Arc<[Fatal]> {
         if self.evidence.expire(now) {
             self.fatal = None;
@@ -160,38 +183,41 @@
         self.fatal.get_or_insert_with(|| verdict::judge(evidence).into()).clone()
     }
 
-    /// Whether a request with these shared parts may be sent.
-    pub fn admit(&mut self, parts: &[PartKey], now: Time) -> Admission {
-        if parts.is_empty() || self.evidence.is_empty() {
+    /// Whether a request with these suspects may be sent.
+    pub fn admit(&mut self, suspects: &[SuspectKey], now: Time) -> Admission {
+        if suspects.is_empty() || self.evidence.is_empty() {
             return Admission::Free;
         }
         let fatal = self.fatal(now);
-        let Some(found) = fatal.iter().find(|f| f.parts.iter().all(|p| parts.contains(p))) else {
+        let Some(found) = fatal.iter().find(|f| f.suspects.iter().all(|s| suspects.contains(s)))
+        else {
             return Admission::Free;
         };
-        let part = found.parts[0];
-        let taken = self.evidence.trials(part);
+        let suspect = found.suspects[0];
+        let taken = self.evidence.trials(suspect);
         let trial = TRIAL_DELAYS.get(usize::from(taken)).map(|delay| found.since.after(*delay));
         match trial {
-            Some(at) if at.passed(now) => Admission::Trial { part, number: taken },
-            Some(until) => Admission::Barred { part, ends: found.ends, since: found.since, until },
+            Some(at) if at.passed(now) => Admission::Trial { suspect, number: taken },
+            Some(until) => {
+                Admission::Barred { suspect, ends: found.ends, since: found.since, until }
+            }
             None => {
-                let until = self.evidence.deadline(part).unwrap_or(now);
-                Admission::Barred { part, ends: found.ends, since: found.since, until }
+                let until = self.evidence.deadline(suspect).unwrap_or(now);
+                Admission::Barred { suspect, ends: found.ends, since: found.since, until }
             }
         }
     }
 
-    /// Records that trial `number` of a part was taken, by this instance or another.
-    pub fn trial_taken(&mut self, part: PartKey, number: u8) {
-        self.evidence.trial_taken(part, number);
+    /// Records that trial `number` of a suspect was taken, by this instance or another.
+    pub fn trial_taken(&mut self, key: SuspectKey, number: u8) {
+        self.evidence.trial_taken(key, number);
     }
 
-    fn clear(&mut self, parts: &[PartKey], now: Time) -> bool {
+    fn clear(&mut self, suspects: &[SuspectKey], now: Time) -> bool {
         let mut changed = false;
-        for part in parts {
-            self.answered.insert(*part, now);
-            changed |= self.evidence.answered(*part, now, true);
+        for key in suspects {
+            self.answered.insert(*key, now);
+            changed |= self.evidence.answered(*key, now, true);
         }
         if changed {
             self.fatal = None;
@@ -199,14 +225,14 @@
         changed
     }
 
-    fn accuse(&mut self, replica: EndId, parts: &[PartKey], now: Time) -> bool {
+    fn accuse(&mut self, replica: EndId, suspects: &[SuspectKey], now: Time) -> bool {
         let mut news = false;
-        for part in parts {
-            self.evidence.ensure(*part);
-            if let Some(last) = self.answered.last(*part) {
-                self.evidence.answered(*part, last, true);
+        for key in suspects {
+            self.evidence.ensure(*key);
+            if let Some(last) = self.answered.last(*key) {
+                self.evidence.answered(*key, last, true);
             }
-            news |= self.evidence.accuse(*part, replica, now);
+            news |= self.evidence.accuse(*key, replica, now);
         }
         if news {
             self.fatal = None;
--- a/crates/blame/src/report.rs
+++ b/crates/blame/src/report.rs
@@ -2,26 +2,28 @@
 
 use std::time::Duration;
 
+use ident::Digest;
 use serde::{Deserialize, Serialize};
 
-use crate::{EndId, PartKey};
+use crate::{EndId, SuspectKey};
 
 /// Ages travel in units of this.
 const AGE_UNIT: Duration = Duration::from_millis(10);
 
-/// Evidence against and for parts, most important first.
+/// Evidence against and for suspects, most important first.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Report {
-    /// The parts under suspicion.
+    /// The suspects.
     pub suspects: Vec<SuspectReport>,
 }
 
-/// Evidence against and for one part.
+/// Evidence against and for one suspect. In a table's row it is an object with one field for each
+/// of its own; `part` or `request` holds the key.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(from = "SuspectWire", into = "SuspectWire")]
+#[serde(from = "RowWire", into = "RowWire")]
 pub struct SuspectReport {
-    /// The part.
-    pub part: PartKey,
+    /// The suspect.
+    pub key: SuspectKey,
     /// The replicas that ended under it since its last whole answer, each with the time since.
     pub ends: Vec<(EndId, Duration)>,
     /// Time since the last whole answer that the sender saw; `None` if it saw none.
@@ -31,38 +33,105 @@
 }
 
 #[derive(Serialize, Deserialize)]
-struct SuspectWire {
-    part: u64,
+struct RowWire {
+    #[serde(flatten)]
+    key: SuspectKey,
     /// Digest of an end and its age.
     ends: Vec<(u32, u32)>,
     answer: Option<u32>,
     trials: u8,
 }
 
+/// A [`SuspectReport`] in a datagram. The order of its fields is part of the format.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectWire<K> {
+    key: K,
+    /// Digest of an end and its age.
+    ends: Vec<(u32, u32)>,
+    answer: Option<u32>,
+    trials: u8,
+}
+
+/// A [`Report`] in a datagram.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ReportWire {
+    /// The suspects that are parts.
+    pub parts: Vec<SuspectWire<u64>>,
+    /// The suspects that are requests.
+    pub requests: Vec<SuspectWire<[u8; 16]>>,
+}
+
 fn to_units(age: Duration) -> u32 {
     u32::try_from(age.as_millis() / AGE_UNIT.as_millis()).unwrap_or(u32::MAX)
 }
 
-impl From<SuspectReport> for SuspectWire {
+fn from_units(units: u32) -> Duration {
+    AGE_UNIT.saturating_mul(units)
+}
+
+impl<K> SuspectWire<K> {
+    fn new(key: K, report: &SuspectReport) -> Self {
+        let SuspectReport { ends, answer, trials, .. } = report;
+        let ends = ends.iter().map(|(end, age)| (end.0, to_units(*age))).collect();
+        Self { key, ends, answer: answer.map(to_units), trials: *trials }
+    }
+
+    fn into_report<F>(self, to_key: F) -> SuspectReport
+    where
+        F: FnOnce(K) -> SuspectKey,
+    {
+        let Self { key, ends, answer, trials } = self;
+        let ends = ends.into_iter().map(|(end, units)| (EndId(end), from_units(units))).collect();
+        SuspectReport { key: to_key(key), ends, answer: answer.map(from_units), trials }
+    }
+}
+
+impl From<SuspectReport> for RowWire {
     fn from(report: SuspectReport) -> Self {
-        Self {
-            part: report.part.0,
-            ends: report.ends.iter().map(|(end, age)| (end.0, to_units(*age))).collect(),
-            answer: report.answer.map(to_units),
-            trials: report.trials,
-        }
+        let SuspectWire { key, ends, answer, trials } = SuspectWire::new(report.key, &report);
+        Self { key, ends, answer, trials }
+    }
+}
+
+impl From<RowWire> for SuspectReport {
+    fn from(wire: RowWire) -> Self {
+        let RowWire { key, ends, answer, trials } = wire;
+        SuspectWire { key, ends, answer, trials }.into_report(|key| key)
     }
 }
 
-impl From<SuspectWire> for SuspectReport {
-    fn from(wire: SuspectWire) -> Self {
-        let age = |units: u32| AGE_UNIT.saturating_mul(units);
-        Self {
-            part: PartKey(wire.part),
-            ends: wire.ends.into_iter().map(|(end, units)| (EndId(end), age(units))).collect(),
-            answer: wire.answer.map(age),
-            trials: wire.trials,
+impl From<&Report> for ReportWire {
+    fn from(report: &Report) -> Self {
+        let mut wire = Self::default();
+        for suspect in &report.suspects {
+            match suspect.key {
+                SuspectKey::Part(key) => wire.parts.push(SuspectWire::new(key, suspect)),
+                SuspectKey::Request(Digest(key)) => {
+                    wire.requests.push(SuspectWire::new(key, suspect));
+                }
+            }
         }
+        wire
+    }
+}
+
+impl From<ReportWire> for Report {
+    fn from(wire: ReportWire) -> Self {
+        let parts = wire.parts.into_iter().map(|s| s.into_report(SuspectKey::Part));
+        let to_key = |key| SuspectKey::Request(Digest(key));
+        let requests = wire.requests.into_iter().map(|s| s.into_report(to_key));
+        Self { suspects: parts.chain(requests).collect() }
+    }
+}
+
+impl SuspectReport {
+    /// Bytes that it takes in a datagram.
+    fn size(&self) -> usize {
+        let size = match self.key {
+            SuspectKey::Part(key) => postcard::to_stdvec(&SuspectWire::new(key, self)),
+            SuspectKey::Request(Digest(key)) => postcard::to_stdvec(&SuspectWire::new(key, self)),
+        };
+        size.map_or(usize::MAX, |bytes| bytes.len())
     }
 }
 
@@ -70,10 +139,10 @@
     /// Drops the least important entries until the rest takes at most `bytes` in a datagram.
     #[must_use]
     pub fn fit(mut self, bytes: usize) -> Self {
-        // The length of the list takes up to two bytes.
-        let mut left = bytes.saturating_sub(2);
+        // The lengths of the two lists take up to two bytes each.
+        let mut left = bytes.saturating_sub(4);
         let fits = self.suspects.iter().take_while(|suspect| {
-            let size = postcard::to_stdvec(suspect).map_or(usize::MAX, |bytes| bytes.len());
+            let size = suspect.size();
             let fits = size <= left;
             left = left.saturating_sub(size);
             fits
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -59,11 +59,13 @@
         /// Delay after which the caller may retry.
         retry_delay: Duration,
     },
-    /// Replicas ended under a part of the request's prompt. The request did not run and will not;
-    /// the caller may retry after the delay.
-    #[error("not run: replicas ended under a part of this prompt; come back after the pause")]
+    /// Replicas ended under the request, or under a part of its prompt. The request did not run and
+    /// will not; the caller may retry after the delay.
+    #[error("not run: replicas ended under {what}; come back after the pause")]
     Barred {
-        /// Delay after which the part may be tried again.
+        /// What the replicas ended under, as the caller knows it.
+        what: &'static str,
+        /// Delay after which it may be tried again.
         retry_delay: Duration,
     },
     /// The request may have run, but no complete answer came.
@@ -113,7 +115,9 @@
 
     fn retry_delay(&self) -> Option<Duration> {
         match self {
-            Self::NotRun { retry_delay, .. } | Self::Barred { retry_delay } => Some(*retry_delay),
+            Self::NotRun { retry_delay, .. } | Self::Barred { retry_delay, .. } => {
+                Some(*retry_delay)
+            }
             Self::Unready => Some(UNREADY_RETRY_DELAY),
             _ => None,
         }
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use blame::{Blame, EndId, PartKey};
+use blame::{Blame, EndId, SuspectKey};
 use bytes::Bytes;
 use fleet::{Config, Replica, Snapshot, Store, View};
 use ident::{Clock, Time};
@@ -181,12 +181,12 @@
     pub notify_peers: Notify,
     /// Limits on requests that replicas name.
     pub limits: Mutex<Limits>,
-    /// Parts of prompts under which replicas end.
+    /// Parts of prompts, and requests, under which replicas end.
     pub blame: Mutex<Blame>,
-    /// Time from which this instance may try to take a trial of a part.
+    /// Time from which this instance may try to take a trial.
     pub(crate) next_trial: Mutex<Time>,
-    /// Fatal parts when they were last stored.
-    pub(crate) fatal_parts: Mutex<Vec<PartKey>>,
+    /// Fatal parts and requests when they were last stored.
+    pub(crate) fatal: Mutex<Vec<SuspectKey>>,
     /// Incarnations of replicas that are being checked after a connection to them broke.
     pub(crate) checked: Mutex<Vec<EndId>>,
     /// Wakes the task that tells some peers at once of new evidence in `blame` or a changed limit.
@@ -198,7 +198,8 @@
     pub fn new(settings: Settings, adapters: Adapters, clock: Arc<dyn Clock>) -> Arc<Self> {
         let body_memory = Arc::new(Semaphore::new(settings.bounds.bodies / BODY_PERMIT_BYTES));
         let Bounds { ratio, window, extra, .. } = settings.bounds;
-        let budgets = RetryBudgets::new(ratio, window, extra, clock.now());
+        let now = clock.now();
+        let budgets = RetryBudgets::new(ratio, window, extra, now);
         Arc::new(Self {
             settings,
             adapters,
@@ -224,9 +225,9 @@
             closing: watch::Sender::new(false),
             notify_peers: Notify::new(),
             limits: Mutex::default(),
-            blame: Mutex::default(),
+            blame: Mutex::new(Blame::new(now)),
             next_trial: Mutex::new(Time(0)),
-            fatal_parts: Mutex::default(),
+            fatal: Mutex::default(),
             checked: Mutex::default(),
             notify_evidence: Notify::new(),
         })
@@ -306,6 +307,15 @@
         departed.iter().any(|d| *d.id == *id && now.since(d.at) < DEPARTED_TTL)
     }
 
+    /// Whether an incarnation of a replica had announced that it leaves.
+    pub(crate) fn has_left(&self, replica: &Replica) -> bool {
+        let same = |id: &str, started_ms| *id == *replica.id && started_ms == replica.started_ms;
+        let snapshot = self.view.snapshot();
+        let known = snapshot.replica(&replica.id).filter(|r| same(&r.id, r.started_ms));
+        known.is_some_and(|r| r.leaving)
+            || self.departed.lock().iter().any(|d| d.leaving && same(&d.id, d.started_ms))
+    }
+
     /// Replicas that departed within [`DEPARTED_TTL`] and have not registered again, each with its [`fleet::Replica::started_ms`],
     /// 0 if unknown.
     pub(crate) fn lately_departed(&self) -> Vec<(Arc<str>, u64)> {
--- a/crates/relay/src/ends.rs
+++ b/crates/relay/src/ends.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use blame::{EndId, Flight, PartKey, Parts, Report};
+use blame::{EndId, Flight, Report, SuspectKey, Suspects};
 use fleet::Replica;
 use hyper::StatusCode;
 use outbound::Framing;
@@ -28,20 +28,19 @@
     EndId::new(&replica.id, replica.started_ms)
 }
 
-/// A request at a replica. It tells nothing about its parts if the guard is dropped.
+/// A request at a replica. It tells nothing about its suspects if the guard is dropped.
 pub(crate) struct FlightGuard {
     core: Arc<Core>,
     replica: Arc<Replica>,
-    parts: Parts,
-    /// `None` once its end is recorded, and for a request without shared parts.
+    suspects: Suspects,
+    /// `None` once its end is recorded.
     flight: Option<Flight>,
 }
 
 impl FlightGuard {
-    pub(crate) fn new(core: &Arc<Core>, replica: &Arc<Replica>, parts: Parts) -> Self {
-        let begin = || core.blame.lock().begin(end_id(replica), parts.clone(), core.now());
-        let flight = (!parts.is_empty()).then(begin);
-        Self { core: core.clone(), replica: replica.clone(), parts, flight }
+    pub(crate) fn new(core: &Arc<Core>, replica: &Arc<Replica>, suspects: Suspects) -> Self {
+        let flight = core.blame.lock().begin(end_id(replica), suspects.clone(), core.now());
+        Self { core: core.clone(), replica: replica.clone(), suspects, flight: Some(flight) }
     }
 
     /// Records that the replica has begun to answer: it has outlived what was lost before this
@@ -64,14 +63,21 @@
             self.record_lost(true);
             // The end of the connection is that of the answer if the replica has outlived it. Parts
             // that were answered before need no check.
-            let known = self.core.blame.lock().all_answered(&self.parts);
+            let known = self.core.blame.lock().parts_answered(&self.suspects);
             if !known {
                 check_replica(&self.core, &self.replica);
             }
-        } else if status.is_success()
-            && let Some(flight) = self.flight.take()
-        {
-            let changed = self.core.blame.lock().answered(flight, self.core.now());
+        } else if let Some(flight) = self.flight.take() {
+            let (mut blame, now) = (self.core.blame.lock(), self.core.now());
+            let changed = match status {
+                _ if status.is_success() => blame.answered(flight, now),
+                _ if status.is_client_error() => blame.rejected(flight, now),
+                _ => {
+                    blame.forget(flight);
+                    false
+                }
+            };
+            drop(blame);
             if changed {
                 publish_evidence(&self.core);
             }
@@ -98,20 +104,21 @@
 /// Records that an incarnation of a replica has ended.
 pub(crate) fn replica_ended(core: &Arc<Core>, replica: &Replica) {
     let end = end_id(replica);
+    let planned = core.has_left(replica);
     let (known, news) = {
         let mut blame = core.blame.lock();
-        (blame.has_ended(end), blame.replica_ended(end, core.now()))
+        (blame.has_ended(end), blame.replica_ended(end, planned, core.now()))
     };
     if !known {
         core.metrics.replica_ends.inc();
-        info!(replica = &*replica.id, evidence = news, "replica ended");
+        info!(replica = &*replica.id, planned, evidence = news, "replica ended");
     }
     if news {
         publish_evidence(core);
     }
 }
 
-/// Merges a peer's report of parts that were at replicas which ended.
+/// Merges a peer's report of what was at replicas which ended.
 pub(crate) fn merge(core: &Arc<Core>, report: &Report) {
     let news = core.blame.lock().merge(report, core.now());
     if news {
@@ -122,16 +129,20 @@
 /// Passes new evidence on to peers, and stores a changed verdict.
 fn publish_evidence(core: &Arc<Core>) {
     let fatal = core.blame.lock().fatal(core.now());
-    let mut parts: Vec<PartKey> = fatal.iter().flat_map(|f| f.parts.clone()).collect();
-    parts.sort_unstable();
-    let before = std::mem::replace(&mut *core.fatal_parts.lock(), parts.clone());
-    if parts != before {
-        core.metrics.fatal_parts.set(fatal.len() as i64);
+    let mut suspects: Vec<SuspectKey> = fatal.iter().flat_map(|f| f.suspects.clone()).collect();
+    suspects.sort_unstable();
+    let before = std::mem::replace(&mut *core.fatal.lock(), suspects.clone());
+    if suspects != before {
+        let is_request = |f: &&blame::Fatal| matches!(f.suspects[0], SuspectKey::Request(_));
+        let requests = fatal.iter().filter(is_request).count();
+        let parts = fatal.len() - requests;
+        core.metrics.fatal_parts.set(parts as i64);
+        core.metrics.fatal_requests.set(requests as i64);
         let ends: Vec<usize> = fatal.iter().map(|f| f.ends).collect();
-        info!(parts = fatal.len(), ?ends, "fatal parts changed");
-        let is_changed = |part: &&PartKey| parts.contains(part) != before.contains(part);
-        for part in before.iter().chain(&parts).filter(is_changed) {
-            tokio::spawn(verdicts::store(core.clone(), *part));
+        info!(parts, requests, ?ends, "fatal parts or requests changed");
+        let is_changed = |key: &&SuspectKey| suspects.contains(key) != before.contains(key);
+        for key in before.iter().chain(&suspects).filter(is_changed) {
+            tokio::spawn(verdicts::store(core.clone(), *key));
         }
     }
     core.notify_evidence.notify_one();
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -281,10 +281,12 @@
             self.missing.push((id, deadline));
             return;
         }
-        let started_ms = snapshot.replica(&id).map_or(0, |r| r.started_ms);
+        let Some(replica) = snapshot.replica(&id) else { return };
         if self.core.view.remove_replica(&id) {
-            self.core.record_removal(&id, started_ms);
+            self.core.record_removal(&id, replica.started_ms);
             info!(replica = %id, "replica removed");
+            // It may have ended without a word on its connections.
+            ends::check_replica(&self.core, replica);
         }
     }
 
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use blame::{Admission, Parts};
+use blame::{Admission, SuspectKey, Suspects};
 use bytes::{Bytes, BytesMut};
 use fleet::{RequestKind, Route, Snapshot};
 use http_body_util::BodyExt;
@@ -39,7 +39,7 @@
 const BUSY_RETRY_DELAY: Duration = Duration::from_millis(400);
 /// Shortest delay after which callers should retry where the replicas are at their limits.
 const MIN_LIMITED_DELAY: Duration = Duration::from_millis(30);
-/// Delay after which callers should retry while a part of their prompts is being tried.
+/// Delay after which callers should retry while their request, or a part of it, is being tried.
 const TRIAL_RETRY_DELAY: Duration = Duration::from_secs(2);
 /// Delay after which callers should retry where a target has no replica.
 const NO_REPLICA_RETRY_DELAY: Duration = Duration::from_millis(800);
@@ -60,8 +60,9 @@
         why: &'static str,
         retry_delay: Duration,
     },
-    /// Replicas ended under a part of the prompt.
+    /// Replicas ended under the request, or under a part of its prompt.
     Bar {
+        what: &'static str,
         retry_delay: Duration,
     },
 }
@@ -74,9 +75,9 @@
     /// Replicas chosen for an attempt so far, also where nothing could be sent. They are not chosen
     /// again.
     pub(crate) tried: Vec<Arc<str>>,
-    /// Digests of the prompt's shared parts.
-    pub(crate) parts: Parts,
-    /// Whether the next attempt is a trial of a part under which replicas ended.
+    /// What replicas may end under: the prompt's shared parts, and the request.
+    pub(crate) suspects: Suspects,
+    /// Whether the next attempt is a trial of something under which replicas ended.
     is_trial: bool,
     /// Number of replicas that may have run the request.
     possible_runs: u32,
@@ -87,10 +88,10 @@
 impl Forwarder {
     pub(crate) fn new(core: Arc<Core>, job: Arc<Job>) -> Self {
         let target = job.target(rand::random());
-        let parts = job.parts();
+        let suspects = job.suspects();
         let (possible_runs, arrivals) = (0, 0);
         let (tried, is_trial) = (Vec::new(), false);
-        Self { core, job, target, tried, parts, is_trial, possible_runs, arrivals }
+        Self { core, job, target, tried, suspects, is_trial, possible_runs, arrivals }
     }
 
     /// Makes attempts until an answer begins or no further attempt is allowed. `last` is the event
@@ -109,7 +110,9 @@
                 }
                 Step::Stop { why, retry_delay } => return Err(self.refusal(why, retry_delay)),
                 Step::Bar { .. } if self.possible_runs > 0 => return Err(Refusal::Lost),
-                Step::Bar { retry_delay } => return Err(Refusal::Barred { retry_delay }),
+                Step::Bar { what, retry_delay } => {
+                    return Err(Refusal::Barred { what, retry_delay });
+                }
             };
             match self.attempt(attempt, last).await {
                 AttemptOutcome::Answered(answer) if self.should_retry(&answer) => {
@@ -137,48 +140,53 @@
         outcome
     }
 
-    /// Whether the request may be sent now, as far as its parts are concerned.
+    /// Whether the request may be sent now, as far as replicas ended under it.
     pub(crate) fn may_send(&self) -> bool {
         self.is_trial || self.admission() == Admission::Free
     }
 
     fn admission(&self) -> Admission {
-        self.core.blame.lock().admit(&self.parts, self.core.now())
+        self.core.blame.lock().admit(&self.suspects, self.core.now())
     }
 
-    /// Takes the trial of a part under which replicas ended, if one is due.
+    /// Takes the trial of what replicas ended under, if one is due.
     async fn try_trial(&mut self) {
-        if let Admission::Trial { part, number } = self.admission() {
-            self.is_trial = verdicts::take_trial(&self.core, part, number).await;
+        if let Admission::Trial { suspect, number } = self.admission() {
+            self.is_trial = verdicts::take_trial(&self.core, suspect, number).await;
             if self.is_trial {
-                info!(request = &*self.job.meta.id, number, "request sent as a trial of a part");
+                info!(request = &*self.job.meta.id, number, "request sent as a trial");
             }
         }
     }
 
-    /// Refuses the request if replicas ended under a part of its prompt.
-    fn check_parts(&self, now: Time) -> Option<Step> {
+    /// Refuses the request if replicas ended under it, or under a part of its prompt.
+    fn check_suspects(&self, now: Time) -> Option<Step> {
         let admission = if self.is_trial { Admission::Free } else { self.admission() };
-        let until = match admission {
+        let (suspect, until) = match admission {
             Admission::Free => return None,
             // Another request has taken the trial, or the table does not answer.
-            Admission::Trial { .. } => now.after(TRIAL_RETRY_DELAY),
-            Admission::Barred { part, ends, since, until } => {
-                let at = self.parts.iter().position(|p| *p == part);
+            Admission::Trial { suspect, .. } => (suspect, now.after(TRIAL_RETRY_DELAY)),
+            Admission::Barred { suspect, ends, since, until } => {
+                let at = self.suspects.iter().position(|s| *s == suspect);
                 let prompt = self.job.meta.prompt.as_ref();
-                let part = at.and_then(|at| prompt?.parts.get(at));
+                let part = at.and_then(|at| prompt?.shared().get(at));
                 info!(
                     request = &*self.job.meta.id,
+                    digest = %self.job.digest,
                     part = part.map(|p| &*p.id),
                     ends,
                     age_ms = now.since(since).as_millis() as u64,
                     runs = self.possible_runs,
-                    "request refused, replicas ended under a part of its prompt"
+                    "request refused, replicas ended under it"
                 );
-                until
+                (suspect, until)
             }
         };
-        Some(Step::Bar { retry_delay: until.since(now) })
+        let what = match suspect {
+            SuspectKey::Part(_) => "a part of this prompt",
+            SuspectKey::Request(_) => "this request",
+        };
+        Some(Step::Bar { what, retry_delay: until.since(now) })
     }
 
     /// Chooses the replica for the next attempt and takes the attempt from the retry budget, or
@@ -192,7 +200,7 @@
         if self.possible_runs >= self.job.route.attempts || self.tried.len() >= MAX_ATTEMPTS {
             return stop("all allowed replicas refused", BUSY_RETRY_DELAY);
         }
-        if let Some(step) = self.check_parts(now) {
+        if let Some(step) = self.check_suspects(now) {
             return step;
         }
         let snapshot = self.core.view.snapshot();
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use blame::{PartKey, Parts};
+use blame::{SuspectKey, Suspects};
 use bytes::Bytes;
 use fleet::{Route, Snapshot, Team};
 use hyper::{HeaderMap, Method, Uri};
@@ -68,13 +68,14 @@
         self.meta.prompt.as_ref().filter(|_| self.route.sticky)
     }
 
-    /// Digests of the prompt's shared parts, in its order.
-    pub fn parts(&self) -> Parts {
+    /// What replicas may end under: the prompt's shared parts, in its order, and the request.
+    pub fn suspects(&self) -> Suspects {
         let prompt = self.meta.prompt.as_ref();
-        let keys = prompt.iter().flat_map(|p| {
-            p.shared().iter().map(|part| PartKey::new(&p.model, self.dedicated_team(), &part.id))
+        let parts = prompt.iter().flat_map(|p| {
+            let team = self.dedicated_team();
+            p.shared().iter().map(move |part| SuspectKey::part(&p.model, team, &part.id))
         });
-        keys.collect()
+        parts.chain([SuspectKey::Request(self.digest)]).collect()
     }
 
     /// The time left until the deadline.
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -40,6 +40,8 @@
     pub replica_ends: IntCounter,
     /// Parts of prompts, or groups of them, under which replicas end.
     pub fatal_parts: IntGauge,
+    /// Requests under which replicas end.
+    pub fatal_requests: IntGauge,
     /// Replicas that name a limit on requests.
     pub limited_replicas: IntGauge,
     /// Seconds from the request to the head of a replica's answer, before its body is read.
@@ -108,6 +110,7 @@
                 "Ends of replicas that were noticed",
             ),
             fatal_parts: gauge("lentil_fatal_parts", "Parts of prompts under which replicas end"),
+            fatal_requests: gauge("lentil_fatal_requests", "Requests under which replicas end"),
             limited_replicas: gauge(
                 "lentil_limited_replicas",
                 "Replicas that name a limit on requests",
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use blame::{Report, SuspectReport};
+use blame::{Report, ReportWire, SuspectWire};
 use fleet::{Announcement, Replica, Snapshot};
 use ident::Time;
 use place::{LimitReport, Load, PeerLoad};
@@ -43,7 +43,7 @@
 const CONFIG_TIMEOUT: Duration = Duration::from_millis(800);
 /// Most versions of a model in one datagram.
 const MAX_VERSIONS: usize = 2;
-/// Bytes of a datagram that loads leave to the evidence against parts, if there is any.
+/// Bytes of a datagram that loads leave to evidence, if there is any.
 const RESERVED_BYTES: usize = 300;
 /// Most limits of replicas in one datagram.
 const MAX_LIMITS: usize = 8;
@@ -107,9 +107,11 @@
     /// [`fleet::Replica::started_ms`] of each replica in [`Datagram::leaving`], 0 if unknown.
     started: Vec<u64>,
     /// Parts of prompts that were at replicas which ended, as far as there is space for them.
-    suspects: Vec<SuspectReport>,
+    parts: Vec<SuspectWire<u64>>,
     /// Limits that replicas named in answers to the sender.
     limits: Vec<LimitWire>,
+    /// Requests that were at replicas which ended, as far as there is space for them.
+    requests: Vec<SuspectWire<[u8; 16]>>,
 }
 
 /// A [`LimitReport`].
@@ -152,23 +154,26 @@
     if datagram.format != FORMAT {
         return Err(DatagramError::Format(datagram.format));
     }
-    if rest.is_empty() {
-        return Ok((datagram, Trailer::default()));
-    }
-    let (era, rest) = postcard::take_from_bytes(rest).map_err(|_| DatagramError::Malformed)?;
-    if rest.is_empty() {
-        return Ok((datagram, Trailer { era, ..Trailer::default() }));
-    }
-    let (started, rest) = postcard::take_from_bytes(rest).map_err(|_| DatagramError::Malformed)?;
-    if rest.is_empty() {
-        return Ok((datagram, Trailer { era, started, ..Trailer::default() }));
-    }
-    let (suspects, rest) = postcard::take_from_bytes(rest).map_err(|_| DatagramError::Malformed)?;
-    if rest.is_empty() {
-        return Ok((datagram, Trailer { era, started, suspects, limits: Vec::new() }));
+    let mut trailer = Trailer::default();
+    let mut rest = rest;
+    // Each release added a field.
+    take(&mut trailer.era, &mut rest)?;
+    take(&mut trailer.started, &mut rest)?;
+    take(&mut trailer.parts, &mut rest)?;
+    take(&mut trailer.limits, &mut rest)?;
+    take(&mut trailer.requests, &mut rest)?;
+    Ok((datagram, trailer))
+}
+
+/// Decodes the next field of a trailer, which stays as it is if the sender has none.
+fn take<'b, T>(field: &mut T, rest: &mut &'b [u8]) -> Result<(), DatagramError>
+where
+    T: Deserialize<'b>,
+{
+    if !rest.is_empty() {
+        (*field, *rest) = postcard::take_from_bytes(rest).map_err(|_| DatagramError::Malformed)?;
     }
-    let limits = postcard::from_bytes(rest).map_err(|_| DatagramError::Malformed)?;
-    Ok((datagram, Trailer { era, started, suspects, limits }))
+    Ok(())
 }
 
 fn datagram(core: &Core, clock: &RegistryClock) -> (Datagram, Trailer) {
@@ -196,7 +201,7 @@
     (datagram, Trailer { era: clock.era(), started, ..Trailer::default() })
 }
 
-/// Encodes the datagram for peers, with as much of the evidence against parts as fits. The loads of
+/// Encodes the datagram for peers, with as much of the evidence as fits. The loads of
 /// the least loaded replicas are left out if it gets too long. `None` if it is too long without any.
 fn encode(core: &Core) -> Option<Vec<u8>> {
     let clock = *core.registry_clock.lock();
@@ -213,7 +218,8 @@
         warn!(bytes = bare, "datagram for peers is too long and was not sent");
         return None;
     };
-    trailer.suspects = report.fit(space).suspects;
+    let wire = ReportWire::from(&report.fit(space));
+    (trailer.parts, trailer.requests) = (wire.parts, wire.requests);
     postcard::to_stdvec(&(&datagram, &trailer)).ok()
 }
 
@@ -249,7 +255,7 @@
     }
 }
 
-/// Sends datagrams to some peers when there is new evidence against a part of a prompt. Those that
+/// Sends datagrams to some peers when there is new evidence. Those that
 /// learn from it do the same.
 pub(crate) async fn evidence_loop(core: Arc<Core>, socket: Arc<UdpSocket>) {
     loop {
@@ -369,9 +375,9 @@
         core.view.confirm_weights(at.min(now));
         core.view.confirm_registry(at.min(now));
     }
-    if !trailer.suspects.is_empty() {
-        let report = Report { suspects: trailer.suspects.clone() };
-        ends::merge(core, &report);
+    if !(trailer.parts.is_empty() && trailer.requests.is_empty()) {
+        let (parts, requests) = (trailer.parts.clone(), trailer.requests.clone());
+        ends::merge(core, &Report::from(ReportWire { parts, requests }));
     }
     for limit in &trailer.limits {
         match LimitReport::try_from(limit) {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -275,8 +275,8 @@
                     self.log_silence(replica, "kept", why);
                     return None;
                 }
-                Step::Bar { .. } => {
-                    self.log_silence(replica, "kept", "replicas ended under a part of its prompt");
+                Step::Bar { what, .. } => {
+                    self.log_silence(replica, "kept", &format!("replicas ended under {what}"));
                     return None;
                 }
             };
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -140,7 +140,7 @@
         let guard = LoadGuard::new(core, &replica.id, load);
         self.log_attempt(&choice, plan.as_ref(), forward_headers.time_left, &snapshot);
         let max_conns = self.max_conns(&snapshot);
-        let flight = FlightGuard::new(core, replica, self.parts.clone());
+        let flight = FlightGuard::new(core, replica, self.suspects.clone());
         let may_send = || self.may_send();
         let sent = core.conns.send(&replica.id, replica.addr, max_conns, request, &may_send, now);
         let latest = self.latest_start(&choice);
--- a/crates/relay/src/verdicts.rs
+++ b/crates/relay/src/verdicts.rs
@@ -1,9 +1,9 @@
-//! Rows in the instances' table about parts of prompts under which replicas end: the verdict, for
-//! instances that start while no other knows it, and the trials that were taken.
+//! Rows in the instances' table about parts of prompts and requests under which replicas end: the
+//! verdict, for instances that start while no other knows it, and the trials that were taken.
 
 use std::{sync::Arc, time::Duration};
 
-use blame::{PartKey, Report, SuspectReport};
+use blame::{Report, SuspectKey, SuspectReport};
 use ident::rendezvous_order;
 use place::Peers;
 use rand::Rng;
@@ -16,16 +16,16 @@
 
 /// Partition of the rows that record trials.
 const TRIALS: &str = "trials";
-/// Partition of the rows that record evidence against fatal parts.
+/// Partition of the rows that record evidence against fatal parts and requests.
 const VERDICTS: &str = "verdicts";
-/// Number of rows in each partition; parts share them by digest.
+/// Number of rows in each partition; suspects share them by digest.
 const ROWS: u64 = 64;
-/// Age from which a row may be taken over, in ms on the registry's clock: as long as a part is
+/// Age from which a row may be taken over, in ms on the registry's clock: as long as something is
 /// fatal.
 const ROW_TTL_MS: u64 = 3_600_000;
 /// Shortest interval between two attempts of an instance to take a trial.
 const TRIAL_INTERVAL: Duration = Duration::from_secs(1);
-/// Number of instances that store a verdict, the first in the rendezvous order for the part.
+/// Number of instances that store a verdict, the first in the rendezvous order for the suspect.
 const WRITERS: usize = 2;
 /// Timeout for taking a trial.
 const TRIAL_TIMEOUT: Duration = Duration::from_millis(500);
@@ -34,60 +34,60 @@
 /// Pause between attempts to read the verdicts at the start.
 const LOAD_INTERVAL: Duration = Duration::from_millis(500);
 
-/// The trial that was taken last of the parts that share a row.
+/// The trial that was taken last of the suspects that share a row.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct TrialWire {
-    /// Digest of the part.
-    part: u64,
+    #[serde(flatten)]
+    key: SuspectKey,
     number: u8,
     /// When it was taken, in ms on the registry's clock.
     taken: u64,
 }
 
-/// Takes a trial of a part, which only one instance can. Returns whether this one has it.
-pub(crate) async fn take_trial(core: &Core, part: PartKey, number: u8) -> bool {
+/// Takes a trial of a suspect, which only one instance can. Returns whether this one has it.
+pub(crate) async fn take_trial(core: &Core, key: SuspectKey, number: u8) -> bool {
     if !core.next_trial.lock().passed(core.now()) {
         return false;
     }
     *core.next_trial.lock() = core.now().after(TRIAL_INTERVAL);
-    match timeout(TRIAL_TIMEOUT, write_trial(core, part, number)).await {
+    match timeout(TRIAL_TIMEOUT, write_trial(core, key, number)).await {
         Ok(Ok(())) => {
-            core.blame.lock().trial_taken(part, number);
+            core.blame.lock().trial_taken(key, number);
             core.notify_evidence.notify_one();
             true
         }
         Ok(Err(TableError::Conflict)) => {
-            core.blame.lock().trial_taken(part, number);
+            core.blame.lock().trial_taken(key, number);
             false
         }
         Ok(Err(error)) => {
-            warn!(%error, "trial of a part could not be taken");
+            warn!(%error, "trial could not be taken");
             false
         }
         Err(_) => {
-            warn!("trial of a part could not be taken in time");
+            warn!("trial could not be taken in time");
             false
         }
     }
 }
 
-/// Records a trial of a part. Fails with [`TableError::Conflict`] if it was taken before.
-async fn write_trial(core: &Core, part: PartKey, number: u8) -> Result<(), TableError> {
+/// Records a trial of a suspect. Fails with [`TableError::Conflict`] if it was taken before.
+async fn write_trial(core: &Core, key: SuspectKey, number: u8) -> Result<(), TableError> {
     let table = &core.adapters.table;
-    let sort = sort_key(part);
+    let sort = sort_key(key);
     let clock = core.registry_clock.lock().to_registry(core.now()).unwrap_or(0);
     let row = table.get(TRIALS, &sort).await?;
     let last: Option<TrialWire> = row.as_ref().and_then(parse);
     let is_taken = |last: &TrialWire| {
-        last.part == part.0 && last.number >= number && clock < last.taken + ROW_TTL_MS
+        last.key == key && last.number >= number && clock < last.taken + ROW_TTL_MS
     };
     if last.is_some_and(|last| is_taken(&last)) {
         return Err(TableError::Conflict);
     }
-    write(core, TRIALS, sort, row, Some(&TrialWire { part: part.0, number, taken: clock })).await
+    write(core, TRIALS, sort, row, Some(&TrialWire { key, number, taken: clock })).await
 }
 
-/// Evidence against a fatal part.
+/// Evidence against a fatal suspect.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct VerdictWire {
     suspect: SuspectReport,
@@ -95,34 +95,34 @@
     written: u64,
 }
 
-/// Stores the verdict on a part: the evidence if it is fatal, else nothing.
-pub(crate) async fn store(core: Arc<Core>, part: PartKey) {
+/// Stores the verdict on a suspect: the evidence if it is fatal, else nothing.
+pub(crate) async fn store(core: Arc<Core>, key: SuspectKey) {
     let Peers { own, alive, .. } = core.limit_peers();
-    let order = rendezvous_order(&part.0.to_be_bytes(), &alive, |name| name);
+    let order = rendezvous_order(&key.short().to_be_bytes(), &alive, |name| name);
     if !order.into_iter().take(WRITERS).any(|name| *name == own) {
         return;
     }
     let spread = rand::rng().random_range(0.0..1.0);
     tokio::time::sleep(STORE_SPREAD.mul_f64(spread)).await;
-    match write_verdict(&core, part).await {
+    match write_verdict(&core, key).await {
         // Another instance was faster.
         Ok(()) | Err(TableError::Conflict) => {}
-        Err(error) => warn!(%error, "verdict on a part could not be stored"),
+        Err(error) => warn!(%error, "verdict could not be stored"),
     }
 }
 
-async fn write_verdict(core: &Core, part: PartKey) -> Result<(), TableError> {
-    let sort = sort_key(part);
+async fn write_verdict(core: &Core, key: SuspectKey) -> Result<(), TableError> {
+    let sort = sort_key(key);
     let row = core.adapters.table.get(VERDICTS, &sort).await?;
     let stored: Option<VerdictWire> = row.as_ref().and_then(parse);
-    let is_stored = stored.is_some_and(|stored| stored.suspect.part == part);
-    let is_fatal = core.fatal_parts.lock().contains(&part);
+    let is_stored = stored.is_some_and(|stored| stored.suspect.key == key);
+    let is_fatal = core.fatal.lock().contains(&key);
     if is_stored == is_fatal {
         return Ok(());
     }
     let now = core.now();
     let clock = core.registry_clock.lock().to_registry(now);
-    let suspect = core.blame.lock().report_on(part, now).filter(|_| is_fatal);
+    let suspect = core.blame.lock().report_on(key, now).filter(|_| is_fatal);
     let wire = suspect.zip(clock).map(|(suspect, written)| VerdictWire { suspect, written });
     if is_fatal && wire.is_none() {
         return Ok(());
@@ -143,7 +143,7 @@
         let suspects = rows.iter().filter_map(parse).map(|wire| aged(wire, clock)).collect();
         let report = Report { suspects };
         if !report.suspects.is_empty() {
-            info!(parts = report.suspects.len(), "verdicts on parts read");
+            info!(suspects = report.suspects.len(), "verdicts read");
             ends::merge(&core, &report);
         }
         return;
@@ -159,8 +159,8 @@
     suspect
 }
 
-fn sort_key(part: PartKey) -> Arc<str> {
-    format!("{:02}", part.0 % ROWS).into()
+fn sort_key(key: SuspectKey) -> Arc<str> {
+    format!("{:02}", key.short() % ROWS).into()
 }
 
 /// The content of a row; `None` if it is of another release.
