Take only requests that were written as evidence

Its flight began before there was a connection, so each replica that refused the connection counted as one that had ended under it, up to five for one request.

The flight begins now when the request is about to be written, and is taken back if nothing was.

--- a/crates/relay/src/conns.rs
+++ b/crates/relay/src/conns.rs
@@ -101,23 +101,31 @@
     replicas: Mutex<Vec<Arc<ReplicaConns>>>,
 }
 
+/// What is told of the writing of a request.
+pub trait Gate: Sync {
+    /// Called each time before the request is written. Returns whether it may be.
+    fn open(&self) -> bool;
+
+    /// Nothing was written since [`Gate::open`].
+    fn unsent(&self);
+}
+
 impl ConnPool {
     /// Sends a request to the replica `id` at `addr`, over a kept connection if there is one. At
-    /// most `max_conns` connections to the replica are open at a time. `may_send` is asked each time
-    /// before the request is written.
+    /// most `max_conns` connections to the replica are open at a time.
     pub async fn send(
         &self,
         id: &Arc<str>,
         addr: SocketAddr,
         max_conns: u32,
         mut request: Request<Full<Bytes>>,
-        may_send: &(dyn Fn() -> bool + Sync),
+        gate: &dyn Gate,
         now: Time,
     ) -> Result<(Response<Incoming>, Conn), SendError> {
         let informational = InformationalLimit::new(&mut request);
         let replica = self.conns_of(id, addr);
         while let Some(mut conn) = replica.take_idle(now) {
-            if !may_send() {
+            if !gate.open() {
                 return Err(SendError::Withheld);
             }
             match informational.within(conn.sender.try_send_request(request)).await? {
@@ -125,19 +133,25 @@
                 // The connection closed before anything was written, so the request can be sent
                 // again.
                 Err(mut e) => match e.take_message() {
-                    Some(unsent) => request = unsent,
+                    Some(unsent) => {
+                        gate.unsent();
+                        request = unsent;
+                    }
                     None => return Err(SendError::Broken(e.into_error().to_string().into())),
                 },
             }
         }
         let mut conn = connect(replica, max_conns).await?;
-        if !may_send() {
+        if !gate.open() {
             return Err(SendError::Withheld);
         }
         match informational.within(conn.sender.try_send_request(request)).await? {
             Ok(response) => Ok((response, conn)),
             Err(mut e) => match e.take_message() {
-                Some(_) => Err(SendError::Connect(e.into_error().to_string().into())),
+                Some(_) => {
+                    gate.unsent();
+                    Err(SendError::Connect(e.into_error().to_string().into()))
+                }
                 None => Err(SendError::Broken(e.into_error().to_string().into())),
             },
         }
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -6,12 +6,13 @@
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming, header::CONTENT_ENCODING};
 use ident::Time;
+use parking_lot::Mutex;
 use place::{Choice, Load, NamedLimit, Outcome, Plan, Source, Transfer, cache_salt};
 use tokio::time::timeout;
 use tracing::{info, warn};
 
 use crate::{
-    conns::{Conn, SendError},
+    conns::{Conn, Gate, SendError},
     core::Core,
     ends::{self, FlightGuard},
     forward::{Attempt, Forwarder},
@@ -81,6 +82,27 @@
     Lost,
 }
 
+/// Records the flight of a request once it is written.
+struct FlightGate<'f> {
+    forwarder: &'f Forwarder,
+    replica: &'f Arc<Replica>,
+    flight: &'f Mutex<Option<FlightGuard>>,
+}
+
+impl Gate for FlightGate<'_> {
+    fn open(&self) -> bool {
+        let Forwarder { core, suspects, .. } = self.forwarder;
+        let may_send = self.forwarder.may_send();
+        let begin = || FlightGuard::new(core, self.replica, suspects.clone());
+        *self.flight.lock() = may_send.then(begin);
+        may_send
+    }
+
+    fn unsent(&self) {
+        self.flight.lock().take();
+    }
+}
+
 impl Forwarder {
     /// Plans the transfers for the prompt's shared parts. `None` without a prompt.
     fn plan(&self, choice: &Choice, salt: &Arc<str>, now: Time) -> Option<Plan> {
@@ -140,14 +162,20 @@
         let guard = LoadGuard::new(core, &replica.id, load);
         self.log_attempt(&choice, plan.as_ref(), forward_headers.time_left, &snapshot);
         let max_conns = self.max_conns(&snapshot);
-        let flight = FlightGuard::new(core, replica, self.suspects.clone());
-        let may_send = || self.may_send();
-        let sent = core.conns.send(&replica.id, replica.addr, max_conns, request, &may_send, now);
+        let flight = Mutex::new(None);
+        let gate = FlightGate { forwarder: self, replica, flight: &flight };
+        let sent = core.conns.send(&replica.id, replica.addr, max_conns, request, &gate, now);
         let latest = self.latest_start(&choice);
         let wait = latest
             .map_or(forward_headers.time_left, |at| forward_headers.time_left.min(at.since(now)));
-        match timeout(wait, sent).await {
-            Ok(Ok((response, conn))) => self.check_head(response, conn, guard, flight, &choice),
+        let sent = timeout(wait, sent).await;
+        // Without one, nothing was written.
+        let flight = flight.into_inner();
+        match sent {
+            Ok(Ok((response, conn))) => {
+                let flight = flight.expect("an answered request was written");
+                self.check_head(response, conn, guard, flight, &choice)
+            }
             Ok(Err(SendError::Refused(why))) => {
                 ends::replica_ended(core, replica);
                 core.pool.lock().mark_unreachable(&replica.id, core.now());
@@ -170,7 +198,9 @@
                 AttemptOutcome::Unsent
             }
             Ok(Err(SendError::Broken(why))) => {
-                flight.lost();
+                if let Some(flight) = flight {
+                    flight.lost();
+                }
                 core.pool.lock().record_outcome(&replica.id, Outcome::NoAnswer, core.now());
                 self.log_outcome("broken", &choice, &why);
                 AttemptOutcome::Lost
