Log the software of replicas and what a caller resumes

The logs of ORDER name neither the version of a replica's software nor the request whose stream a caller takes up, so that streams that go on elsewhere can't be told from mixed ones.

--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -19,6 +19,9 @@
     pub addr: SocketAddr,
     /// Availability zone of the replica.
     pub zone: Arc<str>,
+    /// Version of the replica's software, a text without an order; `None` if unknown. What replicas
+    /// of two versions write doesn't fit together.
+    pub software: Option<Arc<str>>,
     /// Number of requests that the replica runs at once.
     pub slots: u32,
     /// Whether the replica is leaving; it gets no new requests then.
--- a/crates/place/tests/limit_senders.rs
+++ b/crates/place/tests/limit_senders.rs
@@ -52,6 +52,7 @@
         target: "desk".into(),
         addr: "127.0.0.1:1".parse().expect("it is an address"),
         zone: "a".into(),
+        software: None,
         slots: 8,
         leaving: false,
         started_ms: 1,
--- a/crates/place/tests/replica_choice.rs
+++ b/crates/place/tests/replica_choice.rs
@@ -27,6 +27,7 @@
         target: "t".into(),
         addr: format!("127.0.0.1:{}", 1000 + n).parse().expect("the address is valid"),
         zone: "a".into(),
+        software: None,
         slots: 64,
         leaving: false,
         started_ms: 1,
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -19,6 +19,9 @@
     pub prompt: Option<Prompt>,
     /// Number of the last event that the caller received; `None` unless it resumes a stream.
     pub last_event: Option<u64>,
+    /// Identifier of the request that brought the first event of the stream that is resumed, as the
+    /// caller names it.
+    pub resumes: Option<Arc<str>>,
 }
 
 /// An error in a request's headers.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -334,6 +334,7 @@
         info!(
             request = &*self.forwarder.job.meta.id,
             replica = &*replica.id,
+            software = replica.software.as_deref(),
             %why,
             silent_ms = self.silence().as_millis() as u64,
             bytes = self.sent_bytes,
@@ -355,6 +356,7 @@
         info!(
             request = &*self.forwarder.job.meta.id,
             replica = &*answer.replica.id,
+            software = answer.replica.software.as_deref(),
             after = splitter.last(),
             "stream resumed"
         );
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -246,7 +246,9 @@
         info!(
             request = &*self.job.meta.id,
             digest = %self.job.digest,
+            resumes = self.job.meta.resumes.as_deref(),
             replica = &*choice.replica.id,
+            software = choice.replica.software.as_deref(),
             home = choice.preferred.as_ref().map(|h| &*h.id),
             version = choice.version,
             send = self.tried.len(),
--- a/crates/trial/src/run.rs
+++ b/crates/trial/src/run.rs
@@ -380,6 +380,7 @@
         target: TARGET.into(),
         addr: addr(at),
         zone: "a".into(),
+        software: None,
         slots: 64,
         leaving: false,
         started_ms: 1,
