Continue streams only at the version that began them

The choice of a replica knew no version of its software, neither within an answer nor when a caller took a stream up, which another instance had begun.

A stream is pinned to the target and the registered version of the replica that wrote its first event. Without an answer, with an id that several streams had, or with no replica of the version left, the stream ends, or is refused as not run, at once. An unknown version equals none, and an incarnation whose entry changes its version has none.

--- a/crates/place/src/choice.rs
+++ b/crates/place/src/choice.rs
@@ -61,6 +61,9 @@
     pub model: Option<(&'a str, u64)>,
     /// Oldest weights version that may be used.
     pub min_version: u64,
+    /// Version of the software that the replica must have; `None` if any will do. An unknown version
+    /// equals none.
+    pub software: Option<&'a str>,
     /// Headroom that the replica must have.
     pub headroom: Headroom,
     /// Zone of the instance that makes the choice.
@@ -96,7 +99,7 @@
 /// Why no replica was chosen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum PlacementError {
-    /// The target has no replica that accepts new requests.
+    /// The target has no replica that accepts new requests and has the software.
     #[error("the target has no replica that takes work")]
     NoReplica,
     /// No usable replica has the required headroom.
@@ -171,7 +174,10 @@
         request: &PlacementRequest<'_>,
         now: Time,
     ) -> Result<Choice, PlacementError> {
-        let members = self.members(request);
+        let mut members = self.members(request);
+        if let Some(software) = request.software {
+            members.retain(|m| m.entry.replica.software.as_deref() == Some(software));
+        }
         if members.is_empty() {
             return Err(PlacementError::NoReplica);
         }
--- a/crates/place/tests/replica_choice.rs
+++ b/crates/place/tests/replica_choice.rs
@@ -50,6 +50,7 @@
         shared_tokens: load.prefill_tokens * 3 / 4,
         model: Some(("m", 1)),
         min_version: 0,
+        software: None,
         headroom: Headroom::Ample,
         zone: "a",
         tried: &[],
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::Duration,
@@ -13,10 +13,14 @@
 use bytes::Bytes;
 use fleet::{Config, Replica, Snapshot, Store, View};
 use ident::{Clock, Time};
+use origin::Origins;
 use parking_lot::Mutex;
 use place::{Catalog, Limits, Peers, Pool, RetryBudgets};
 use table::Table;
-use tokio::sync::{Notify, Semaphore, watch};
+use tokio::{
+    net::UdpSocket,
+    sync::{Notify, Semaphore, watch},
+};
 use tracing::info;
 
 use crate::{
@@ -24,6 +28,7 @@
     dates::RegistryClock,
     kept,
     metrics::Metrics,
+    origins,
     peers::HEARD_TTL,
     protocol::Protocol,
     returns::{RETURN_SPAN, Returns},
@@ -183,6 +188,12 @@
     pub limits: Mutex<Limits>,
     /// Parts of prompts, and requests, under which replicas end.
     pub blame: Mutex<Blame>,
+    /// Where streams began.
+    pub origins: Mutex<Origins>,
+    /// Questions to peers that wait for answers.
+    pub(crate) inquiries: Mutex<Vec<origins::Waiting>>,
+    /// Socket for datagrams to peers, once it is open.
+    pub(crate) peer_socket: OnceLock<Arc<UdpSocket>>,
     /// Time from which this instance may try to take a trial.
     pub(crate) next_trial: Mutex<Time>,
     /// Fatal parts and requests when they were last stored.
@@ -226,6 +237,9 @@
             notify_peers: Notify::new(),
             limits: Mutex::default(),
             blame: Mutex::new(Blame::new(now)),
+            origins: Mutex::default(),
+            inquiries: Mutex::default(),
+            peer_socket: OnceLock::new(),
             next_trial: Mutex::new(Time(0)),
             fatal: Mutex::default(),
             checked: Mutex::default(),
--- a/crates/relay/src/ends.rs
+++ b/crates/relay/src/ends.rs
@@ -101,6 +101,11 @@
     }
 }
 
+/// Whether an incarnation of a replica is known to have ended.
+pub(crate) fn has_ended(core: &Core, replica: &Replica) -> bool {
+    core.blame.lock().has_ended(end_id(replica))
+}
+
 /// Records that an incarnation of a replica has ended.
 pub(crate) fn replica_ended(core: &Arc<Core>, replica: &Replica) {
     let end = end_id(replica);
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -216,7 +216,7 @@
         }
     }
 
-    fn put_replica(&self, replica: Replica) {
+    fn put_replica(&self, mut replica: Replica) {
         let core = &self.core;
         let (id, leaving, addr) = (replica.id.clone(), replica.leaving, replica.addr);
         let previous = core.view.snapshot().replica(&id).cloned();
@@ -235,6 +235,11 @@
             core.forget_departure(&id);
         }
         self.note_ended(&replica);
+        let same = previous.as_ref().filter(|k| k.started_ms == replica.started_ms);
+        if same.is_some_and(|k| k.software != replica.software) {
+            // One incarnation has one version; which of the two is not known.
+            replica.software = None;
+        }
         let new = previous.is_none_or(|k| k.leaving != leaving || k.addr != addr);
         if core.view.put_replica(replica) && new {
             info!(replica = %id, leaving, %addr, "replica registered");
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -4,13 +4,14 @@
 
 use blame::{Admission, SuspectKey, Suspects};
 use bytes::{Bytes, BytesMut};
-use fleet::{RequestKind, Route, Snapshot};
+use fleet::{Replica, RequestKind, Route, Snapshot};
 use http_body_util::BodyExt;
 use hyper::{
     HeaderMap, Response,
     header::{CONTENT_LENGTH, CONTENT_TYPE},
 };
 use ident::Time;
+use origin::{Origin, Record};
 use outbound::{Framing, end_with_connection};
 use place::{Choice, Headroom, Load, Outcome, PlacementError, PlacementRequest};
 use tokio::time::timeout;
@@ -19,8 +20,9 @@
 use crate::{
     answer::{Body, Refusal, full_body, unsized_body},
     core::Core,
+    ends,
     job::Job,
-    relay,
+    origins, relay,
     send::{AttemptOutcome, ReplicaAnswer},
     verdicts,
 };
@@ -67,6 +69,18 @@
     },
 }
 
+/// At which replicas a stream may go on: what two versions of their software write doesn't fit
+/// together.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Pin {
+    /// At all, before its first event.
+    Free,
+    /// At those with this version.
+    Software(Arc<str>),
+    /// At none, since the version that began it is not known.
+    Nowhere,
+}
+
 /// Forwards one request and keeps the record of its attempts.
 pub(crate) struct Forwarder {
     pub(crate) core: Arc<Core>,
@@ -77,6 +91,8 @@
     pub(crate) tried: Vec<Arc<str>>,
     /// What replicas may end under: the prompt's shared parts, and the request.
     pub(crate) suspects: Suspects,
+    /// At which replicas the request's stream may go on.
+    pin: Pin,
     /// Whether the next attempt is a trial of something under which replicas ended.
     is_trial: bool,
     /// Number of replicas that may have run the request.
@@ -91,7 +107,17 @@
         let suspects = job.suspects();
         let (possible_runs, arrivals) = (0, 0);
         let (tried, is_trial) = (Vec::new(), false);
-        Self { core, job, target, tried, suspects, is_trial, possible_runs, arrivals }
+        Self {
+            core,
+            job,
+            target,
+            tried,
+            suspects,
+            pin: Pin::Free,
+            is_trial,
+            possible_runs,
+            arrivals,
+        }
     }
 
     /// Makes attempts until an answer begins or no further attempt is allowed. `last` is the event
@@ -125,6 +151,53 @@
         }
     }
 
+    /// Pins a stream that its caller takes up to the target and the software that began it.
+    async fn pin_to_origin(&mut self) -> Result<(), Refusal> {
+        let refuse = |why| Err(Refusal::NotRun { why, retry_delay: NO_REPLICA_RETRY_DELAY });
+        let Some(first) = self.job.meta.resumes.clone() else {
+            self.pin = self.only_software().map_or(Pin::Nowhere, Pin::Software);
+            return match self.pin {
+                Pin::Nowhere => refuse("it names no stream that it takes up; begin it anew"),
+                _ => Ok(()),
+            };
+        };
+        match origins::find(&self.core, &self.job, &first).await {
+            Some(Record::Begun(origin)) => {
+                if !self.job.route.shares.iter().any(|s| s.target == origin.target) {
+                    return refuse("the stream began at another target; begin it anew");
+                }
+                self.target = origin.target;
+                self.pin = Pin::Software(origin.software);
+                Ok(())
+            }
+            Some(Record::Ambiguous) => refuse("several streams began under the id; begin it anew"),
+            None => refuse("it is not known where the stream began; begin it anew"),
+        }
+    }
+
+    /// The version of the software of all replicas of the target; `None` if there are several.
+    fn only_software(&self) -> Option<Arc<str>> {
+        let snapshot = self.core.view.snapshot();
+        let mut replicas = snapshot.replicas.iter().filter(|r| r.target == self.target);
+        let software = replicas.next()?.software.clone()?;
+        replicas.all(|r| r.software.as_ref() == Some(&software)).then_some(software)
+    }
+
+    /// Pins the request's stream to the software of the replica that wrote its first event, unless it
+    /// is pinned, and tells peers.
+    pub(crate) fn pin_to(&mut self, replica: &Replica) {
+        if self.pin != Pin::Free {
+            return;
+        }
+        let Some(software) = replica.software.clone() else {
+            self.pin = Pin::Nowhere;
+            return;
+        };
+        self.pin = Pin::Software(software.clone());
+        let origin = Origin { target: self.target.clone(), software };
+        origins::begun(&self.core, &self.job, origin);
+    }
+
     /// Makes one attempt and counts it. `last` is the event after which a stream is resumed.
     pub(crate) async fn attempt(&mut self, attempt: Attempt, last: Option<u64>) -> AttemptOutcome {
         let outcome = self.send(attempt, last).await;
@@ -203,6 +276,9 @@
         if let Some(step) = self.check_suspects(now) {
             return step;
         }
+        if self.pin == Pin::Nowhere {
+            return stop("the version that began the stream is not known", NO_REPLICA_RETRY_DELAY);
+        }
         let snapshot = self.core.view.snapshot();
         let choice = match self.choose(&snapshot, now) {
             Ok(choice) => choice,
@@ -211,7 +287,11 @@
                 return stop("the replicas are at their limits", delay);
             }
             Err(PlacementError::NoReplica) => {
-                return stop("the target has no replica", NO_REPLICA_RETRY_DELAY);
+                let why = match self.pin {
+                    Pin::Free => "the target has no replica",
+                    _ => "no replica has the version that began the stream",
+                };
+                return stop(why, NO_REPLICA_RETRY_DELAY);
             }
             Err(PlacementError::Overloaded) => return Step::Wait(CAPACITY_CHECK_INTERVAL),
             Err(PlacementError::Excluded { until }) => {
@@ -222,6 +302,11 @@
                 return Step::Wait(wait.max(Duration::from_millis(5)));
             }
         };
+        if self.pin != Pin::Free && ends::has_ended(&self.core, &choice.replica) {
+            // Its entry is still there, and another incarnation may listen at its address.
+            self.tried.push(choice.replica.id.clone());
+            return Step::Wait(Duration::ZERO);
+        }
         if !self.core.limits.lock().take(&choice.replica.id, now) {
             // Another request has taken it since the choice.
             return Step::Wait(Duration::ZERO);
@@ -284,6 +369,10 @@
             load: self.load(),
             shared_tokens: prompt.map_or(0, |p| p.shared_tokens()),
             model: prompt.map(|p| (&*p.model, newest(&p.model))),
+            software: match &self.pin {
+                Pin::Software(software) => Some(software),
+                Pin::Free | Pin::Nowhere => None,
+            },
             min_version: self.job.min_version(&self.core, snapshot, now),
             headroom: Headroom::after_wait(now.since(self.job.start), self.job.route.goal, total),
             zone: &self.core.settings.zone,
@@ -315,6 +404,9 @@
 /// Forwards a request and returns the answer for the caller.
 pub(crate) async fn forward(core: Arc<Core>, job: Arc<Job>) -> Result<Response<Body>, Refusal> {
     let mut forwarder = Forwarder::new(core.clone(), job.clone());
+    if job.route.resumable && job.meta.last_event.is_some() {
+        forwarder.pin_to_origin().await?;
+    }
     loop {
         let mut answer = forwarder.send_until_answered(None).await?;
         let first = core.now().since(job.start);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -21,6 +21,7 @@
 mod kept;
 pub mod metrics;
 pub mod node;
+mod origins;
 mod peers;
 pub mod protocol;
 mod relay;
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -95,6 +95,7 @@
     });
     let socket = UdpSocket::bind(at.peer).await;
     let socket = Arc::new(socket.map_err(|cause| RunError::Listen { addr: at.peer, cause })?);
+    core.peer_socket.get_or_init(|| socket.clone());
     info!(
         instance = %core.settings.name,
         zone = %core.settings.zone,
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -18,7 +18,7 @@
 use tokio::{net::UdpSocket, time::timeout};
 use tracing::{info, warn};
 
-use crate::{conns::fetch_from_peer, core::Core, dates::RegistryClock, ends};
+use crate::{conns::fetch_from_peer, core::Core, dates::RegistryClock, ends, origins};
 
 /// How long after its last datagram a peer is listed to callers. Where limits are divided among
 /// the instances, a peer counts four times as long.
@@ -286,14 +286,18 @@
 pub(crate) async fn receive_loop(core: Arc<Core>, socket: Arc<UdpSocket>) {
     let mut buffer = vec![0; 2048];
     loop {
-        let length = match socket.recv_from(&mut buffer).await {
-            Ok((length, _)) => length,
+        let (length, from) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
             Err(e) => {
                 warn!(error = %e, "receiving a datagram failed");
                 tokio::time::sleep(SEND_INTERVAL).await;
                 continue;
             }
         };
+        if let Some((&origins::FORMAT, rest)) = buffer[..length].split_first() {
+            origins::receive(&core, &socket, rest, from).await;
+            continue;
+        }
         match parse(&buffer[..length]) {
             Ok((datagram, trailer)) => apply(&core, datagram, &trailer),
             Err(e) => warn!(error = %e, "datagram from a peer dropped"),
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -211,6 +211,9 @@
             match events {
                 Ok(None) => {}
                 Ok(Some(bytes)) => {
+                    if self.splitter.is_some() {
+                        self.forwarder.pin_to(&replica);
+                    }
                     if !self.deliver(bytes).await {
                         return End::Cancelled;
                     }
--- a/crates/trial/src/run.rs
+++ b/crates/trial/src/run.rs
@@ -242,6 +242,7 @@
             load: load_of(&asked.request),
             shared_tokens: asked.request.shared,
             model: Some(MODEL),
+            software: None,
             min_version: 0,
             headroom,
             zone: "a",
