Measure by how much timers fire late, and name what a changed verdict is about

The logs could not tell whether an instance applies a configuration late because its tasks wait for the processor, because the registry is slow, or because peers tell it late.

New: a histogram of timer delays and a line for each delay of 250 ms or more, counters of datagrams by kind and of changed verdicts, the digests of what a verdict changed about, and the age of the configuration's last confirmation when a newer one is applied.

--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -266,9 +266,12 @@
     /// its origin in the log.
     pub fn apply_config(self: &Arc<Self>, config: Config, bytes: Bytes, from: &str) {
         let (rev, routes) = (config.rev, config.routes.len());
+        // How long a newer configuration may have been unknown here.
+        let known = self.now().since(self.view.snapshot().confirmed.config);
         if self.view.offer_config(config) {
             *self.config_bytes.lock() = bytes;
-            info!(rev, routes, from, "configuration applied");
+            let known_ms = known.as_millis() as u64;
+            info!(rev, routes, known_ms, from, "configuration applied");
             kept::sync_catalogs(self);
         }
     }
--- a/crates/relay/src/ends.rs
+++ b/crates/relay/src/ends.rs
@@ -23,6 +23,9 @@
 /// Pause before a replica that responded is checked again: it may have been ending.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(150);
 
+/// Most suspects that a log line names.
+const MAX_LOGGED_SUSPECTS: usize = 8;
+
 /// The digest of an incarnation of a replica.
 fn end_id(replica: &Replica) -> EndId {
     EndId::new(&replica.id, replica.started_ms)
@@ -143,9 +146,13 @@
         let parts = fatal.len() - requests;
         core.metrics.fatal_parts.set(parts as i64);
         core.metrics.fatal_requests.set(requests as i64);
+        core.metrics.verdict_changes.inc();
         let ends: Vec<usize> = fatal.iter().map(|f| f.ends).collect();
-        info!(parts, requests, ?ends, "fatal parts or requests changed");
         let is_changed = |key: &&SuspectKey| suspects.contains(key) != before.contains(key);
+        let changed = before.iter().chain(&suspects).filter(is_changed);
+        let changed: Vec<String> =
+            changed.take(MAX_LOGGED_SUSPECTS).map(|key| format!("{:016x}", key.short())).collect();
+        info!(parts, requests, ?ends, ?changed, "fatal parts or requests changed");
         for key in before.iter().chain(&suspects).filter(is_changed) {
             tokio::spawn(verdicts::store(core.clone(), *key));
         }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -32,6 +32,12 @@
     pub shared_tokens: IntCounterVec,
     /// Polls of the platform's registry by outcome.
     pub platform_calls: IntCounterVec,
+    /// Datagrams from and to peers: `received`; `regular` and `news`, sent at intervals and at once.
+    pub datagrams: IntCounterVec,
+    /// Changes of the verdict on parts and requests under which replicas end.
+    pub verdict_changes: IntCounter,
+    /// Seconds by which timers fire late: tasks wait for the processor.
+    pub timer_delay: Histogram,
     /// Returns of the platform's registry from an older copy of its content.
     pub store_returns: IntCounter,
     /// Highest era in which the platform's registry has answered.
@@ -87,6 +93,12 @@
             attempts: family("lentil_sends_total", "Sends to replicas by outcome", "outcome"),
             shared_tokens: family("lentil_shared_tokens_total", "Shared prompt tokens", "source"),
             platform_calls: family("lentil_platform_calls_total", "Platform calls", "outcome"),
+            datagrams: family("lentil_datagrams_total", "Datagrams from and to peers", "kind"),
+            timer_delay: seconds("lentil_timer_delay_seconds", "By which timers fire late"),
+            verdict_changes: counter(
+                "lentil_verdict_changes_total",
+                "Changes of what counts as fatal to replicas",
+            ),
             first_byte: seconds("lentil_first_byte_seconds", "Until the first byte is passed on"),
             answer_time: seconds("lentil_answer_seconds", "Until the end of an answer"),
             interrupted: family(
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -28,6 +28,11 @@
 const BACKLOG: i32 = 1024;
 /// Pause between two sweeps that close unused connections.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval at which the delay of timers is measured.
+const TIMER_INTERVAL: Duration = Duration::from_millis(100);
+/// Delay of a timer that is logged: half of the time within which a caller's leaving must reach the
+/// replica.
+const LONG_TIMER_DELAY: Duration = Duration::from_millis(250);
 /// The process ends this long before the platform would kill it.
 const GRACE_MARGIN: Duration = Duration::from_millis(250);
 /// Time allowed for writing the last bytes of answers.
@@ -119,6 +124,7 @@
     tokio::spawn(verdicts::load(core.clone()));
     tokio::spawn(duty::run(core.clone()));
     tokio::spawn(sweep(core.clone()));
+    tokio::spawn(watch_timers(core.clone()));
     shutdown.await;
     stop(&core, &socket).await;
     Ok(())
@@ -129,7 +135,7 @@
     core.leaving.store(true, Ordering::Relaxed);
     let active = core.active.load(Ordering::Relaxed);
     info!(active, "instance stopping, no longer ready");
-    peers::send(core, socket, &peers::peer_addresses(core)).await;
+    peers::send(core, socket, &peers::peer_addresses(core), "regular").await;
     let stopping = core.clone();
     tokio::spawn(async move {
         if let Err(error) = stopping.adapters.registry.deregister(&stopping.settings.name).await {
@@ -212,6 +218,20 @@
     }
 }
 
+/// Measures by how much timers fire late, and logs long delays.
+async fn watch_timers(core: Arc<Core>) {
+    loop {
+        let due = core.now().after(TIMER_INTERVAL);
+        tokio::time::sleep(TIMER_INTERVAL).await;
+        let delay = core.now().since(due);
+        core.metrics.timer_delay.observe(delay.as_secs_f64());
+        if delay >= LONG_TIMER_DELAY {
+            let active = core.active.load(Ordering::Relaxed);
+            warn!(delay_ms = delay.as_millis() as u64, active, "timer fired late");
+        }
+    }
+}
+
 async fn sweep(core: Arc<Core>) {
     loop {
         core.limits.lock().set_peers(core.limit_peers());
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -250,7 +250,7 @@
         let peers = peer_addresses(&core);
         let interval = Duration::from_secs(1) * peers.len() as u32 / MAX_DATAGRAMS_PER_SECOND;
         let _ = timeout(SEND_INTERVAL.max(interval), core.notify_peers.notified()).await;
-        send(&core, &socket, &peers).await;
+        send(&core, &socket, &peers, "regular").await;
     }
 }
 
@@ -262,14 +262,15 @@
         let peers = peer_addresses(&core);
         let some = peers.choose_multiple(&mut rand::rng(), EVIDENCE_PEERS);
         let some: Vec<SocketAddr> = some.copied().collect();
-        send(&core, &socket, &some).await;
+        send(&core, &socket, &some, "news").await;
         tokio::time::sleep(EVIDENCE_INTERVAL).await;
     }
 }
 
-/// Sends one datagram to each peer.
-pub(crate) async fn send(core: &Core, socket: &UdpSocket, peers: &[SocketAddr]) {
+/// Sends one datagram to each peer. `kind` names it in the metrics.
+pub(crate) async fn send(core: &Core, socket: &UdpSocket, peers: &[SocketAddr], kind: &str) {
     let Some(bytes) = encode(core) else { return };
+    core.metrics.datagrams.with_label_values(&[kind]).inc_by(peers.len() as u64);
     for peer in peers {
         // The next datagram makes up for a lost one.
         let _ = socket.send_to(&bytes, peer).await;
@@ -298,6 +299,7 @@
             origins::receive(&core, &socket, rest, from).await;
             continue;
         }
+        core.metrics.datagrams.with_label_values(&["received"]).inc();
         match parse(&buffer[..length]) {
             Ok((datagram, trailer)) => apply(&core, datagram, &trailer),
             Err(e) => warn!(error = %e, "datagram from a peer dropped"),
