Blame nothing for replicas that are lost together

The verdict changed 7,541 times at 85 instances. Each change is news to 30 peers, who merge it and judge anew; at instances of 0.12 cores timers fired up to 811 ms late, and with them the registry's polls, peers' news of a configuration and the closing of callers' connections.

Two causes, both of the class of evidence that depends on who hears it when: - A popular part is at most of the replicas that are lost together, so that six ends come at one moment after its last whole answer. It counted as fatal until the next one. Its ends were taken as explained, and what was left of them no longer excused the requests there. - An instance dated an end by when it heard of it, but the ends under a suspect by when they came. After a cut it found hardly any end near those of a suspect.

--- a/crates/blame/src/evidence.rs
+++ b/crates/blame/src/evidence.rs
@@ -149,7 +149,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Ended {
     replica: EndId,
-    /// When this instance learned of it.
+    /// The earliest known time of it.
     at: Time,
     /// Whether it tells something about what was there: it was not announced, or took requests
     /// along.
@@ -180,6 +180,17 @@
         Self { young_until: now.after(YOUNG), is_young: true, ..Self::default() }
     }
 
+    /// Whether a suspect has enough open ends to be fatal. Replicas that are lost together are at one
+    /// moment under everything that many requests hold, and the next whole answer shows it.
+    pub(crate) fn has_fatal_ends(&self, suspect: &Suspect) -> bool {
+        let ends = suspect.open_ends();
+        let spread = match ends {
+            [(_, first), .., (_, last)] if suspect.answer.is_some() => last.since(*first) >= NEAR,
+            _ => true,
+        };
+        spread && ends.len() >= self.fatal_ends(suspect)
+    }
+
     /// Number of open ends that make a suspect fatal.
     pub(crate) fn fatal_ends(&self, suspect: &Suspect) -> usize {
         let unsure = self.is_young && suspect.heard < FATAL_ENDS;
@@ -205,15 +216,16 @@
         self.ended.iter().any(|e| e.replica == replica)
     }
 
-    /// Records that a replica ended. `counts` tells whether that may be due to what was there.
-    /// Returns whether that was not known, which may change the verdict.
-    pub(crate) fn note_end(&mut self, replica: EndId, counts: bool, now: Time) -> bool {
+    /// Records that a replica ended at the time `at` or before. `counts` tells whether that may be due
+    /// to what was there. Returns whether that was not known, which may change the verdict.
+    pub(crate) fn note_end(&mut self, replica: EndId, counts: bool, at: Time) -> bool {
         if let Some(known) = self.ended.iter_mut().find(|e| e.replica == replica) {
-            let changed = counts && !known.counts;
+            let changed = (counts && !known.counts) || at < known.at;
             known.counts |= counts;
+            known.at = known.at.min(at);
             return changed;
         }
-        self.ended.push(Ended { replica, at: now, counts });
+        self.ended.push(Ended { replica, at, counts });
         if self.ended.len() > MAX_ENDED {
             self.ended.remove(0);
         }
@@ -276,7 +288,9 @@
         let mut news = false;
         for (end, age) in &report.ends {
             let at = now.before(*age);
-            if self.note_end(*end, true, now) {
+            let known = self.has_ended(*end);
+            self.note_end(*end, true, at);
+            if !known {
                 self.new_ends.push(*end);
             }
             let found = self.position(report.key).expect("the entry was created");
--- a/crates/blame/src/verdict.rs
+++ b/crates/blame/src/verdict.rs
@@ -85,8 +85,7 @@
         ends.sort_unstable();
         ends
     };
-    let candidates =
-        evidence.suspects().iter().filter(|s| s.open_ends().len() >= evidence.fatal_ends(s));
+    let candidates = evidence.suspects().iter().filter(|s| evidence.has_fatal_ends(s));
     let candidates = candidates.map(|s| (s, open(s)));
     let candidates: Vec<_> = candidates
         .filter(|(s, ends)| ends.len() >= evidence.fatal_ends(s) && pick(s, ends))
