--- a/crates/blame/tests/fatal_search.rs
+++ b/crates/blame/tests/fatal_search.rs
@@ -84,7 +84,7 @@
     interval: u64,
     /// Share of datagrams that are lost, and that arrive twice.
     loss: f64,
-    /// Longest time that a datagram takes, in ms.
+    /// Longest time that a datagram takes, or the check of a lost connection's replica, in ms.
     delay: u64,
     /// Whether instances restart and are cut off.
     trouble: bool,
@@ -102,8 +102,8 @@
     requests: Vec<Request>,
     /// Datagrams under way: when each arrives, its receiver and content.
     datagrams: Vec<(u64, usize, Report)>,
-    /// Replicas that instances found to have ended, told in the next step.
-    found: Vec<(usize, EndId)>,
+    /// Replicas that instances find to have ended, and when.
+    found: Vec<(u64, usize, EndId)>,
     /// Highest trial that was taken of each fatal thing.
     trials: Vec<(SuspectKey, u8)>,
     ends: Vec<u64>,
@@ -302,7 +302,8 @@
         let instance = &mut self.instances[request.instance];
         let now = Time(1_000_000 + self.now);
         instance.has_news |= instance.blame.lost(request.flight, false, now);
-        self.found.push((request.instance, request.end));
+        let delay = self.rng.random_range(0..=self.plan.delay);
+        self.found.push((self.now + delay, request.instance, request.end));
     }
 
     fn end_replica(&mut self, at: usize) {
@@ -324,11 +325,11 @@
     /// Tells instances of the ends that they found, and delivers datagrams.
     fn deliver(&mut self) {
         let now = self.time();
-        for (at, end) in std::mem::take(&mut self.found) {
+        let now_ms = self.now;
+        for (_, at, end) in self.found.extract_if(.., |(due, ..)| *due <= now_ms) {
             let instance = &mut self.instances[at];
             instance.has_news |= instance.blame.replica_ended(end, false, now);
         }
-        let now_ms = self.now;
         for (_, at, report) in self.datagrams.extract_if(.., |(due, ..)| *due <= now_ms) {
             let instance = &mut self.instances[at];
             instance.has_news |= instance.blame.merge(&report, now);
