Test verdicts where connections are left of replicas that have ended

A replica is lost, and instances that do not know it send it requests on the connections that they have kept, each to several such replicas in turn. The simulation also gets many contexts, answers that time out, checks that take time, and a pause at the end in which instances only talk.

--- a/crates/blame/tests/fatal_search.rs
+++ b/crates/blame/tests/fatal_search.rs
@@ -15,7 +15,9 @@
 /// Length of a play.
 const LENGTH: u64 = 14_000;
 /// When replicas are lost together.
-const WAVES: [u64; 3] = [4000, 7500, 11_000];
+const WAVES: [u64; 3] = [3000, 5500, 9000];
+/// When the last request is sent where replicas are lost together.
+const LAST_REQUEST: u64 = 10_500;
 /// Space for evidence in a datagram, in bytes.
 const SPACE: usize = 600;
 const SPREAD_PEERS: usize = 30;
@@ -161,8 +163,15 @@
     fn play(&mut self) {
         while self.now < LENGTH {
             self.deliver();
+            if self.plan.waves && self.now > LAST_REQUEST {
+                self.answer();
+                self.gossip();
+                self.judge();
+                self.now += STEP;
+                continue;
+            }
             self.disturb();
-            for _ in 0..2 {
+            for _ in 0..if self.plan.waves { 12 } else { 2 } {
                 self.send(None);
             }
             let fatal = match self.plan.cause {
@@ -197,9 +206,9 @@
                 self.end_replica(*at);
             }
         }
-        if self.plan.waves && self.now == 2000 {
+        if self.plan.waves && self.now == 1000 {
             let third = self.instances.len().div_ceil(3);
-            self.instances[..third].iter_mut().for_each(|i| i.cut = 9000);
+            self.instances[..third].iter_mut().for_each(|i| i.cut = 7000);
         }
         let by_themselves = self.plan.cause == Trouble::None && !self.plan.waves && self.now > 1000;
         if by_themselves && self.rng.random_bool(0.1) {
@@ -226,6 +235,11 @@
             Some(FATAL) => [FIRST, other, FATAL, request(self.next_request)].into(),
             Some(key) if key == request(1) => [key].into(),
             Some(key) => [FIRST, other, key].into(),
+            // Many contexts, some more popular than others, and answers that time out.
+            None if self.plan.waves && self.next_request.is_multiple_of(2) => {
+                let context = self.rng.random_range(0.0..1.0f64).powi(3) * 114.0;
+                [SuspectKey::Part(100 + context as u64), request(self.next_request)].into()
+            }
             // One sound request in four is a popular one.
             None if self.next_request.is_multiple_of(4) => [request(99)].into(),
             None => [FIRST, other, request(self.next_request)].into(),
@@ -236,7 +250,10 @@
     fn send_to_replica(&mut self, suspects: Suspects, fatal: Option<SuspectKey>, repeats: u32) {
         let now = self.time();
         let at = self.rng.random_range(0..self.instances.len());
-        let running = self.replicas.iter().enumerate().filter(|(_, r)| r.back == 0);
+        // Connections are left of replicas that have ended without its knowledge.
+        let blame = &self.instances[at].blame;
+        let seems_running = |r: &Replica| r.back == 0 || self.plan.waves && !blame.has_ended(r.end);
+        let running = self.replicas.iter().enumerate().filter(|(_, r)| seems_running(r));
         let running: Vec<usize> = running.map(|(at, _)| at).collect();
         let Some(replica) = running.choose(&mut self.rng).copied() else { return };
         let instance = &mut self.instances[at];
@@ -265,16 +282,21 @@
         let flight = instance.blame.begin(end, suspects.clone(), now);
         // Long answers are under way in a wave.
         let due = self.now + if self.plan.waves { ANSWER * 20 } else { ANSWER };
-        self.requests.push(Request {
-            instance: at,
-            replica,
-            end,
-            flight,
-            suspects,
-            fatal,
-            repeats,
-            due,
-        });
+        let has_ended = self.replicas[replica].back > 0;
+        let request = Request { instance: at, replica, end, flight, suspects, fatal, repeats, due };
+        if has_ended {
+            self.lose(&request);
+            self.repeat(request);
+        } else {
+            self.requests.push(request);
+        }
+    }
+
+    /// Sends a request that was lost with its replica to another one.
+    fn repeat(&mut self, request: Request) {
+        if self.plan.waves && request.repeats < 4 {
+            self.send_to_replica(request.suspects, request.fatal, request.repeats + 1);
+        }
     }
 
     fn answer(&mut self) {
@@ -293,7 +315,12 @@
             } else {
                 let blame = &mut self.instances[request.instance].blame;
                 blame.begun(request.flight, now);
-                blame.answered(request.flight, now);
+                let is_context = matches!(request.suspects[0], SuspectKey::Part(100..));
+                if is_context && self.plan.waves && self.rng.random_bool(0.5) {
+                    blame.forget(request.flight);
+                } else {
+                    blame.answered(request.flight, now);
+                }
             }
         }
     }
@@ -316,9 +343,7 @@
         let lost: Vec<Request> = self.requests.extract_if(.., |r| r.end == end).collect();
         for request in lost {
             self.lose(&request);
-            if self.plan.waves && request.repeats < 3 {
-                self.send_to_replica(request.suspects, request.fatal, request.repeats + 1);
-            }
+            self.repeat(request);
         }
     }
 
@@ -528,7 +553,8 @@
     for seed in seeds(0..6) {
         let (instances, delay) = ([3, 8, 85][seed as usize % 3], [20, 400][seed as usize / 3 % 2]);
         let cause = Trouble::Requests(2);
-        let plan = Plan { instances, cause, delay, trouble: false, waves: true, ..PART };
+        let interval = 400;
+        let plan = Plan { instances, cause, interval, delay, trouble: false, waves: true, ..PART };
         let world = play(plan, seed);
         let first = &world.instances[0].fatal;
         for (at, instance) in world.instances.iter().enumerate() {
