Count a replica's end only under what was sent there before it

An instance that does not know that replicas were lost goes on using the connections that it has kept to them. Ends were dated anew by such instances, so nothing else seemed to have ended at that time.

The class is that of: evidence that depends on who hears of an end when. A pair of suspect and incarnation now holds when the suspect was first sent there, and counts if that was before the incarnation's end. Reports hold the ends of replicas with their ages, so that all instances date them by the first that found them. Peers of an earlier release take the age of a sending for that of an end, and ignore the list.

--- a/crates/blame/src/evidence.rs
+++ b/crates/blame/src/evidence.rs
@@ -25,6 +25,9 @@
 const YOUNG: Duration = Duration::from_secs(3);
 /// Ends this long before or after one under a suspect are counted beside it.
 const NEAR: Duration = Duration::from_secs(1);
+/// How much later than a replica ended a suspect may seem to have been sent there, as times are known
+/// from datagrams.
+const SENT_MARGIN: Duration = Duration::from_millis(250);
 /// How long after its last end something is under suspicion.
 const SUSPECT_TTL: Duration = Duration::from_secs(600);
 /// The same for what is fatal.
@@ -85,8 +88,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Suspect {
     pub(crate) key: SuspectKey,
-    /// The incarnations that ended, with the earliest known time of each. Sorted by time.
-    pub(crate) ends: Vec<(EndId, Time)>,
+    /// The incarnations that ended. Sorted by the time of their ends.
+    pub(crate) ends: Vec<UnderEnd>,
     /// The last whole answer that is known, and whether this instance saw it.
     pub(crate) answer: Option<(Time, bool)>,
     /// Whether this instance had a request with it at a replica that ended.
@@ -101,46 +104,71 @@
     trials: u8,
 }
 
+/// The end of a replica at which a suspect was.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct UnderEnd {
+    pub(crate) replica: EndId,
+    /// When the suspect was first sent there, as far as is known.
+    pub(crate) sent: Time,
+    /// The earliest known time of the end.
+    pub(crate) at: Time,
+}
+
+impl UnderEnd {
+    /// Whether the suspect was there before the replica ended. It may have been sent on a connection
+    /// that was left of a replica which had ended.
+    fn counts(&self) -> bool {
+        self.sent <= self.at.after(SENT_MARGIN)
+    }
+}
+
 impl Suspect {
-    /// The ends since the last whole answer.
-    pub(crate) fn open_ends(&self) -> &[(EndId, Time)] {
-        let from = match self.answer {
-            Some((answer, _)) => self.ends.partition_point(|(_, at)| *at <= answer),
-            None => 0,
-        };
-        &self.ends[from..]
+    /// The ends since the last whole answer, in the order of their times.
+    pub(crate) fn open_ends(&self) -> impl DoubleEndedIterator<Item = &UnderEnd> {
+        let answer = self.answer.map(|(at, _)| at);
+        self.ends.iter().filter(move |e| e.counts() && answer.is_none_or(|at| e.at > at))
+    }
+
+    pub(crate) fn open_count(&self) -> usize {
+        self.open_ends().count()
     }
 
     /// When the suspicion is dropped, if `fatal_ends` open ends make it fatal.
     fn deadline(&self, fatal_ends: usize) -> Time {
-        let ttl = if self.open_ends().len() >= fatal_ends { FATAL_TTL } else { SUSPECT_TTL };
-        let last = self.ends.last().map_or(self.mentioned, |(_, at)| *at);
+        let ttl = if self.open_count() >= fatal_ends { FATAL_TTL } else { SUSPECT_TTL };
+        let last = self.ends.last().map_or(self.mentioned, |e| e.at);
         last.after(ttl)
     }
 
     /// Whether peers should hear of it at once. A request with one end is most likely a sound one
     /// that was at the replica by chance; whoever saw that tells it.
     fn is_news(&self) -> bool {
-        !self.key.is_request() || self.own || self.open_ends().len() > 1
+        !self.key.is_request() || self.own || self.open_count() > 1
     }
 
-    fn add_end(&mut self, end: EndId, at: Time) -> bool {
-        match self.ends.iter().position(|(e, _)| *e == end) {
-            // Whoever knows the earlier time is closer to the end.
-            Some(found) if at < self.ends[found].1 => {
-                self.ends[found].1 = at;
-                self.ends.sort_by_key(|(end, at)| (*at, *end));
-                false
-            }
-            Some(_) => false,
-            None => {
-                self.ends.push((end, at));
-                self.ends.sort_by_key(|(end, at)| (*at, *end));
-                if self.ends.len() > MAX_ENDS {
-                    self.ends.remove(0);
-                }
-                true
-            }
+    /// Adds an end, or the earlier time at which the suspect was sent there. Returns whether the end
+    /// was not known.
+    fn add_end(&mut self, end: UnderEnd) -> bool {
+        if let Some(known) = self.ends.iter_mut().find(|e| e.replica == end.replica) {
+            known.sent = known.sent.min(end.sent);
+            return false;
+        }
+        let at = self.ends.partition_point(|e| (e.at, e.replica) < (end.at, end.replica));
+        if at == 0 && self.ends.len() == MAX_ENDS {
+            return false;
+        }
+        self.ends.insert(at, end);
+        if self.ends.len() > MAX_ENDS {
+            self.ends.remove(0);
+        }
+        true
+    }
+
+    /// Applies an earlier time of an end.
+    fn redate(&mut self, replica: EndId, at: Time) {
+        if let Some(known) = self.ends.iter_mut().find(|e| e.replica == replica) {
+            known.at = at;
+            self.ends.sort_unstable_by_key(|e| (e.at, e.replica));
         }
     }
 }
@@ -151,6 +179,8 @@
     replica: EndId,
     /// The earliest known time of it.
     at: Time,
+    /// Whether an instance found it at that time; otherwise that is when a suspect was sent there.
+    found: bool,
     /// Whether it tells something about what was there: it was not announced, or took requests
     /// along.
     counts: bool,
@@ -159,11 +189,11 @@
 /// All suspects, and the ends of replicas that are known.
 ///
 /// Invariant: `suspects` is sorted by key and has at most [`MAX_PARTS`] parts and [`MAX_REQUESTS`]
-/// requests.
+/// requests. The ends under a suspect have the times in `ended`.
 #[derive(Debug, Default)]
 pub(crate) struct Evidence {
     suspects: Vec<Suspect>,
-    /// Replicas that ended. Oldest first.
+    /// Replicas that ended. Sorted by id.
     ended: Vec<Ended>,
     /// Ends that peers reported and that were not known before.
     new_ends: Vec<EndId>,
@@ -173,6 +203,8 @@
     is_young: bool,
     /// When suspicions were last dropped.
     expired_at: Time,
+    /// Whether anything changed on which the verdict depends since [`Evidence::take_changed`].
+    changed: bool,
 }
 
 impl Evidence {
@@ -183,12 +215,17 @@
     /// Whether a suspect has enough open ends to be fatal. Replicas that are lost together are at one
     /// moment under everything that many requests hold, and the next whole answer shows it.
     pub(crate) fn has_fatal_ends(&self, suspect: &Suspect) -> bool {
-        let ends = suspect.open_ends();
-        let spread = match ends {
-            [(_, first), .., (_, last)] if suspect.answer.is_some() => last.since(*first) >= NEAR,
-            _ => true,
-        };
-        spread && ends.len() >= self.fatal_ends(suspect)
+        let mut ends = suspect.open_ends();
+        let (first, last) = (ends.next(), ends.next_back());
+        let is_spread =
+            first.zip(last).is_some_and(|(first, last)| last.at.since(first.at) >= NEAR);
+        let counts = is_spread || suspect.answer.is_none();
+        counts && suspect.open_count() >= self.fatal_ends(suspect)
+    }
+
+    /// Whether anything changed on which the verdict depends since the last call.
+    pub(crate) fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.changed)
     }
 
     /// Number of open ends that make a suspect fatal.
@@ -213,23 +250,48 @@
     }
 
     pub(crate) fn has_ended(&self, replica: EndId) -> bool {
-        self.ended.iter().any(|e| e.replica == replica)
+        self.find_end(replica).is_ok()
     }
 
-    /// Records that a replica ended at the time `at` or before. `counts` tells whether that may be due
-    /// to what was there. Returns whether that was not known, which may change the verdict.
-    pub(crate) fn note_end(&mut self, replica: EndId, counts: bool, at: Time) -> bool {
-        if let Some(known) = self.ended.iter_mut().find(|e| e.replica == replica) {
-            let changed = (counts && !known.counts) || at < known.at;
-            known.counts |= counts;
-            known.at = known.at.min(at);
-            return changed;
+    fn find_end(&self, replica: EndId) -> Result<usize, usize> {
+        self.ended.binary_search_by_key(&replica, |e| e.replica)
+    }
+
+    /// Records that a replica was found to have ended at the time `at` or before. `counts` tells
+    /// whether that may be due to what was there.
+    pub(crate) fn note_end(&mut self, replica: EndId, counts: bool, at: Time) {
+        self.put_end(Ended { replica, at, found: true, counts });
+    }
+
+    /// The same for what a peer found.
+    pub(crate) fn merge_end(&mut self, replica: EndId, at: Time) {
+        if !self.has_ended(replica) {
+            self.new_ends.push(replica);
         }
-        self.ended.push(Ended { replica, at, counts });
-        if self.ended.len() > MAX_ENDED {
-            self.ended.remove(0);
+        self.note_end(replica, true, at);
+    }
+
+    fn put_end(&mut self, end: Ended) {
+        let found = match self.find_end(end.replica) {
+            Ok(found) => found,
+            Err(at) => {
+                self.changed = true;
+                self.ended.insert(at, end);
+                if self.ended.len() > MAX_ENDED {
+                    let oldest = (0..self.ended.len()).min_by_key(|at| self.ended[*at].at);
+                    self.ended.remove(oldest.expect("there are ends"));
+                }
+                return;
+            }
+        };
+        let known = &mut self.ended[found];
+        self.changed |= end.counts && !known.counts;
+        known.counts |= end.counts;
+        if end.found && (!known.found || end.at < known.at) {
+            (known.found, known.at) = (true, end.at);
+            self.changed = true;
+            self.suspects.iter_mut().for_each(|s| s.redate(end.replica, end.at));
         }
-        true
     }
 
     /// Takes the ends that peers reported since the last call.
@@ -255,75 +317,92 @@
         }
     }
 
-    /// Records that a replica ended under a suspect of this instance. Returns whether that was not
-    /// known.
-    pub(crate) fn accuse(&mut self, key: SuspectKey, replica: EndId, now: Time) -> bool {
+    /// Records that a replica ended under a suspect of this instance, which was sent there at the
+    /// time `sent`. Returns whether that was not known.
+    pub(crate) fn accuse(
+        &mut self,
+        key: SuspectKey,
+        replica: EndId,
+        sent: Time,
+        now: Time,
+    ) -> bool {
         self.note_end(replica, true, now);
         self.ensure(key);
+        let new = self.add_end(key, replica, sent, now);
         let at = self.position(key).expect("the entry was created");
         let suspect = &mut self.suspects[at];
         (suspect.mentioned, suspect.own) = (now, true);
-        let new = suspect.add_end(replica, now);
         self.evict(key.is_request());
         new
     }
 
+    /// Adds a known end to a suspect's.
+    fn add_end(&mut self, key: SuspectKey, replica: EndId, sent: Time, now: Time) -> bool {
+        let at = self.find_end(replica).map_or(now, |at| self.ended[at].at);
+        let found = self.position(key).expect("the entry was created");
+        let new = self.suspects[found].add_end(UnderEnd { replica, sent, at });
+        self.changed = true;
+        new
+    }
+
     /// Records a whole answer to a request with something that is under suspicion. `own` tells whether
     /// this instance saw it. Returns whether the verdict may have changed.
     pub(crate) fn answered(&mut self, key: SuspectKey, at: Time, own: bool) -> bool {
         let Ok(found) = self.position(key) else { return false };
         let suspect = &mut self.suspects[found];
-        let open = suspect.open_ends().len();
+        let open = suspect.open_count();
         let first = suspect.answer.is_none();
         suspect.answer = Some(match suspect.answer {
             Some((last, own_last)) if last > at || (last == at && own_last) => (last, own_last),
             _ => (at, own),
         });
-        first || suspect.open_ends().len() != open
+        let changed = first || suspect.open_count() != open;
+        self.changed |= changed;
+        changed
     }
 
-    /// Merges what a peer reports of a suspect, and returns whether it held anything new.
-    pub(crate) fn merge(&mut self, report: &SuspectReport, now: Time) -> Merged {
+    /// Merges what a peer reports of a suspect, and returns whether it held anything that peers should
+    /// hear of at once.
+    pub(crate) fn merge(&mut self, report: &SuspectReport, now: Time) -> bool {
         self.ensure(report.key);
-        let mut news = false;
-        for (end, age) in &report.ends {
-            let at = now.before(*age);
-            let known = self.has_ended(*end);
-            self.note_end(*end, true, at);
-            if !known {
-                self.new_ends.push(*end);
+        let mut new = false;
+        for (replica, age) in &report.ends {
+            let sent = now.before(*age);
+            if !self.has_ended(*replica) {
+                self.new_ends.push(*replica);
+                self.put_end(Ended { replica: *replica, at: sent, found: false, counts: true });
             }
             let found = self.position(report.key).expect("the entry was created");
             let suspect = &mut self.suspects[found];
-            if at.after(SUSPECT_TTL).passed(now) && suspect.ends.is_empty() {
+            if sent.after(SUSPECT_TTL).passed(now) && suspect.ends.is_empty() {
                 continue;
             }
-            news |= suspect.add_end(*end, at);
+            new |= self.add_end(report.key, *replica, sent, now);
+            let suspect = &mut self.suspects[found];
             suspect.mentioned = now;
             suspect.heard = suspect.heard.max(report.ends.len());
-            if suspect.answer.is_some_and(|(answer, own)| own && at <= answer) {
+            let refutes = |(answer, own)| {
+                own && suspect.ends.iter().any(|e| e.replica == *replica && e.at <= answer)
+            };
+            if suspect.answer.is_some_and(refutes) {
                 suspect.refuted = now;
             }
         }
         if let Some(age) = report.answer {
-            news |= self.answered(report.key, now.before(age), false);
+            new |= self.answered(report.key, now.before(age), false);
         }
         let found = self.position(report.key).expect("the entry was created");
         let suspect = &mut self.suspects[found];
         if report.trials > suspect.trials {
             suspect.trials = report.trials;
-            news = true;
+            new = true;
         }
-        let merged = match (news, suspect.is_news()) {
-            (false, _) => Merged::Known,
-            (true, false) => Merged::Minor,
-            (true, true) => Merged::News,
-        };
+        let is_news = new && suspect.is_news();
         if suspect.ends.is_empty() {
             self.suspects.remove(found);
         }
         self.evict(report.key.is_request());
-        merged
+        is_news
     }
 
     /// The evidence for peers: suspects that `named` tells first, then those with most ends or
@@ -340,19 +419,23 @@
             .collect();
         fresh.sort_by_key(|s| {
             let refuted = s.refuted > Time(0) && now.since(s.refuted) < ANSWER_REPORT_TTL;
-            let ends = s.open_ends().len().max(if refuted { REFUTED_RANK } else { 0 });
+            let ends = s.open_count().max(if refuted { REFUTED_RANK } else { 0 });
             (!named(&s.key), Reverse((ends, s.own, s.mentioned)), s.key)
         });
         let suspects = fresh.into_iter().map(|s| {
             let mentioned = now.since(s.mentioned) < ANSWER_REPORT_TTL;
             SuspectReport {
                 key: s.key,
-                ends: s.open_ends().iter().map(|(end, at)| (*end, now.since(*at))).collect(),
+                ends: s.open_ends().map(|e| (e.replica, now.since(e.sent))).collect(),
                 answer: s.answer.filter(|(_, own)| *own && mentioned).map(|(at, _)| now.since(at)),
                 trials: s.trials,
             }
         });
-        Report::within(bytes, suspects.filter(|s| !s.ends.is_empty() || s.answer.is_some()))
+        let mut ended: Vec<&Ended> = self.ended.iter().filter(|e| e.found && e.counts).collect();
+        ended.sort_by_key(|e| Reverse(e.at));
+        let ended = ended.into_iter().map(|e| (e.replica, now.since(e.at)));
+        let suspects = suspects.filter(|s| !s.ends.is_empty() || s.answer.is_some());
+        Report::within(bytes, suspects, ended)
     }
 
     pub(crate) fn trials(&self, key: SuspectKey) -> u8 {
@@ -375,18 +458,19 @@
         suspect.deadline(self.fatal_ends(suspect))
     }
 
-    /// Drops suspicions whose time is over, once a second at most. Returns whether the verdict may have changed.
-    pub(crate) fn expire(&mut self, now: Time) -> bool {
+    /// Drops suspicions whose time is over, once a second at most.
+    pub(crate) fn expire(&mut self, now: Time) {
         let grown = self.is_young && self.young_until.passed(now);
         self.is_young &= !grown;
+        self.changed |= grown;
         if now.since(self.expired_at) < EXPIRE_INTERVAL {
-            return grown;
+            return;
         }
         self.expired_at = now;
         let before = self.suspects.len();
         let suspects = std::mem::take(&mut self.suspects);
         self.suspects = suspects.into_iter().filter(|s| !self.expires(s).passed(now)).collect();
-        grown || self.suspects.len() != before
+        self.changed |= self.suspects.len() != before;
     }
 
     /// Drops the request, or part, with the fewest open ends, of these the one mentioned longest ago,
@@ -401,7 +485,7 @@
                 return;
             }
             let alike = alike.map(|at| (at, &self.suspects[at]));
-            let least = alike.min_by_key(|(_, s)| (s.open_ends().len(), s.mentioned));
+            let least = alike.min_by_key(|(_, s)| (s.open_count(), s.mentioned));
             let (at, _) = least.expect("there are suspects");
             self.suspects.remove(at);
         }
@@ -411,14 +495,3 @@
         self.suspects.binary_search_by_key(&key, |s| s.key)
     }
 }
-
-/// What merging a peer's report of a suspect changed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Merged {
-    /// Nothing.
-    Known,
-    /// Something that peers need not hear of at once.
-    Minor,
-    /// Something that peers should hear of at once.
-    News,
-}
--- a/crates/blame/src/flights.rs
+++ b/crates/blame/src/flights.rs
@@ -4,7 +4,7 @@
 
 use ident::Time;
 
-use crate::{EndId, Flight, SuspectKey, Suspects};
+use crate::{EndId, Flight, Suspects};
 
 /// How long after a request was lost the end of its replica is evidence against it and its parts. A
 /// replica that falls silent is found within 2 s.
@@ -22,6 +22,19 @@
     unframed: bool,
 }
 
+impl Entry {
+    fn to_sent(&self) -> Sent {
+        Sent { suspects: self.suspects.clone(), at: self.sent }
+    }
+}
+
+/// The suspects of a request and when it was sent.
+#[derive(Debug, Clone)]
+pub(crate) struct Sent {
+    pub(crate) suspects: Suspects,
+    pub(crate) at: Time,
+}
+
 /// Requests at replicas.
 ///
 /// Invariant: `entries` is sorted by flight.
@@ -52,25 +65,25 @@
         Some(self.entries.remove(at).suspects)
     }
 
-    /// Marks a request as lost, and returns its replica and suspects.
+    /// Marks a request as lost, and returns its replica and what was there.
     pub(crate) fn lose(
         &mut self,
         flight: Flight,
         unframed: bool,
         now: Time,
-    ) -> Option<(EndId, Suspects)> {
+    ) -> Option<(EndId, Sent)> {
         self.entries.retain(|e| e.lost.is_none_or(|at| now.since(at) < LOST_TTL));
         let at = self.find(flight)?;
         let entry = &mut self.entries[at];
         (entry.lost, entry.unframed) = (Some(now), unframed);
-        Some((entry.replica, entry.suspects.clone()))
+        Some((entry.replica, entry.to_sent()))
     }
 
-    /// The suspects of the requests that are at a replica, or were lost there lately.
-    pub(crate) fn at(&self, replica: EndId, now: Time) -> Vec<Vec<SuspectKey>> {
+    /// The requests that are at a replica, or were lost there lately.
+    pub(crate) fn at(&self, replica: EndId, now: Time) -> Vec<Sent> {
         let near =
             |e: &&Entry| e.replica == replica && e.lost.is_none_or(|at| now.since(at) < LOST_TTL);
-        self.entries.iter().filter(near).map(|e| e.suspects.to_vec()).collect()
+        self.entries.iter().filter(near).map(Entry::to_sent).collect()
     }
 
     /// The replica of a request and when it was sent.
--- a/crates/blame/src/lib.rs
+++ b/crates/blame/src/lib.rs
@@ -21,8 +21,8 @@
 
 use crate::{
     answered::Answered,
-    evidence::{Evidence, Merged},
-    flights::Flights,
+    evidence::Evidence,
+    flights::{Flights, Sent},
 };
 
 /// Times after the end that made a suspect fatal at which one request is let through as a trial.
@@ -41,7 +41,7 @@
     flights: Flights,
     answered: Answered,
     evidence: Evidence,
-    /// The verdict on `evidence`; `None` after a change.
+    /// The verdict on `evidence`; `None` before the first.
     fatal: Option<Arc<[Fatal]>>,
 }
 
@@ -89,10 +89,10 @@
     /// replica has outlived it. Returns whether this is new evidence, because the replica is known
     /// to have ended.
     pub fn lost(&mut self, flight: Flight, unframed: bool, now: Time) -> bool {
-        let Some((replica, suspects)) = self.flights.lose(flight, unframed, now) else {
+        let Some((replica, sent)) = self.flights.lose(flight, unframed, now) else {
             return false;
         };
-        self.evidence.has_ended(replica) && self.accuse(replica, &suspects, now)
+        self.evidence.has_ended(replica) && self.accuse(replica, &sent, now)
     }
 
     /// Records that a replica ran at the time `at` or later. It has outlived what was lost there
@@ -124,40 +124,27 @@
     /// Records the end of a replica, and returns whether this is new evidence. `planned` tells
     /// whether the replica had announced that it leaves.
     pub fn replica_ended(&mut self, replica: EndId, planned: bool, now: Time) -> bool {
-        if self.evidence.note_end(replica, !planned, now) {
-            self.fatal = None;
-        }
-        let mut news = false;
-        for suspects in self.flights.at(replica, now) {
-            news |= self.accuse(replica, &suspects, now);
-        }
-        news
+        self.evidence.note_end(replica, !planned, now);
+        self.accuse_flights(replica, now)
     }
 
     /// Merges a peer's report, and returns whether it held anything that others should hear of at
     /// once.
     pub fn merge(&mut self, report: &Report, now: Time) -> bool {
         let mut news = false;
+        for (end, age) in &report.ended {
+            self.evidence.merge_end(*end, now.before(*age));
+        }
         for suspect in &report.suspects {
             if let Some(last) = self.answered.last(suspect.key) {
                 self.evidence.ensure(suspect.key);
                 self.evidence.answered(suspect.key, last, true);
             }
-            let merged = self.evidence.merge(suspect, now);
-            news |= merged == Merged::News;
-            if merged != Merged::Known {
-                self.fatal = None;
-            }
+            news |= self.evidence.merge(suspect, now);
         }
         // Requests of this instance may have been at the replicas that ended.
-        let new_ends = self.evidence.take_new_ends();
-        if !new_ends.is_empty() {
-            self.fatal = None;
-        }
-        for replica in new_ends {
-            for suspects in self.flights.at(replica, now) {
-                news |= self.accuse(replica, &suspects, now);
-            }
+        for replica in self.evidence.take_new_ends() {
+            news |= self.accuse_flights(replica, now);
         }
         news
     }
@@ -181,7 +168,8 @@
 
     /// The fatal requests and parts. Parts that can't be told apart are together.
     pub fn fatal(&mut self, now: Time) -> Arc<[Fatal]> {
-        if self.evidence.expire(now) {
+        self.evidence.expire(now);
+        if self.evidence.take_changed() {
             self.fatal = None;
         }
         let evidence = &self.evidence;
@@ -224,23 +212,26 @@
             self.answered.insert(*key, now);
             changed |= self.evidence.answered(*key, now, true);
         }
-        if changed {
-            self.fatal = None;
-        }
         changed
     }
 
-    fn accuse(&mut self, replica: EndId, suspects: &[SuspectKey], now: Time) -> bool {
+    /// Records that a replica ended under the requests of this instance that are there.
+    fn accuse_flights(&mut self, replica: EndId, now: Time) -> bool {
         let mut news = false;
-        for key in suspects {
+        for sent in self.flights.at(replica, now) {
+            news |= self.accuse(replica, &sent, now);
+        }
+        news
+    }
+
+    fn accuse(&mut self, replica: EndId, sent: &Sent, now: Time) -> bool {
+        let mut news = false;
+        for key in &*sent.suspects {
             self.evidence.ensure(*key);
             if let Some(last) = self.answered.last(*key) {
                 self.evidence.answered(*key, last, true);
             }
-            news |= self.evidence.accuse(*key, replica, now);
-        }
-        if news {
-            self.fatal = None;
+            news |= self.evidence.accuse(*key, replica, sent.at, now);
         }
         news
     }
--- a/crates/blame/src/report.rs
+++ b/crates/blame/src/report.rs
@@ -9,12 +9,16 @@
 
 /// Ages travel in units of this.
 const AGE_UNIT: Duration = Duration::from_millis(10);
+/// One in this many bytes of a report is for ends of replicas.
+const ENDED_DIVISOR: usize = 3;
 
 /// Evidence against and for suspects, most important first.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Report {
     /// The suspects.
     pub suspects: Vec<SuspectReport>,
+    /// Replicas that ended, whatever was there, each with the time since.
+    pub ended: Vec<(EndId, Duration)>,
 }
 
 /// Evidence against and for one suspect. In a table's row it is an object with one field for each
@@ -24,7 +28,8 @@
 pub struct SuspectReport {
     /// The suspect.
     pub key: SuspectKey,
-    /// The replicas that ended under it since its last whole answer, each with the time since.
+    /// The replicas that ended under it since its last whole answer, each with the time since it was
+    /// first sent there.
     pub ends: Vec<(EndId, Duration)>,
     /// Time since the last whole answer that the sender saw; `None` if it saw none.
     pub answer: Option<Duration>,
@@ -36,7 +41,7 @@
 struct RowWire {
     #[serde(flatten)]
     key: SuspectKey,
-    /// Digest of an end and its age.
+    /// Digest of an end, and time since the suspect was sent there.
     ends: Vec<(u32, u32)>,
     answer: Option<u32>,
     trials: u8,
@@ -46,7 +51,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectWire<K> {
     key: K,
-    /// Digest of an end and its age.
+    /// Digest of an end, and time since the suspect was sent there.
     ends: Vec<(u32, u32)>,
     answer: Option<u32>,
     trials: u8,
@@ -59,6 +64,8 @@
     pub parts: Vec<SuspectWire<u64>>,
     /// The suspects that are requests.
     pub requests: Vec<SuspectWire<[u8; 16]>>,
+    /// Digests of ends and their ages.
+    pub ended: Vec<(u32, u32)>,
 }
 
 fn to_units(age: Duration) -> u32 {
@@ -102,7 +109,8 @@
 
 impl From<&Report> for ReportWire {
     fn from(report: &Report) -> Self {
-        let mut wire = Self::default();
+        let ended = report.ended.iter().map(|(end, age)| (end.0, to_units(*age))).collect();
+        let mut wire = Self { ended, ..Self::default() };
         for suspect in &report.suspects {
             match suspect.key {
                 SuspectKey::Part(key) => wire.parts.push(SuspectWire::new(key, suspect)),
@@ -120,7 +128,8 @@
         let parts = wire.parts.into_iter().map(|s| s.into_report(SuspectKey::Part));
         let to_key = |key| SuspectKey::Request(Digest(key));
         let requests = wire.requests.into_iter().map(|s| s.into_report(to_key));
-        Self { suspects: parts.chain(requests).collect() }
+        let ended = wire.ended.into_iter().map(|(end, units)| (EndId(end), from_units(units)));
+        Self { suspects: parts.chain(requests).collect(), ended: ended.collect() }
     }
 }
 
@@ -135,20 +144,37 @@
     }
 }
 
+/// The first of `items` that take at most `bytes` together, and what they take.
+fn within<I, F>(bytes: usize, items: I, size: F) -> (Vec<I::Item>, usize)
+where
+    I: Iterator,
+    F: Fn(&I::Item) -> usize,
+{
+    let mut left = bytes;
+    let fits = items.take_while(|item| {
+        let size = size(item);
+        let fits = size <= left;
+        left -= if fits { size } else { 0 };
+        fits
+    });
+    let fits = fits.collect();
+    (fits, bytes - left)
+}
+
 impl Report {
-    /// The first of `suspects` that take at most `bytes` in a datagram together.
-    pub(crate) fn within<I>(bytes: usize, suspects: I) -> Self
+    /// The first of `suspects` and of `ended` that take at most `bytes` in a datagram together.
+    pub(crate) fn within<S, E>(bytes: usize, suspects: S, ended: E) -> Self
     where
-        I: Iterator<Item = SuspectReport>,
+        S: Iterator<Item = SuspectReport>,
+        E: Iterator<Item = (EndId, Duration)>,
     {
-        // The lengths of the two lists take up to two bytes each.
-        let mut left = bytes.saturating_sub(4);
-        let fits = suspects.take_while(|suspect| {
-            let size = suspect.size();
-            let fits = size <= left;
-            left = left.saturating_sub(size);
-            fits
-        });
-        Self { suspects: fits.collect() }
+        // The lengths of the three lists take up to two bytes each.
+        let bytes = bytes.saturating_sub(6);
+        let end_size = |(end, age): &(EndId, Duration)| {
+            postcard::to_stdvec(&(end.0, to_units(*age))).map_or(usize::MAX, |bytes| bytes.len())
+        };
+        let (ended, used) = within(bytes / ENDED_DIVISOR, ended, end_size);
+        let (suspects, _) = within(bytes - used, suspects, SuspectReport::size);
+        Self { suspects, ended }
     }
 }
--- a/crates/blame/src/verdict.rs
+++ b/crates/blame/src/verdict.rs
@@ -79,7 +79,7 @@
     F: Fn(&Suspect, &[(EndId, Time)]) -> bool,
 {
     let open = |s: &Suspect| -> Vec<(EndId, Time)> {
-        let ends = s.open_ends().iter().copied();
+        let ends = s.open_ends().map(|e| (e.replica, e.at));
         let mut ends: Vec<(EndId, Time)> =
             ends.filter(|(end, _)| !explained.contains(end)).collect();
         ends.sort_unstable();
@@ -94,7 +94,8 @@
     let ids = |ends: &[(EndId, Time)]| ends.iter().map(|(end, _)| *end).collect::<Vec<_>>();
     let alike = candidates.iter().filter(|(_, other)| ids(other) == ids(ends));
     let alike: Vec<&Suspect> = alike.map(|(s, _)| *s).collect();
-    let since = alike.iter().map(|s| s.open_ends()[evidence.fatal_ends(s) - 1].1).min()?;
+    let since = alike.iter().filter_map(|s| s.open_ends().nth(evidence.fatal_ends(s) - 1));
+    let since = since.map(|e| e.at).min()?;
     Some(Cause { alike, ends: ends.clone(), since })
 }
 
--- a/crates/blame/tests/verdict_rules.rs
+++ b/crates/blame/tests/verdict_rules.rs
@@ -182,10 +182,11 @@
     (500..503).for_each(|n| end(&mut blame, n, &[7 << 40], 300));
     for space in [0, 1, 30, 200, 900] {
         let report = blame.report(space, at(400));
-        let ReportWire { parts, requests } = (&report).into();
-        let bytes = postcard::to_stdvec(&(parts, requests)).expect("it can be encoded").len();
-        // Two empty lists take two bytes.
-        assert!(bytes <= space.max(2), "{bytes} bytes for {space}");
+        let ReportWire { parts, requests, ended } = (&report).into();
+        let bytes =
+            postcard::to_stdvec(&(parts, requests, ended)).expect("it can be encoded").len();
+        // Three empty lists take three bytes.
+        assert!(bytes <= space.max(3), "{bytes} bytes for {space}");
         if space >= 200 {
             assert_eq!(
                 report.suspects[0].key,
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -112,6 +112,8 @@
     limits: Vec<LimitWire>,
     /// Requests that were at replicas which ended, as far as there is space for them.
     requests: Vec<SuspectWire<[u8; 16]>>,
+    /// Replicas that ended, as in [`ReportWire`].
+    ended: Vec<(u32, u32)>,
 }
 
 /// A [`LimitReport`].
@@ -162,6 +164,7 @@
     take(&mut trailer.parts, &mut rest)?;
     take(&mut trailer.limits, &mut rest)?;
     take(&mut trailer.requests, &mut rest)?;
+    take(&mut trailer.ended, &mut rest)?;
     Ok((datagram, trailer))
 }
 
@@ -218,7 +221,7 @@
         return None;
     };
     let wire = ReportWire::from(&core.blame.lock().report(space, core.now()));
-    (trailer.parts, trailer.requests) = (wire.parts, wire.requests);
+    (trailer.parts, trailer.requests, trailer.ended) = (wire.parts, wire.requests, wire.ended);
     postcard::to_stdvec(&(&datagram, &trailer)).ok()
 }
 
@@ -380,9 +383,10 @@
         core.view.confirm_weights(at.min(now));
         core.view.confirm_registry(at.min(now));
     }
-    if !(trailer.parts.is_empty() && trailer.requests.is_empty()) {
+    if !(trailer.parts.is_empty() && trailer.requests.is_empty() && trailer.ended.is_empty()) {
         let (parts, requests) = (trailer.parts.clone(), trailer.requests.clone());
-        ends::merge(core, &Report::from(ReportWire { parts, requests }));
+        let ended = trailer.ended.clone();
+        ends::merge(core, &Report::from(ReportWire { parts, requests, ended }));
     }
     for limit in &trailer.limits {
         match LimitReport::try_from(limit) {
--- a/crates/relay/src/verdicts.rs
+++ b/crates/relay/src/verdicts.rs
@@ -141,7 +141,7 @@
             continue;
         };
         let suspects = rows.iter().filter_map(parse).map(|wire| aged(wire, clock)).collect();
-        let report = Report { suspects };
+        let report = Report { suspects, ended: Vec::new() };
         if !report.suspects.is_empty() {
             info!(suspects = report.suspects.len(), "verdicts read");
             ends::merge(&core, &report);
