Blame suspects together only for four fifths of the ends near theirs

Where no suspect was at half of the ends near its own, up to three were blamed that had half together.

Four fifths are still there where two or three requests end replicas by turns; the tests of two fatal requests and of a part beside one hold as before.

--- a/crates/blame/src/verdict.rs
+++ b/crates/blame/src/verdict.rs
@@ -9,6 +9,9 @@
 
 /// Most causes that are blamed together where none was at half of the ends by itself.
 const MAX_CAUSES: usize = 3;
+/// Share of the ends near theirs at which they must have been together. Any three popular suspects
+/// were at half of the replicas that are lost together.
+const TOGETHER_SHARE: f64 = 0.8;
 
 /// What replicas end under: one request, or one or more parts that can't be told apart.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -99,7 +102,7 @@
     Some(Cause { alike, ends: ends.clone(), since })
 }
 
-/// Causes that together were at half or more of the ends near theirs: requests, and one group of
+/// Causes that together were at [`TOGETHER_SHARE`] or more of the ends near theirs: requests, and one group of
 /// parts at most, since a lost zone takes a few popular parts along at all of its replicas.
 fn together<'e>(evidence: &'e Evidence, explained: &[EndId]) -> Vec<Cause<'e>> {
     let mut causes: Vec<Cause<'e>> = Vec::new();
@@ -113,7 +116,7 @@
         ends.extend(cause.ends.iter().copied());
         causes.push(cause);
     }
-    let enough = ends.len() * 2 >= evidence.count_near(&ends, explained);
+    let enough = ends.len() as f64 >= evidence.count_near(&ends, explained) as f64 * TOGETHER_SHARE;
     if enough { causes } else { Vec::new() }
 }
 
