Send requests through a peer where no replica is reached

No request had a way past its own instance: attempts ended "unreachable" and then "no replica is usable now". The class is that of a fault that an instance takes for the replicas', since it judges by its own connections alone.

An instance now records which replicas it reaches, probes those of a target of which it reaches half or fewer, and tells peers the targets of which it reaches none. Requests for these go over a kept connection to a peer that does not say the same, which sends them to replicas only. Key, route, deadline, attempts and the caller's leaving hold over the hop; a request that was written to a peer and got no answer counts as one that may have run. Instances that are cut off are left out of the answers to callers while half or more are not. A replica counts as ended only while another one is reached: an instance that was cut off told its peers that all replicas which refused its connections had ended.

--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -197,6 +197,13 @@
         self.record_outcome(id, Outcome::NoAnswer, now);
     }
 
+    /// Ends the exclusion of a replica that failed, because it was reached.
+    pub fn mark_reachable(&mut self, id: &str) {
+        if let Some(entry) = self.find(id) {
+            (entry.failures, entry.excluded_until) = (0, entry.loading_until);
+        }
+    }
+
     /// Excludes a replica until a point in time, whatever its health, because it loads weights.
     pub fn exclude_loading(&mut self, id: &str, until: Time) {
         if let Some(entry) = self.find(id) {
--- a/crates/relay/src/accept.rs
+++ b/crates/relay/src/accept.rs
@@ -17,6 +17,7 @@
 use crate::{
     answer::Refusal,
     core::{BODY_PERMIT_BYTES, Core},
+    detour::DETOUR,
     job::{ActiveGuard, Job, request_digest},
 };
 
@@ -53,6 +54,7 @@
     let body = read_body(core, config, body, deadline).await?;
     let mut headers = head.headers;
     core.adapters.protocol.strip_request(&mut headers);
+    headers.remove(DETOUR);
     let (method, uri) = (head.method, origin_form(head.uri));
     let name = team.as_ref().map(|t| &*t.name);
     let digest = request_digest(&host, &method, &uri, name, meta.prompt.as_ref(), &body);
@@ -67,6 +69,7 @@
         team,
         start,
         deadline,
+        is_detour: false,
         _body_permit: permit,
         _active: active,
     })
--- a/crates/relay/src/conns.rs
+++ b/crates/relay/src/conns.rs
@@ -3,7 +3,7 @@
 
 use std::{
     io::ErrorKind,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{
         Arc,
         atomic::{AtomicU32, Ordering},
@@ -24,7 +24,11 @@
 use outbound::{InformationalLimit, TooManyInformational};
 use parking_lot::Mutex;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    task::AbortHandle,
+    time::timeout,
+};
 
 /// Timeout for opening a connection. A replica without power does not answer at all.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -99,6 +103,8 @@
 pub struct ConnPool {
     /// Sorted by the replicas' ids.
     replicas: Mutex<Vec<Arc<ReplicaConns>>>,
+    /// Address from which connections are made; `None` for any.
+    source: Option<IpAddr>,
 }
 
 /// What is told of the writing of a request.
@@ -111,6 +117,11 @@
 }
 
 impl ConnPool {
+    /// A pool whose connections are made from `source`.
+    pub fn from_source(source: IpAddr) -> Self {
+        Self { source: Some(source), ..Self::default() }
+    }
+
     /// Sends a request to the replica `id` at `addr`, over a kept connection if there is one. At
     /// most `max_conns` connections to the replica are open at a time.
     pub async fn send(
@@ -141,7 +152,7 @@
                 },
             }
         }
-        let mut conn = connect(replica, max_conns).await?;
+        let mut conn = connect(replica, max_conns, self.source).await?;
         if !gate.open() {
             return Err(SendError::Withheld);
         }
@@ -221,12 +232,16 @@
     }
 }
 
-async fn connect(replica: Arc<ReplicaConns>, max_conns: u32) -> Result<Conn, SendError> {
+async fn connect(
+    replica: Arc<ReplicaConns>,
+    max_conns: u32,
+    source: Option<IpAddr>,
+) -> Result<Conn, SendError> {
     if replica.open.fetch_add(1, Ordering::Relaxed) >= max_conns {
         replica.open.fetch_sub(1, Ordering::Relaxed);
         return Err(SendError::NoFreeConn);
     }
-    match handshake(replica.addr).await {
+    match handshake(replica.addr, source).await {
         // The expiry is set when the connection becomes idle.
         Ok((sender, task)) => Ok(Conn { sender, task, replica, expires: Time(0) }),
         Err(e) => {
@@ -238,9 +253,20 @@
 
 type Handshake = (http1::SendRequest<Full<Bytes>>, AbortHandle);
 
-/// Opens a connection to `addr`.
-async fn open(addr: SocketAddr, limit: Duration) -> Result<TcpStream, SendError> {
-    match timeout(limit, TcpStream::connect(addr)).await {
+/// Opens a connection to `addr`, from the address `source` if one is given.
+pub(crate) async fn open(
+    addr: SocketAddr,
+    limit: Duration,
+    source: Option<IpAddr>,
+) -> Result<TcpStream, SendError> {
+    let connect = async {
+        let socket = if addr.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        if let Some(source) = source {
+            socket.bind(SocketAddr::new(source, 0))?;
+        }
+        socket.connect(addr).await
+    };
+    match timeout(limit, connect).await {
         Ok(Ok(stream)) => Ok(stream),
         Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => {
             Err(SendError::Refused(e.to_string().into()))
@@ -252,11 +278,11 @@
 
 /// Opens a connection to `addr` and closes it.
 pub(crate) async fn try_connect(addr: SocketAddr, limit: Duration) -> Result<(), SendError> {
-    open(addr, limit).await.map(drop)
+    open(addr, limit, None).await.map(drop)
 }
 
-async fn handshake(addr: SocketAddr) -> Result<Handshake, SendError> {
-    let stream = open(addr, CONNECT_TIMEOUT).await?;
+async fn handshake(addr: SocketAddr, source: Option<IpAddr>) -> Result<Handshake, SendError> {
+    let stream = open(addr, CONNECT_TIMEOUT, source).await?;
     let failed = |e: &dyn std::error::Error| SendError::Connect(e.to_string().into());
     set_socket_options(&stream, UNACKED_TIMEOUT).map_err(|e| failed(&e))?;
     let mut builder = http1::Builder::new();
@@ -287,7 +313,7 @@
 ) -> Result<Bytes, SendError> {
     let broken = |e: hyper::Error| SendError::Broken(e.to_string().into());
     let exchange = async {
-        let (mut sender, task) = handshake(addr).await?;
+        let (mut sender, task) = handshake(addr, None).await?;
         let mut request = Request::new(Full::new(Bytes::new()));
         *request.uri_mut() = path.parse().expect("the path constant is valid");
         let value = HeaderValue::from_str(&addr.to_string()).expect("the address is a valid value");
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -16,6 +16,7 @@
 use origin::Origins;
 use parking_lot::Mutex;
 use place::{Catalog, Limits, Peers, Pool, RetryBudgets};
+use reach::Reach;
 use table::Table;
 use tokio::{
     net::UdpSocket,
@@ -154,6 +155,12 @@
     pub body_memory: Arc<Semaphore>,
     /// Connections to replicas.
     pub conns: ConnPool,
+    /// Connections to peers that send requests on.
+    pub(crate) peer_conns: ConnPool,
+    /// Peers at which requests of this instance are, one for each request.
+    pub(crate) detours: Mutex<Vec<Arc<str>>>,
+    /// Which replicas this instance and its peers reach.
+    pub reach: Mutex<Reach>,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Number of requests in flight.
@@ -210,6 +217,8 @@
         let body_memory = Arc::new(Semaphore::new(settings.bounds.bodies / BODY_PERMIT_BYTES));
         let Bounds { ratio, window, extra, .. } = settings.bounds;
         let now = clock.now();
+        // Peers know this instance by the address.
+        let peer_conns = ConnPool::from_source(settings.listen.peer.ip());
         let budgets = RetryBudgets::new(ratio, window, extra, now);
         Arc::new(Self {
             settings,
@@ -221,6 +230,9 @@
             catalogs: Mutex::default(),
             body_memory,
             conns: ConnPool::default(),
+            peer_conns,
+            detours: Mutex::default(),
+            reach: Mutex::default(),
             metrics: Metrics::new(),
             active: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -8,6 +8,7 @@
 use crate::{
     answer::{Body, json_response},
     core::Core,
+    links,
     peers::PEER_TTL,
 };
 
@@ -17,6 +18,14 @@
 /// callers notice a replaced instance later.
 const ANSWER_TTL: Duration = Duration::from_secs(2);
 
+/// An instance that takes requests.
+struct Listed {
+    other_zone: bool,
+    /// Whether it reaches no replica of some target.
+    cut_off: bool,
+    front: SocketAddr,
+}
+
 /// Answers with the addresses of the instances that take requests. Where not all fit, those in the
 /// caller's zone are preferred.
 pub(crate) fn answer(core: &Core, zone: Option<&str>) -> Response<Body> {
@@ -40,13 +49,30 @@
         found.is_ok_and(|at| now.since(last_heard[at].1) < PEER_TTL)
     };
     let others = snapshot.instances.iter().filter(|i| i.name != *me && !i.leaving);
-    let mut out: Vec<_> = others
+    let is_cut_off = !links::cut_off(core).is_empty();
+    let reach = core.reach.lock();
+    let mut all: Vec<Listed> = others
         .filter(|i| alive(&i.name))
-        .map(|i| (zone.is_some_and(|z| z != &*i.zone), i.front))
+        .map(|i| Listed {
+            other_zone: zone.is_some_and(|z| z != &*i.zone),
+            cut_off: !reach.peer_reaches_all(&i.name, now),
+            front: i.front,
+        })
         .collect();
     if core.is_ready() {
-        out.push((zone.is_some_and(|z| z != &*core.settings.zone), core.settings.listen.front));
+        all.push(Listed {
+            other_zone: zone.is_some_and(|z| z != &*core.settings.zone),
+            cut_off: is_cut_off,
+            front: core.settings.listen.front,
+        });
+    }
+    drop(reach);
+    // Instances that send requests on through others are left out while half or more are not cut off.
+    let reaching = all.iter().filter(|listed| !listed.cut_off).count();
+    if reaching * 2 >= all.len() {
+        all.retain(|listed| !listed.cut_off);
     }
+    let mut out: Vec<_> = all.into_iter().map(|listed| (listed.other_zone, listed.front)).collect();
     out.shuffle(&mut rand::rng());
     if out.len() > MAX_ADDRS {
         out.sort_by_key(|(other_zone, _)| *other_zone);
--- a/crates/relay/src/ends.rs
+++ b/crates/relay/src/ends.rs
@@ -12,6 +12,7 @@
 use crate::{
     conns::{SendError, try_connect},
     core::Core,
+    links,
     services::CallError,
     verdicts,
 };
@@ -126,6 +127,25 @@
     }
 }
 
+/// Records that a replica refused a connection: it has ended, unless this instance reaches no other
+/// one either.
+pub(crate) fn note_refused(core: &Arc<Core>, replica: &Arc<Replica>) {
+    let end = end_id(replica);
+    let mut checked = core.checked.lock();
+    if has_ended(core, replica) || checked.contains(&end) {
+        return;
+    }
+    checked.push(end);
+    drop(checked);
+    let (core, replica) = (core.clone(), replica.clone());
+    tokio::spawn(async move {
+        if links::reaches_others(&core, &replica).await {
+            replica_ended(&core, &replica);
+        }
+        core.checked.lock().retain(|e| *e != end);
+    });
+}
+
 /// Merges a peer's report of what was at replicas which ended.
 pub(crate) fn merge(core: &Arc<Core>, report: &Report) {
     let news = core.blame.lock().merge(report, core.now());
@@ -211,6 +231,8 @@
 async fn check(core: &Core, replica: &Replica) -> Finding {
     match try_connect(replica.addr, CONNECT_TIMEOUT).await {
         Ok(()) => {}
+        // The fault may be this instance's own link.
+        Err(_) if !links::reaches_others(core, replica).await => return Finding::Unknown,
         Err(SendError::Refused(_)) => return Finding::Ended,
         Err(_) if core.is_in_contact() => return Finding::Ended,
         Err(_) => return Finding::Unknown,
@@ -222,7 +244,9 @@
         Ok(Ok(report)) if report.started_ms == replica.started_ms => Finding::Alive,
         Ok(Ok(_)) => Finding::Ended,
         // It accepts connections and closes them.
-        Ok(Err(CallError::Silent(_))) => Finding::Closed,
+        Ok(Err(CallError::Silent(_))) if links::reaches_others(core, replica).await => {
+            Finding::Closed
+        }
         Ok(Err(_)) | Err(_) => Finding::Unknown,
     }
 }
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -20,7 +20,7 @@
 use crate::{
     answer::{Body, Refusal, full_body, unsized_body},
     core::Core,
-    ends,
+    detour, ends,
     job::Job,
     origins, relay,
     send::{AttemptOutcome, ReplicaAnswer},
@@ -62,6 +62,8 @@
         why: &'static str,
         retry_delay: Duration,
     },
+    /// No replica of the target is reached from here, and a peer reaches some.
+    Detour,
     /// Replicas ended under the request, or under a part of its prompt.
     Bar {
         what: &'static str,
@@ -69,6 +71,21 @@
     },
 }
 
+/// Why no answer of a replica comes.
+#[derive(Debug)]
+pub(crate) enum Stopped {
+    /// The request is refused.
+    Refused(Refusal),
+    /// It must go through a peer.
+    CutOff,
+}
+
+impl From<Refusal> for Stopped {
+    fn from(refusal: Refusal) -> Self {
+        Self::Refused(refusal)
+    }
+}
+
 /// At which replicas a stream may go on: what two versions of their software write doesn't fit
 /// together.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -125,7 +142,7 @@
     pub(crate) async fn send_until_answered(
         &mut self,
         last: Option<u64>,
-    ) -> Result<ReplicaAnswer, Refusal> {
+    ) -> Result<ReplicaAnswer, Stopped> {
         self.try_trial().await;
         loop {
             let attempt = match self.next_step() {
@@ -134,10 +151,13 @@
                     tokio::time::sleep(pause).await;
                     continue;
                 }
-                Step::Stop { why, retry_delay } => return Err(self.refusal(why, retry_delay)),
-                Step::Bar { .. } if self.possible_runs > 0 => return Err(Refusal::Lost),
+                Step::Detour => return Err(Stopped::CutOff),
+                Step::Stop { why, retry_delay } => {
+                    return Err(self.refusal(why, retry_delay).into());
+                }
+                Step::Bar { .. } if self.possible_runs > 0 => return Err(Refusal::Lost.into()),
                 Step::Bar { what, retry_delay } => {
-                    return Err(Refusal::Barred { what, retry_delay });
+                    return Err(Refusal::Barred { what, retry_delay }.into());
                 }
             };
             match self.attempt(attempt, last).await {
@@ -145,7 +165,9 @@
                     self.count_outcome("failed", &answer.replica.id);
                 }
                 AttemptOutcome::Answered(answer) => return Ok(*answer),
-                AttemptOutcome::Lost if !self.job.route.repeatable() => return Err(Refusal::Lost),
+                AttemptOutcome::Lost if !self.job.route.repeatable() => {
+                    return Err(Refusal::Lost.into());
+                }
                 AttemptOutcome::NotRun | AttemptOutcome::Unsent | AttemptOutcome::Lost => {}
             }
         }
@@ -270,12 +292,16 @@
         if self.job.time_left(now) < MIN_TIME_LEFT {
             return stop("the time is over", BUSY_RETRY_DELAY);
         }
-        if self.possible_runs >= self.job.route.attempts || self.tried.len() >= MAX_ATTEMPTS {
-            return stop("all allowed replicas refused", BUSY_RETRY_DELAY);
-        }
-        if let Some(step) = self.check_suspects(now) {
+        let may_run = self.possible_runs < self.job.route.attempts;
+        if let Some(step) = self.check_suspects(now).filter(|_| may_run) {
             return step;
         }
+        if may_run && !self.job.is_detour && detour::is_needed(&self.core, &self.target) {
+            return Step::Detour;
+        }
+        if !may_run || self.tried.len() >= MAX_ATTEMPTS {
+            return stop("all allowed replicas refused", BUSY_RETRY_DELAY);
+        }
         if self.pin == Pin::Nowhere {
             return stop("the version that began the stream is not known", NO_REPLICA_RETRY_DELAY);
         }
@@ -318,6 +344,14 @@
         Step::Send(Attempt { snapshot, choice })
     }
 
+    /// Sends the request on to a peer.
+    async fn send_on(&self) -> Result<Response<Body>, Refusal> {
+        if self.arrivals > 0 && !self.within_budget(&self.core.view.snapshot(), self.core.now()) {
+            return Err(self.refusal("the budget of repeats is used up", BUSY_RETRY_DELAY));
+        }
+        detour::send(self, self.possible_runs).await
+    }
+
     /// Whether to retry at another replica after a replica answered with a server error.
     fn should_retry(&self, answer: &ReplicaAnswer) -> bool {
         let attempts_left =
@@ -408,7 +442,11 @@
         forwarder.pin_to_origin().await?;
     }
     loop {
-        let mut answer = forwarder.send_until_answered(None).await?;
+        let mut answer = match forwarder.send_until_answered(None).await {
+            Ok(answer) => answer,
+            Err(Stopped::Refused(refusal)) => return Err(refusal),
+            Err(Stopped::CutOff) => return forwarder.send_on().await,
+        };
         let first = core.now().since(job.start);
         core.metrics.first_byte.observe(first.as_secs_f64());
         let streamed = answer.status.is_success() && is_stream(&job.route, &answer.headers);
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -55,6 +55,8 @@
     pub start: Time,
     /// When the answer must be complete.
     pub deadline: Time,
+    /// Whether a peer sent it on, so that it goes to replicas only.
+    pub is_detour: bool,
     /// Holds the memory that the body takes.
     pub _body_permit: OwnedSemaphorePermit,
     /// Counts the request as in flight.
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -48,6 +48,11 @@
     pub fatal_parts: IntGauge,
     /// Requests under which replicas end.
     pub fatal_requests: IntGauge,
+    /// Targets of which this instance reaches no replica.
+    pub cut_off_targets: IntGauge,
+    /// Requests sent on to peers, by outcome: `taken`, `not_taken`, `unreachable`, `broken` or
+    /// `silent`.
+    pub detours: IntCounterVec,
     /// Replicas that name a limit on requests.
     pub limited_replicas: IntGauge,
     /// Seconds from the request to the head of a replica's answer, before its body is read.
@@ -123,6 +128,11 @@
             ),
             fatal_parts: gauge("lentil_fatal_parts", "Parts of prompts under which replicas end"),
             fatal_requests: gauge("lentil_fatal_requests", "Requests under which replicas end"),
+            cut_off_targets: gauge(
+                "lentil_cut_off_targets",
+                "Targets of which no replica is reached",
+            ),
+            detours: family("lentil_detours_total", "Requests sent on to peers", "outcome"),
             limited_replicas: gauge(
                 "lentil_limited_replicas",
                 "Replicas that name a limit on requests",
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     core::Core,
-    duty, follow, peers,
+    duty, follow, links, peers,
     serve::{ListenerKind, listen},
     services::Topic,
     verdicts,
@@ -124,6 +124,7 @@
     tokio::spawn(verdicts::load(core.clone()));
     tokio::spawn(duty::run(core.clone()));
     tokio::spawn(sweep(core.clone()));
+    tokio::spawn(links::probe_loop(core.clone()));
     tokio::spawn(watch_timers(core.clone()));
     shutdown.await;
     stop(&core, &socket).await;
@@ -244,6 +245,7 @@
         core.metrics.limited_replicas.set(limits.count() as i64);
         drop(limits);
         core.conns.sweep(|id| snapshot.replica(id).is_some(), now);
+        core.peer_conns.sweep(|name| snapshot.instances.iter().any(|i| *i.name == *name), now);
         core.budgets.lock().record_instances(core.instance_count(&snapshot), now);
     }
 }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -18,7 +18,7 @@
 use tokio::{net::UdpSocket, time::timeout};
 use tracing::{info, warn};
 
-use crate::{conns::fetch_from_peer, core::Core, dates::RegistryClock, ends, origins};
+use crate::{conns::fetch_from_peer, core::Core, dates::RegistryClock, ends, links, origins};
 
 /// How long after its last datagram a peer is listed to callers. Where limits are divided among
 /// the instances, a peer counts four times as long.
@@ -47,6 +47,8 @@
 const RESERVED_BYTES: usize = 300;
 /// Most limits of replicas in one datagram.
 const MAX_LIMITS: usize = 8;
+/// Most targets of which no replica is reached in one datagram.
+const MAX_CUT_OFF: usize = 8;
 /// Most replicas with their load in one datagram.
 const MAX_LOADS: usize = 40;
 
@@ -114,6 +116,8 @@
     requests: Vec<SuspectWire<[u8; 16]>>,
     /// Replicas that ended, as in [`ReportWire`].
     ended: Vec<(u32, u32)>,
+    /// Targets of which the sender reaches no replica.
+    cut_off: Vec<String>,
 }
 
 /// A [`LimitReport`].
@@ -165,6 +169,7 @@
     take(&mut trailer.limits, &mut rest)?;
     take(&mut trailer.requests, &mut rest)?;
     take(&mut trailer.ended, &mut rest)?;
+    take(&mut trailer.cut_off, &mut rest)?;
     Ok((datagram, trailer))
 }
 
@@ -210,6 +215,8 @@
     let clock = *core.registry_clock.lock();
     let (mut datagram, mut trailer) = datagram(core, &clock);
     let limits = core.limits.lock().report(core.now());
+    let cut_off = links::cut_off(core);
+    trailer.cut_off = cut_off.iter().take(MAX_CUT_OFF).map(|t| t.to_string()).collect();
     trailer.limits = limits.into_iter().take(MAX_LIMITS).map(LimitWire::from).collect();
     let reserved = if core.blame.lock().has_suspects() { RESERVED_BYTES } else { 0 };
     let mut bare = postcard::to_stdvec(&(&datagram, &trailer)).ok()?.len();
@@ -388,6 +395,8 @@
         let ended = trailer.ended.clone();
         ends::merge(core, &Report::from(ReportWire { parts, requests, ended }));
     }
+    let cut_off = trailer.cut_off.iter().map(|target| target.as_str().into()).collect();
+    core.reach.lock().set_peer(&name, cut_off, now);
     for limit in &trailer.limits {
         match LimitReport::try_from(limit) {
             Ok(report) => merge_limit(core, &report, &name, now),
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -278,6 +278,10 @@
                     self.log_silence(replica, "kept", why);
                     return None;
                 }
+                Step::Detour => {
+                    self.log_silence(replica, "kept", "no replica of the target is reached");
+                    return None;
+                }
                 Step::Bar { what, .. } => {
                     self.log_silence(replica, "kept", &format!("replicas ended under {what}"));
                     return None;
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -16,6 +16,7 @@
     core::Core,
     ends::{self, FlightGuard},
     forward::{Attempt, Forwarder},
+    links,
     protocol::{ForwardHeaders, ResponseMeta},
 };
 
@@ -177,12 +178,14 @@
                 self.check_head(response, conn, guard, flight, &choice)
             }
             Ok(Err(SendError::Refused(why))) => {
-                ends::replica_ended(core, replica);
+                core.reach.lock().failed(&replica.id, core.now());
+                ends::note_refused(core, replica);
                 core.pool.lock().mark_unreachable(&replica.id, core.now());
                 self.log_outcome("unreachable", &choice, &why);
                 AttemptOutcome::Unsent
             }
             Ok(Err(SendError::Connect(why))) => {
+                core.reach.lock().failed(&replica.id, core.now());
                 ends::check_replica(core, replica);
                 core.pool.lock().mark_unreachable(&replica.id, core.now());
                 self.log_outcome("unreachable", &choice, &why);
@@ -201,6 +204,8 @@
                 if let Some(flight) = flight {
                     flight.lost();
                 }
+                let (checking, checked) = (core.clone(), replica.clone());
+                tokio::spawn(async move { links::check(&checking, &checked).await });
                 core.pool.lock().record_outcome(&replica.id, Outcome::NoAnswer, core.now());
                 self.log_outcome("broken", &choice, &why);
                 AttemptOutcome::Lost
@@ -300,6 +305,7 @@
             return AttemptOutcome::Lost;
         }
         flight.begun();
+        links::note_reached(core, &choice.replica);
         if meta.sealed || meta.refused {
             self.observe_limit(&meta.limit, &choice.replica, now);
         }
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -16,6 +16,7 @@
     caller_conn::{CallerConn, Incomplete},
     conns::{CALLER_UNACKED_TIMEOUT, set_socket_options},
     core::Core,
+    detour::{self, DETOUR},
     directory,
     forward::forward,
     peers::CONFIG_PATH,
@@ -83,7 +84,7 @@
     let incomplete = Incomplete::default();
     let stream = CallerConn::new(stream, incomplete.clone());
     let service =
-        service_fn(move |request| respond(core.clone(), request, kind, incomplete.clone()));
+        service_fn(move |request| respond(core.clone(), request, kind, from, incomplete.clone()));
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new()).max_buf_size(head);
     // hyper's timer also covers the idle time before a request, so the longer limit applies.
@@ -105,6 +106,7 @@
     core: Arc<Core>,
     request: Request<Incoming>,
     kind: ListenerKind,
+    from: SocketAddr,
     incomplete: Incomplete,
 ) -> Result<Response<Body>, Infallible> {
     let mut out = match kind {
@@ -114,6 +116,11 @@
             incomplete.follow(version, &method, answer)
         }
         ListenerKind::Info => serve_info(&core, &request),
+        ListenerKind::Peer if request.headers().contains_key(DETOUR) => {
+            let (version, method) = (request.version(), request.method().clone());
+            let answer = detour::answer(&core, request, from).await;
+            incomplete.follow(version, &method, answer.unwrap_or_else(|| not_found(&core)))
+        }
         ListenerKind::Peer => serve_peer(&core, &request),
     };
     if core.is_leaving() {
@@ -175,13 +182,15 @@
 fn serve_peer(core: &Core, request: &Request<Incoming>) -> Response<Body> {
     let bytes = core.config_bytes.lock().clone();
     if request.uri().path() != CONFIG_PATH || bytes.is_empty() {
-        return json_response(
-            StatusCode::NOT_FOUND,
-            core.adapters.protocol.error_body("there is nothing here"),
-        );
+        return not_found(core);
     }
     Response::new(full_body(bytes))
 }
 
+fn not_found(core: &Core) -> Response<Body> {
+    let body = core.adapters.protocol.error_body("there is nothing here");
+    json_response(StatusCode::NOT_FOUND, body)
+}
+
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
