Bear a silence of 1.5 s on connections to replicas

Callers of bookings got 502 when a sound replica was silent for more than 0.9 s, and streams and idle connections broke: bytes to a replica might stay unacknowledged for 0.9 s, and with that limit set it also decides when keepalive probes give up, whatever their number.

The limit is 3.2 s: a silence of 1.5 s may begin just before a probe and swallow two. A replica that has answered nothing for 0.9 s while a request waits is probed instead, and gets no further requests while it is not reached; what is there goes on. So a replica that went dark is excluded after 1.2 s at most, though its requests wait longer for their second one.

--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -75,6 +75,8 @@
     reported: Option<(u32, Time)>,
     /// Number of attempts without an answer since the last [`Outcome::Answered`].
     pub(crate) failures: u32,
+    /// When the replica last answered this instance, or was checked since it did not.
+    heard: Time,
     /// Time until which the replica is excluded.
     pub(crate) excluded_until: Time,
     /// Time until which the replica loads weights, as far as is known.
@@ -132,6 +134,7 @@
                     own: Load::default(),
                     reported: None,
                     failures: 0,
+                    heard: Time(0),
                     excluded_until: Time(0),
                     loading_until: Time(0),
                     observed: None,
@@ -172,6 +175,9 @@
     /// Records how an attempt at a replica ended.
     pub fn record_outcome(&mut self, id: &str, outcome: Outcome, now: Time) {
         let Some(entry) = self.find(id) else { return };
+        if outcome != Outcome::NoAnswer {
+            entry.heard = now;
+        }
         match outcome {
             Outcome::Answered => entry.failures = 0,
             Outcome::Failed => {}
@@ -189,6 +195,17 @@
         }
     }
 
+    /// Whether a replica should be checked, because it has answered nothing since `since`. It should
+    /// not be again for as long.
+    pub fn take_check(&mut self, id: &str, since: Time, now: Time) -> bool {
+        let Some(entry) = self.find(id) else { return false };
+        let is_silent = entry.heard <= since;
+        if is_silent {
+            entry.heard = now;
+        }
+        is_silent
+    }
+
     /// Excludes a replica at once, because no connection to it could be made.
     pub fn mark_unreachable(&mut self, id: &str, now: Time) {
         if let Some(entry) = self.find(id) {
--- a/crates/relay/src/conns.rs
+++ b/crates/relay/src/conns.rs
@@ -32,13 +32,18 @@
 
 /// Timeout for opening a connection. A replica without power does not answer at all.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// How long bytes sent to a replica or peer may stay unacknowledged (`TCP_USER_TIMEOUT`).
-const UNACKED_TIMEOUT: Duration = Duration::from_millis(900);
+/// How long bytes sent to a replica or peer may stay unacknowledged (`TCP_USER_TIMEOUT`). It also
+/// decides when keepalive probes give up: a silence of 1.5 s may swallow two of them, and begin a
+/// second after the last acknowledgement.
+const UNACKED_TIMEOUT: Duration = Duration::from_millis(3200);
 /// The same for callers. It also limits how long a caller may leave what it received unread, since
 /// a closed window counts as unacknowledged.
 pub(crate) const CALLER_UNACKED_TIMEOUT: Duration = Duration::from_secs(5);
 /// Silence before the first TCP keepalive probe, and pause between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Keepalive probes without an answer that end a connection where no timeout for unacknowledged bytes
+/// decides.
+const KEEPALIVE_RETRIES: u32 = 3;
 /// How long an unused connection is kept if the replica names no keep-alive timeout.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Longest head of an answer, in bytes. It also bounds what is read at once.
@@ -339,7 +344,7 @@
     socket.set_tcp_user_timeout(Some(unacked))?;
     let probes =
         TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL);
-    socket.set_tcp_keepalive(&probes.with_retries(1))
+    socket.set_tcp_keepalive(&probes.with_retries(KEEPALIVE_RETRIES))
 }
 
 /// How long the replica's answer allows to keep its connection; `None` if not at all.
--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -45,13 +45,15 @@
     timeout(PROBE_HOLD, stream.read(&mut [0])).await.is_err()
 }
 
-/// Probes a replica and records the outcome.
-pub(crate) async fn check(core: &Core, replica: &Replica) {
-    if probe(replica).await {
+/// Probes a replica, records the outcome and returns whether the replica was reached.
+pub(crate) async fn check(core: &Core, replica: &Replica) -> bool {
+    let reached = probe(replica).await;
+    if reached {
         note_reached(core, replica);
     } else {
         core.reach.lock().failed(&replica.id, core.now());
     }
+    reached
 }
 
 /// Records that a replica was reached.
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -1,6 +1,6 @@
 //! One attempt to have a replica answer a request, and the check of the answer's head.
 
-use std::{sync::Arc, time::Duration};
+use std::{convert::Infallible, sync::Arc, time::Duration};
 
 use fleet::{Replica, Snapshot};
 use http_body_util::Full;
@@ -32,6 +32,9 @@
 /// left.
 const MIN_SUSPECT_WAIT: Duration = Duration::from_secs(1);
 
+/// Silence of a replica after which it is checked.
+const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(900);
+
 /// Counts a request's load at a replica until the guard is dropped.
 pub(crate) struct LoadGuard {
     core: Arc<Core>,
@@ -169,7 +172,10 @@
         let latest = self.latest_start(&choice);
         let wait = latest
             .map_or(forward_headers.time_left, |at| forward_headers.time_left.min(at.since(now)));
-        let sent = timeout(wait, sent).await;
+        let sent = tokio::select! {
+            sent = timeout(wait, sent) => sent,
+            never = self.watch_silence(replica) => match never {},
+        };
         // Without one, nothing was written.
         let flight = flight.into_inner();
         match sent {
@@ -228,6 +234,29 @@
         }
     }
 
+    /// Checks a replica that does not answer, at intervals, so that no further requests are sent to
+    /// one that is not reached. Those that are there go on: a sound one may be silent for a second.
+    async fn watch_silence(&self, replica: &Arc<Replica>) -> Infallible {
+        let core = &self.core;
+        loop {
+            let since = core.now();
+            tokio::time::sleep(SILENCE_CHECK_INTERVAL).await;
+            let check = core.pool.lock().take_check(&replica.id, since, core.now());
+            if check && !links::check(core, replica).await {
+                core.pool.lock().mark_unreachable(&replica.id, core.now());
+                self.log_silence(replica);
+            }
+        }
+    }
+
+    fn log_silence(&self, replica: &Replica) {
+        info!(
+            request = &*self.job.meta.id,
+            replica = &*replica.id,
+            "replica does not answer and is not reached"
+        );
+    }
+
     /// Latest time at which the request must have started. It may wait at the replica until its
     /// weights may no longer be used. `None` where its version has not been replaced.
     fn latest_start(&self, choice: &Choice) -> Option<Time> {
