Store where streams began while two versions are in service

Only instances' memory held where streams began.

While replicas of several versions of a target are in service, and for 30 s after, each instance stores where its latest streams began, and an instance that starts reads what all have stored.

--- a/crates/origin/src/lib.rs
+++ b/crates/origin/src/lib.rs
@@ -5,7 +5,11 @@
 //! takes the stream up asks them. The code does no I/O and reads neither a clock nor a random
 //! source.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
 
 use ident::{Digest, Time, rendezvous_order};
 use serde::{Deserialize, Serialize};
@@ -20,6 +24,9 @@
 /// Most records in one generation. Older ones are forgotten sooner if there are more.
 const MAX_RECORDS: usize = 4096;
 
+/// Most streams of an instance that are stored: some 40 bytes each.
+const MAX_LATEST: usize = 512;
+
 /// Names a stream. The same id from another team names another one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct StreamKey([u8; 16]);
@@ -102,6 +109,49 @@
     }
 }
 
+/// Where the latest streams of this instance began, for instances that start after all were killed.
+#[derive(Debug, Default)]
+pub struct Latest {
+    /// Oldest first.
+    streams: VecDeque<(StreamKey, Origin, Time)>,
+    /// When a target last had replicas of several versions.
+    mixed: Time,
+    /// Whether there is anything that was not taken.
+    changed: bool,
+}
+
+impl Latest {
+    /// Adds a stream.
+    pub fn add(&mut self, key: StreamKey, origin: Origin, now: Time) {
+        self.streams.push_back((key, origin, now));
+        self.changed = true;
+        let is_old = |(_, _, at): &(StreamKey, Origin, Time)| now.since(*at) >= RECORD_TTL;
+        while self.streams.len() > MAX_LATEST || self.streams.front().is_some_and(is_old) {
+            self.streams.pop_front();
+        }
+    }
+
+    /// Records that a target has replicas of several versions.
+    pub fn note_mixed(&mut self, now: Time) {
+        self.mixed = now;
+    }
+
+    /// The streams, if there are new ones and they may be at different versions: a target has had
+    /// replicas of several for less time than a stream is remembered.
+    pub fn take(&mut self, now: Time) -> Option<Vec<(StreamKey, Origin)>> {
+        let is_mixed = self.mixed > Time(0) && now.since(self.mixed) < RECORD_TTL;
+        if !is_mixed || !std::mem::take(&mut self.changed) {
+            return None;
+        }
+        Some(self.streams.iter().map(|(key, origin, _)| (*key, origin.clone())).collect())
+    }
+
+    /// Takes note that what was taken was not stored.
+    pub fn not_stored(&mut self) {
+        self.changed = true;
+    }
+}
+
 /// The other instances in the order in which they are told of a stream, or asked.
 pub fn order<'n>(key: StreamKey, own: &str, instances: &'n [Arc<str>]) -> Vec<&'n Arc<str>> {
     let order = rendezvous_order(&key.0, instances, |name| name);
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use fleet::{Config, Replica, Snapshot, Store, View};
 use ident::{Clock, Time};
-use origin::Origins;
+use origin::{Latest, Origins};
 use parking_lot::Mutex;
 use place::{Catalog, Limits, Peers, Pool, RetryBudgets};
 use reach::Reach;
@@ -197,6 +197,8 @@
     pub blame: Mutex<Blame>,
     /// Where streams began.
     pub origins: Mutex<Origins>,
+    /// Where the latest streams of this instance began.
+    pub(crate) latest_origins: Mutex<Latest>,
     /// Questions to peers that wait for answers.
     pub(crate) inquiries: Mutex<Vec<origins::Waiting>>,
     /// Socket for datagrams to peers, once it is open.
@@ -250,6 +252,7 @@
             limits: Mutex::default(),
             blame: Mutex::new(Blame::new(now)),
             origins: Mutex::default(),
+            latest_origins: Mutex::default(),
             inquiries: Mutex::default(),
             peer_socket: OnceLock::new(),
             next_trial: Mutex::new(Time(0)),
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     core::Core,
-    duty, follow, links, peers,
+    duty, follow, links, origins, peers,
     serve::{ListenerKind, listen},
     services::Topic,
     verdicts,
@@ -122,6 +122,7 @@
     }
     tokio::spawn(register(core.clone()));
     tokio::spawn(verdicts::load(core.clone()));
+    tokio::spawn(origins::keep(core.clone()));
     tokio::spawn(duty::run(core.clone()));
     tokio::spawn(sweep(core.clone()));
     tokio::spawn(links::probe_loop(core.clone()));
--- a/crates/relay/src/verdicts.rs
+++ b/crates/relay/src/verdicts.rs
@@ -164,13 +164,27 @@
 }
 
 /// The content of a row; `None` if it is of another release.
-fn parse<T>(row: &Row) -> Option<T>
+pub(crate) fn parse<T>(row: &Row) -> Option<T>
 where
     T: DeserializeOwned,
 {
     serde_json::from_str(&row.body).ok()
 }
 
+/// Writes a row, whatever it was.
+pub(crate) async fn replace<T>(
+    core: &Core,
+    partition: &str,
+    sort: Arc<str>,
+    content: &T,
+) -> Result<(), TableError>
+where
+    T: Serialize,
+{
+    let row = core.adapters.table.get(partition, &sort).await?;
+    write(core, partition, sort, row, Some(content)).await
+}
+
 /// Replaces the row that was read, or deletes it.
 async fn write<T>(
     core: &Core,
