--- a/crates/reach/src/lib.rs
+++ b/crates/reach/src/lib.rs
@@ -173,7 +173,7 @@
     }
 
     /// Whether a peer reaches replicas of `target`, as far as it says.
-    pub fn peer_reaches(&self, peer: &str, target: &str, now: Time) -> bool {
+    fn peer_reaches(&self, peer: &str, target: &str, now: Time) -> bool {
         let report = self.peer(peer, now);
         report.is_none_or(|r| r.targets.iter().all(|t| **t != *target))
     }
