Judge anew only after evidence that changed

Peers repeat what they know in every datagram. The class is work done twice.

A known pair now counts as a change only if the suspect turns out to have been sent before the replica's end. a_known_report_is_not_judged_again failed before.

--- a/crates/blame/src/evidence.rs
+++ b/crates/blame/src/evidence.rs
@@ -146,11 +146,18 @@
         !self.key.is_request() || self.own || self.open_count() > 1
     }
 
-    /// Adds an end, or the earlier time at which the suspect was sent there. Returns whether the end
-    /// was not known.
+    /// Applies an earlier time at which the suspect was sent to a replica. Returns whether the end of
+    /// that replica counts now and did not before.
+    fn redate_sent(&mut self, replica: EndId, sent: Time) -> bool {
+        let Some(known) = self.ends.iter_mut().find(|e| e.replica == replica) else { return false };
+        let counted = known.counts();
+        known.sent = known.sent.min(sent);
+        known.counts() != counted
+    }
+
+    /// Adds an end. Returns whether it was not known.
     fn add_end(&mut self, end: UnderEnd) -> bool {
-        if let Some(known) = self.ends.iter_mut().find(|e| e.replica == end.replica) {
-            known.sent = known.sent.min(end.sent);
+        if self.ends.iter().any(|e| e.replica == end.replica) {
             return false;
         }
         let at = self.ends.partition_point(|e| (e.at, e.replica) < (end.at, end.replica));
@@ -340,8 +347,10 @@
     fn add_end(&mut self, key: SuspectKey, replica: EndId, sent: Time, now: Time) -> bool {
         let at = self.find_end(replica).map_or(now, |at| self.ended[at].at);
         let found = self.position(key).expect("the entry was created");
-        let new = self.suspects[found].add_end(UnderEnd { replica, sent, at });
-        self.changed = true;
+        let suspect = &mut self.suspects[found];
+        let redated = suspect.redate_sent(replica, sent);
+        let new = suspect.add_end(UnderEnd { replica, sent, at });
+        self.changed |= new || redated;
         new
     }
 
--- a/crates/blame/tests/verdict_rules.rs
+++ b/crates/blame/tests/verdict_rules.rs
@@ -160,6 +160,19 @@
     }
 }
 
+/// Peers repeat what they know in every datagram.
+#[test]
+fn a_known_report_is_not_judged_again() {
+    let (mut peer, mut blame) = (Blame::default(), Blame::default());
+    (0..3).for_each(|n| end(&mut peer, n, &[7], 500 * u64::from(n)));
+    let report = peer.report(usize::MAX, at(2000));
+    blame.merge(&report, at(2010));
+    let verdict = blame.fatal(at(2020));
+    assert_eq!(verdict.len(), 1);
+    blame.merge(&report, at(2015));
+    assert!(std::sync::Arc::ptr_eq(&verdict, &blame.fatal(at(2030))));
+}
+
 #[test]
 fn requests_at_a_replica_that_a_peer_saw_end_are_evidence() {
     let mut peer = Blame::default();
