--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -30,7 +30,7 @@
     kept,
     metrics::Metrics,
     origins,
-    peers::HEARD_TTL,
+    peers::{HEARD_TTL, PEER_TTL},
     protocol::Protocol,
     returns::{RETURN_SPAN, Returns},
     services::{Engines, Registry},
@@ -365,6 +365,14 @@
         found.is_ok_and(|at| now.since(heard[at].1) < HEARD_TTL)
     }
 
+    /// Whether a ready peer was heard within [`PEER_TTL`].
+    pub(crate) fn is_ready_peer(&self, name: &str) -> bool {
+        let now = self.now();
+        let heard = self.last_heard.lock();
+        let found = heard.binary_search_by(|(n, _)| (**n).cmp(name));
+        found.is_ok_and(|at| now.since(heard[at].1) < PEER_TTL)
+    }
+
     /// Whether a peer or the registry was heard lately, or there is no peer. Without that, silence
     /// of a replica may be this instance's own.
     pub(crate) fn is_in_contact(&self) -> bool {
--- a/crates/relay/src/detour.rs
+++ b/crates/relay/src/detour.rs
@@ -12,7 +12,6 @@
     body::{Body as _, Frame, Incoming},
     header::{CONTENT_LENGTH, HeaderName, HeaderValue, TRANSFER_ENCODING},
 };
-use ident::Time;
 use outbound::end_with_connection;
 use reach::Candidate;
 use tokio::time::timeout;
@@ -23,10 +22,10 @@
     answer::{AbortedBody, Body, Refusal, full_body},
     conns::{Conn, Gate, SendError},
     core::Core,
-    forward::{Forwarder, forward},
+    forward::{BUSY_RETRY_DELAY, Forwarder, forward},
     job::Job,
     links,
-    peers::PEER_TTL,
+    whole::MAX_BUFFERED_BYTES,
 };
 
 /// Header between instances. In a request: the revision of the sender's configuration and the number
@@ -40,10 +39,6 @@
 const MAX_PEERS: usize = 3;
 /// Most connections to a peer.
 const MAX_CONNS: u32 = 64;
-/// Longest answer, in bytes, that is read to its end before it is passed on.
-const MAX_BUFFERED_BYTES: u64 = 256 * 1024;
-/// Delay after which callers should retry where no peer takes their request.
-const RETRY_DELAY: Duration = Duration::from_millis(400);
 
 /// Lets all requests pass.
 struct Open;
@@ -79,13 +74,8 @@
 }
 
 /// Peers that may take requests for `target`.
-fn candidates(core: &Core, now: Time) -> Vec<Candidate> {
+fn candidates(core: &Core) -> Vec<Candidate> {
     let snapshot = core.view.snapshot();
-    let heard = core.last_heard.lock();
-    let is_heard = |name: &str| {
-        let found = heard.binary_search_by(|(n, _)| (**n).cmp(name));
-        found.is_ok_and(|at| now.since(heard[at].1) < PEER_TTL)
-    };
     let others = snapshot.instances.iter().filter(|i| i.name != core.settings.name && !i.leaving);
     let detours = core.detours.lock();
     let candidate = |i: &Arc<fleet::Instance>| Candidate {
@@ -93,7 +83,7 @@
         near: i.zone == core.settings.zone,
         requests: detours.iter().filter(|peer| **peer == i.name).count(),
     };
-    others.filter(|i| is_heard(&i.name)).map(candidate).collect()
+    others.filter(|i| core.is_ready_peer(&i.name)).map(candidate).collect()
 }
 
 /// Whether requests for `target` go through peers: this instance reaches none of its replicas, and a
@@ -102,9 +92,8 @@
     if !links::cut_off(core).iter().any(|t| **t == *target) {
         return false;
     }
-    let now = core.now();
-    let candidates = candidates(core, now);
-    core.reach.lock().choose_peer(target, &candidates, 0, now).is_some()
+    let candidates = candidates(core);
+    core.reach.lock().choose_peer(target, &candidates, 0, core.now()).is_some()
 }
 
 /// Sends a request on to a peer and returns its answer for the caller. `runs` replicas may have run
@@ -120,7 +109,7 @@
     let mut tried: Vec<Arc<str>> = Vec::new();
     while tried.len() < MAX_PEERS {
         let now = core.now();
-        let mut candidates = candidates(core, now);
+        let mut candidates = candidates(core);
         candidates.retain(|c| !tried.contains(&c.peer));
         let target = &forwarder.target;
         let peer = core.reach.lock().choose_peer(target, &candidates, rand::random(), now);
@@ -160,7 +149,7 @@
     match runs {
         0 => Err(Refusal::NotRun {
             why: "no replica is reached, and no peer takes it",
-            retry_delay: RETRY_DELAY,
+            retry_delay: BUSY_RETRY_DELAY,
         }),
         _ => Err(Refusal::Lost),
     }
@@ -200,7 +189,7 @@
             || head.headers.contains_key(TRANSFER_ENCODING));
     let length = body.size_hint().exact().filter(|_| !unframed);
     let kept = head.headers.clone();
-    core.adapters.protocol.strip_hop_headers(&mut head.headers);
+    core.adapters.protocol.strip_response(&mut head.headers);
     head.headers.remove(CONTENT_LENGTH);
     let mut out = if length.is_some_and(|n| n <= MAX_BUFFERED_BYTES) {
         let read = timeout(job.time_left(core.now()), body.collect()).await;
@@ -212,7 +201,7 @@
         core.peer_conns.keep(conn, &kept, core.now());
         Response::new(full_body(bytes))
     } else {
-        Response::new(stream_body(core.clone(), job.clone(), body, conn, guard))
+        Response::new(stream_body(job.clone(), body, conn, kept, guard))
     };
     (*out.status_mut(), *out.headers_mut()) = (head.status, head.headers);
     if unframed {
@@ -224,20 +213,24 @@
 /// The body of a peer's answer, which ends with an error where the peer's breaks off or the time is
 /// over. Dropping it closes the connection, so that the peer sees the caller leave.
 fn stream_body(
-    core: Arc<Core>,
     job: Arc<Job>,
     body: Incoming,
     conn: Conn,
+    headers: HeaderMap,
     guard: PeerGuard,
 ) -> Body {
-    let state = Some((core, job, body, conn, guard));
+    let state = Some((job, body, conn, headers, guard));
     let frames = stream::unfold(state, |state| async {
-        let (core, job, mut body, conn, guard) = state?;
+        let (job, mut body, conn, headers, guard) = state?;
+        let core = guard.core.clone();
         match timeout(job.time_left(core.now()), body.frame()).await {
-            Ok(None) => None,
+            Ok(None) => {
+                core.peer_conns.keep(conn, &headers, core.now());
+                None
+            }
             Ok(Some(Ok(frame))) => {
                 let bytes = frame.into_data().unwrap_or_default();
-                Some((Ok(Frame::data(bytes)), Some((core, job, body, conn, guard))))
+                Some((Ok(Frame::data(bytes)), Some((job, body, conn, headers, guard))))
             }
             Ok(Some(Err(_))) | Err(_) => Some((Err(AbortedBody), None)),
         }
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -9,7 +9,6 @@
     answer::{Body, json_response},
     core::Core,
     links,
-    peers::PEER_TTL,
 };
 
 /// Most addresses in an answer.
@@ -42,17 +41,12 @@
 fn addresses(core: &Core, zone: Option<&str>) -> Vec<SocketAddr> {
     let snapshot = core.view.snapshot();
     let now = core.now();
-    let last_heard = core.last_heard.lock();
     let me = &core.settings.name;
-    let alive = |name: &str| {
-        let found = last_heard.binary_search_by(|(n, _)| (**n).cmp(name));
-        found.is_ok_and(|at| now.since(last_heard[at].1) < PEER_TTL)
-    };
     let others = snapshot.instances.iter().filter(|i| i.name != *me && !i.leaving);
     let is_cut_off = !links::cut_off(core).is_empty();
     let reach = core.reach.lock();
     let mut all: Vec<Listed> = others
-        .filter(|i| alive(&i.name))
+        .filter(|i| core.is_ready_peer(&i.name))
         .map(|i| Listed {
             other_zone: zone.is_some_and(|z| z != &*i.zone),
             cut_off: !reach.peer_reaches_all(&i.name, now),
--- a/crates/relay/src/ends.rs
+++ b/crates/relay/src/ends.rs
@@ -130,18 +130,32 @@
 /// Records that a replica refused a connection: it has ended, unless this instance reaches no other
 /// one either.
 pub(crate) fn note_refused(core: &Arc<Core>, replica: &Arc<Replica>) {
+    if has_ended(core, replica) {
+        return;
+    }
+    spawn_check(core, replica, |core, replica| async move {
+        if links::reaches_others(&core, &replica).await {
+            replica_ended(&core, &replica);
+        }
+    });
+}
+
+/// Runs the check of a replica, unless one of this incarnation is running.
+fn spawn_check<C, F>(core: &Arc<Core>, replica: &Arc<Replica>, check: C)
+where
+    C: FnOnce(Arc<Core>, Arc<Replica>) -> F,
+    F: Future<Output = ()> + Send + 'static,
+{
     let end = end_id(replica);
     let mut checked = core.checked.lock();
-    if has_ended(core, replica) || checked.contains(&end) {
+    if checked.contains(&end) {
         return;
     }
     checked.push(end);
     drop(checked);
-    let (core, replica) = (core.clone(), replica.clone());
+    let (core, check) = (core.clone(), check(core.clone(), replica.clone()));
     tokio::spawn(async move {
-        if links::reaches_others(&core, &replica).await {
-            replica_ended(&core, &replica);
-        }
+        check.await;
         core.checked.lock().retain(|e| *e != end);
     });
 }
@@ -187,14 +201,10 @@
         let blame = core.blame.lock();
         blame.has_flights(end, core.now()) && !blame.has_ended(end)
     };
-    let mut checked = core.checked.lock();
-    if !is_needed || checked.contains(&end) {
+    if !is_needed {
         return;
     }
-    checked.push(end);
-    drop(checked);
-    let (core, replica) = (core.clone(), replica.clone());
-    tokio::spawn(async move {
+    spawn_check(core, replica, move |core, replica| async move {
         loop {
             let mut found = check(&core, &replica).await;
             let mut asked_at = core.now();
@@ -211,7 +221,6 @@
             }
             break;
         }
-        core.checked.lock().retain(|e| *e != end);
     });
 }
 
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -3,28 +3,23 @@
 use std::{sync::Arc, time::Duration};
 
 use blame::{Admission, SuspectKey, Suspects};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use fleet::{Replica, RequestKind, Route, Snapshot};
-use http_body_util::BodyExt;
-use hyper::{
-    HeaderMap, Response,
-    header::{CONTENT_LENGTH, CONTENT_TYPE},
-};
+use hyper::{HeaderMap, Response, header::CONTENT_TYPE};
 use ident::Time;
 use origin::{Origin, Record};
-use outbound::{Framing, end_with_connection};
 use place::{Choice, Headroom, Load, Outcome, PlacementError, PlacementRequest};
-use tokio::time::timeout;
 use tracing::info;
 
 use crate::{
-    answer::{Body, Refusal, full_body, unsized_body},
+    answer::{Body, Refusal},
     core::Core,
     detour, ends,
     job::Job,
     origins, relay,
     send::{AttemptOutcome, ReplicaAnswer},
     verdicts,
+    whole::{MAX_BUFFERED_BYTES, Start, content_length, read_start, whole_answer},
 };
 
 /// Shortest time left for which a request is still sent.
@@ -35,10 +30,8 @@
 const MAX_COOLDOWN_WAIT: Duration = Duration::from_millis(120);
 /// Most attempts of one request, refused ones included.
 const MAX_ATTEMPTS: usize = 5;
-/// Longest answer, in bytes, that is read to its end before it is passed on.
-const MAX_BUFFERED_BYTES: u64 = 256 * 1024;
 /// Delay after which callers should retry where all replicas are full or loading weights.
-const BUSY_RETRY_DELAY: Duration = Duration::from_millis(400);
+pub(crate) const BUSY_RETRY_DELAY: Duration = Duration::from_millis(400);
 /// Shortest delay after which callers should retry where the replicas are at their limits.
 const MIN_LIMITED_DELAY: Duration = Duration::from_millis(30);
 /// Delay after which callers should retry while their request, or a part of it, is being tried.
@@ -469,56 +462,6 @@
     }
 }
 
-/// What was read of an answer's body before it is passed on.
-enum Start {
-    /// The body, to its end.
-    Whole(Bytes),
-    /// More than [`MAX_BUFFERED_BYTES`]; the rest is still to be read.
-    Part(Bytes),
-}
-
-/// Reads an answer to its end before it is passed on, so that a truncated answer never looks
-/// complete, unless it is long. Returns `None` if it breaks off or doesn't end within `limit`.
-async fn read_start(answer: &mut ReplicaAnswer, limit: Duration) -> Option<Start> {
-    let mut read = BytesMut::new();
-    let reading = async {
-        while let Some(frame) = answer.body.frame().await {
-            if let Ok(bytes) = frame.ok()?.into_data() {
-                read.extend_from_slice(&bytes);
-            }
-            if read.len() as u64 > MAX_BUFFERED_BYTES {
-                return Some(false);
-            }
-        }
-        Some(true)
-    };
-    let ended = timeout(limit, reading).await.ok()??;
-    let bytes = read.freeze();
-    Some(if ended { Start::Whole(bytes) } else { Start::Part(bytes) })
-}
-
-/// The response for the caller to an answer whose body is `bytes`.
-fn whole_answer(core: &Core, job: &Job, answer: ReplicaAnswer, bytes: Bytes) -> Response<Body> {
-    let ReplicaAnswer { status, mut headers, conn, flight, .. } = answer;
-    let framing = Framing::of(&job.method, status, &headers);
-    flight.ended(status, framing);
-    core.metrics.ended.with_label_values(&[framing.name(), "event"]).inc();
-    let unframed = framing == Framing::Connection;
-    if !unframed {
-        core.conns.keep(conn, &headers, core.now());
-    }
-    core.adapters.protocol.strip_response(&mut headers);
-    headers.remove(CONTENT_LENGTH);
-    let body = if unframed { unsized_body(bytes) } else { full_body(bytes) };
-    let mut out = Response::new(body);
-    *out.status_mut() = status;
-    *out.headers_mut() = headers;
-    if unframed {
-        end_with_connection(&mut out);
-    }
-    out
-}
-
 /// Whether an answer is an event stream. Without a content type, the kind of its route decides.
 fn is_stream(route: &Route, headers: &HeaderMap) -> bool {
     match headers.get(CONTENT_TYPE).and_then(|v| v.to_str().ok()) {
@@ -529,7 +472,3 @@
         None => route.kind == RequestKind::Streaming,
     }
 }
-
-fn content_length(headers: &HeaderMap) -> Option<u64> {
-    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
-}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -28,10 +28,12 @@
 pub mod protocol;
 mod relay;
 pub mod returns;
+mod rows;
 mod send;
 mod serve;
 pub mod services;
 mod verdicts;
+mod whole;
 
 pub use crate::{
     dates::RegistryClock,
--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -8,7 +8,7 @@
 use tokio::{net::UdpSocket, sync::mpsc, time::timeout};
 use tracing::{info, warn};
 
-use crate::{core::Core, job::Job, verdicts};
+use crate::{core::Core, job::Job, rows};
 
 /// First byte of the datagrams about streams.
 pub(crate) const FORMAT: u8 = 3;
@@ -174,7 +174,7 @@
         let Some(clock) = core.registry_clock.lock().to_registry(now) else { continue };
         let Some(streams) = core.latest_origins.lock().take(now) else { continue };
         let wire = LatestWire::new(streams, clock);
-        if let Err(error) = verdicts::replace(&core, PARTITION, sort.clone(), &wire).await {
+        if let Err(error) = rows::replace(&core, PARTITION, sort.clone(), &wire).await {
             core.latest_origins.lock().not_stored();
             warn!(%error, "where streams began could not be stored");
         }
@@ -210,7 +210,7 @@
         };
         let mut streams = 0;
         for row in &rows {
-            let Some(wire) = verdicts::parse::<LatestWire>(row) else { continue };
+            let Some(wire) = rows::parse::<LatestWire>(row) else { continue };
             if let Some(found) = own.iter_mut().find(|(_, sort)| *sort == row.sort) {
                 found.0 = wire.written;
             }
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -91,9 +91,6 @@
     /// Restores what [`Protocol::strip_request`] removed, for a peer that sends the request on.
     fn set_detour_headers(&self, headers: &mut HeaderMap, meta: &RequestMeta, time_left: Duration);
 
-    /// Removes hop-by-hop headers.
-    fn strip_hop_headers(&self, headers: &mut HeaderMap);
-
     /// Parses the head of a replica's answer.
     fn parse_response(&self, status: StatusCode, headers: &HeaderMap) -> ResponseMeta;
 
--- a/crates/relay/src/verdicts.rs
+++ b/crates/relay/src/verdicts.rs
@@ -7,12 +7,12 @@
 use ident::rendezvous_order;
 use place::Peers;
 use rand::Rng;
-use serde::{Deserialize, Serialize, de::DeserializeOwned};
-use table::{Expect, Row, TableError, Write};
+use serde::{Deserialize, Serialize};
+use table::TableError;
 use tokio::time::timeout;
 use tracing::{info, warn};
 
-use crate::{core::Core, ends};
+use crate::{core::Core, ends, rows};
 
 /// Partition of the rows that record trials.
 const TRIALS: &str = "trials";
@@ -77,14 +77,14 @@
     let sort = sort_key(key);
     let clock = core.registry_clock.lock().to_registry(core.now()).unwrap_or(0);
     let row = table.get(TRIALS, &sort).await?;
-    let last: Option<TrialWire> = row.as_ref().and_then(parse);
+    let last: Option<TrialWire> = row.as_ref().and_then(rows::parse);
     let is_taken = |last: &TrialWire| {
         last.key == key && last.number >= number && clock < last.taken + ROW_TTL_MS
     };
     if last.is_some_and(|last| is_taken(&last)) {
         return Err(TableError::Conflict);
     }
-    write(core, TRIALS, sort, row, Some(&TrialWire { key, number, taken: clock })).await
+    rows::write(core, TRIALS, sort, row, Some(&TrialWire { key, number, taken: clock })).await
 }
 
 /// Evidence against a fatal suspect.
@@ -114,7 +114,7 @@
 async fn write_verdict(core: &Core, key: SuspectKey) -> Result<(), TableError> {
     let sort = sort_key(key);
     let row = core.adapters.table.get(VERDICTS, &sort).await?;
-    let stored: Option<VerdictWire> = row.as_ref().and_then(parse);
+    let stored: Option<VerdictWire> = row.as_ref().and_then(rows::parse);
     let is_stored = stored.is_some_and(|stored| stored.suspect.key == key);
     let is_fatal = core.fatal.lock().contains(&key);
     if is_stored == is_fatal {
@@ -127,7 +127,7 @@
     if is_fatal && wire.is_none() {
         return Ok(());
     }
-    write(core, VERDICTS, sort, row, wire.as_ref()).await
+    rows::write(core, VERDICTS, sort, row, wire.as_ref()).await
 }
 
 /// Reads the stored verdicts, once they can be read.
@@ -140,7 +140,7 @@
         let Ok(rows) = core.adapters.table.range(VERDICTS, "", ROWS as usize).await else {
             continue;
         };
-        let suspects = rows.iter().filter_map(parse).map(|wire| aged(wire, clock)).collect();
+        let suspects = rows.iter().filter_map(rows::parse).map(|wire| aged(wire, clock)).collect();
         let report = Report { suspects, ended: Vec::new() };
         if !report.suspects.is_empty() {
             info!(suspects = report.suspects.len(), "verdicts read");
@@ -162,44 +162,3 @@
 fn sort_key(key: SuspectKey) -> Arc<str> {
     format!("{:02}", key.short() % ROWS).into()
 }
-
-/// The content of a row; `None` if it is of another release.
-pub(crate) fn parse<T>(row: &Row) -> Option<T>
-where
-    T: DeserializeOwned,
-{
-    serde_json::from_str(&row.body).ok()
-}
-
-/// Writes a row, whatever it was.
-pub(crate) async fn replace<T>(
-    core: &Core,
-    partition: &str,
-    sort: Arc<str>,
-    content: &T,
-) -> Result<(), TableError>
-where
-    T: Serialize,
-{
-    let row = core.adapters.table.get(partition, &sort).await?;
-    write(core, partition, sort, row, Some(content)).await
-}
-
-/// Replaces the row that was read, or deletes it.
-async fn write<T>(
-    core: &Core,
-    partition: &str,
-    sort: Arc<str>,
-    row: Option<Row>,
-    content: Option<&T>,
-) -> Result<(), TableError>
-where
-    T: Serialize,
-{
-    let body = content.map(serde_json::to_string).transpose();
-    let body = body.map_err(|e| TableError::Malformed(e.to_string().into()))?;
-    let expect = row.map_or(Expect::Absent, |row| Expect::Version(row.version));
-    let part = partition.into();
-    let write = Write { part, sort, expect, body: body.map(Arc::from) };
-    core.adapters.table.commit(vec![write]).await
-}
