Count ends of replicas at one moment once

Callers saw: after a loss of several replicas, sound requests refused with 503 "replicas ended under a part of this prompt", at some instances only.

Cause: three ends make a suspect fatal that was never answered whole. A part that few requests hold was at two replicas that were lost together, and at one some seconds before: three ends, but two events. Instances that had seen one of its answers, or one end fewer, said otherwise.

Why this works: what ends replicas is at one replica at a time, so ends within 50 ms of each other are one event, whoever dates them. A fatal part that comes every 45 ms is found as before: the tests of fatal_search pass unchanged.

--- a/crates/blame/src/evidence.rs
+++ b/crates/blame/src/evidence.rs
@@ -25,6 +25,9 @@
 const YOUNG: Duration = Duration::from_secs(3);
 /// Ends this long before or after one under a suspect are counted beside it.
 const NEAR: Duration = Duration::from_secs(1);
+/// Ends within this time of each other are one moment: what ends a replica is at one at a time, so
+/// replicas that end together were lost together.
+const MOMENT: Duration = Duration::from_millis(50);
 /// How much later than a replica ended a suspect may seem to have been sent there, as times are known
 /// from datagrams.
 const SENT_MARGIN: Duration = Duration::from_millis(250);
@@ -180,6 +183,21 @@
     }
 }
 
+/// When the last of `count` ends at different moments came, if there are so many. `ends` are in the
+/// order of their times.
+pub(crate) fn fatal_since<'e, I>(ends: I, count: usize) -> Option<Time>
+where
+    I: Iterator<Item = &'e UnderEnd>,
+{
+    let mut moment: Option<Time> = None;
+    let is_next = |e: &&UnderEnd| {
+        let next = moment.is_none_or(|at| e.at.since(at) > MOMENT);
+        moment = if next { Some(e.at) } else { moment };
+        next
+    };
+    ends.filter(is_next).nth(count - 1).map(|e| e.at)
+}
+
 /// The end of a replica.
 #[derive(Debug, Clone, Copy)]
 struct Ended {
@@ -227,7 +245,7 @@
         let is_spread =
             first.zip(last).is_some_and(|(first, last)| last.at.since(first.at) >= NEAR);
         let counts = is_spread || suspect.answer.is_none();
-        counts && suspect.open_count() >= self.fatal_ends(suspect)
+        counts && fatal_since(suspect.open_ends(), self.fatal_ends(suspect)).is_some()
     }
 
     /// Whether anything changed on which the verdict depends since the last call.
--- a/crates/blame/src/verdict.rs
+++ b/crates/blame/src/verdict.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     EndId, SuspectKey,
-    evidence::{Evidence, Suspect},
+    evidence::{Evidence, Suspect, fatal_since},
 };
 
 /// Most causes that are blamed together where none was at half of the ends by itself.
@@ -90,15 +90,17 @@
     };
     let candidates = evidence.suspects().iter().filter(|s| evidence.has_fatal_ends(s));
     let candidates = candidates.map(|s| (s, open(s)));
-    let candidates: Vec<_> = candidates
-        .filter(|(s, ends)| ends.len() >= evidence.fatal_ends(s) && pick(s, ends))
-        .collect();
+    let left = |s: &Suspect| {
+        let left = s.open_ends().filter(|e| !explained.contains(&e.replica));
+        fatal_since(left, evidence.fatal_ends(s)).is_some()
+    };
+    let candidates: Vec<_> = candidates.filter(|(s, ends)| left(s) && pick(s, ends)).collect();
     let (_, ends) = candidates.iter().max_by_key(|(_, ends)| ends.len())?;
     let ids = |ends: &[(EndId, Time)]| ends.iter().map(|(end, _)| *end).collect::<Vec<_>>();
     let alike = candidates.iter().filter(|(_, other)| ids(other) == ids(ends));
     let alike: Vec<&Suspect> = alike.map(|(s, _)| *s).collect();
-    let since = alike.iter().filter_map(|s| s.open_ends().nth(evidence.fatal_ends(s) - 1));
-    let since = since.map(|e| e.at).min()?;
+    let since = alike.iter().filter_map(|s| fatal_since(s.open_ends(), evidence.fatal_ends(s)));
+    let since = since.min()?;
     Some(Cause { alike, ends: ends.clone(), since })
 }
 
