Tell peers of whole answers that refute what they hold

Callers saw: refusals at one instance, for seconds, of sound requests that others answer.

Cause: ends of replicas under a suspect travel from peer to peer, whole answers only from the instance that saw them.

Why this works: a quarter of the space is for such answers, the last ones first. What a peer blames it mentions first in each datagram, so the answer to that is always among them. An answer without open ends takes some 20 bytes.

--- a/crates/blame/src/evidence.rs
+++ b/crates/blame/src/evidence.rs
@@ -40,8 +40,6 @@
 /// Evidence that is dropped sooner than this is not passed on, so that instances don't hand it to
 /// each other again after it was dropped.
 const FORWARD_MARGIN: Duration = Duration::from_secs(30);
-/// Suspects of peers that this instance can refute are reported among those with this many ends.
-const REFUTED_RANK: usize = 2;
 /// How long after it was last mentioned a whole answer is reported to peers.
 const ANSWER_REPORT_TTL: Duration = Duration::from_secs(10);
 
@@ -100,7 +98,7 @@
     /// Most ends under it that one peer, or a stored verdict, told of.
     heard: usize,
     /// When a peer last told of an end before a whole answer that this instance saw.
-    refuted: Time,
+    refuted: Option<Time>,
     /// When a peer or an end last mentioned it.
     mentioned: Time,
     /// Number of trials that were taken.
@@ -149,6 +147,19 @@
         !self.key.is_request() || self.own || self.open_count() > 1
     }
 
+    /// Whether a peer's report holds ends that came before a whole answer which this instance saw.
+    fn refutes(&self, report: &SuspectReport) -> bool {
+        let Some((answer, true)) = self.answer else { return false };
+        let is_reported = |e: &&UnderEnd| report.ends.iter().any(|(id, _)| *id == e.replica);
+        self.ends.iter().filter(is_reported).any(|e| e.at <= answer)
+    }
+
+    /// When a peer last held ends against it despite a whole answer which this instance saw; `None`
+    /// if that is long ago.
+    fn refuted_lately(&self, now: Time) -> Option<Time> {
+        self.refuted.filter(|at| now.since(*at) < ANSWER_REPORT_TTL)
+    }
+
     /// Applies an earlier time at which the suspect was sent to a replica. Returns whether the end of
     /// that replica counts now and did not before.
     fn redate_sent(&mut self, replica: EndId, sent: Time) -> bool {
@@ -334,7 +345,7 @@
                 answer: None,
                 own: false,
                 heard: 0,
-                refuted: Time(0),
+                refuted: None,
                 mentioned,
                 trials: 0,
             };
@@ -408,18 +419,15 @@
             let suspect = &mut self.suspects[found];
             suspect.mentioned = now;
             suspect.heard = suspect.heard.max(report.ends.len());
-            let refutes = |(answer, own)| {
-                own && suspect.ends.iter().any(|e| e.replica == *replica && e.at <= answer)
-            };
-            if suspect.answer.is_some_and(refutes) {
-                suspect.refuted = now;
-            }
         }
         if let Some(age) = report.answer {
             new |= self.answered(report.key, now.before(age), false);
         }
         let found = self.position(report.key).expect("the entry was created");
         let suspect = &mut self.suspects[found];
+        if suspect.refutes(report) {
+            suspect.refuted = Some(now);
+        }
         if report.trials > suspect.trials {
             suspect.trials = report.trials;
             new = true;
@@ -432,9 +440,9 @@
         is_news
     }
 
-    /// The evidence for peers: suspects that `named` tells first, then those with most ends or
-    /// that this instance can refute, then its own, then the youngest. They take at
-    /// most `bytes` in a datagram.
+    /// The evidence for peers, at most `bytes` in a datagram: suspects that this instance can refute
+    /// at a peer, the last first; and those that `named` tells, then those with most ends, then its
+    /// own, then the youngest.
     pub(crate) fn report<F>(&self, named: F, bytes: usize, now: Time) -> Report
     where
         F: Fn(&SuspectKey) -> bool,
@@ -444,12 +452,7 @@
             .iter()
             .filter(|s| !self.expires(s).before(FORWARD_MARGIN).passed(now))
             .collect();
-        fresh.sort_by_key(|s| {
-            let refuted = s.refuted > Time(0) && now.since(s.refuted) < ANSWER_REPORT_TTL;
-            let ends = s.open_count().max(if refuted { REFUTED_RANK } else { 0 });
-            (!named(&s.key), Reverse((ends, s.own, s.mentioned)), s.key)
-        });
-        let suspects = fresh.into_iter().map(|s| {
+        let report = |s: &Suspect| {
             let mentioned = now.since(s.mentioned) < ANSWER_REPORT_TTL;
             SuspectReport {
                 key: s.key,
@@ -457,12 +460,23 @@
                 answer: s.answer.filter(|(_, own)| *own && mentioned).map(|(at, _)| now.since(at)),
                 trials: s.trials,
             }
+        };
+        // A peer goes on telling of what is fatal to it until it has heard of the answer.
+        fresh.sort_by_key(|s| Reverse(s.refuted_lately(now)));
+        let refuted: Vec<SuspectReport> = fresh
+            .iter()
+            .take_while(|s| s.refuted_lately(now).is_some())
+            .map(|s| report(s))
+            .collect();
+        fresh.sort_by_key(|s| {
+            (!named(&s.key), Reverse((s.open_count(), s.own, s.mentioned)), s.key)
         });
+        let suspects = fresh.into_iter().map(report);
         let mut ended: Vec<&Ended> = self.ended.iter().filter(|e| e.found && e.counts).collect();
         ended.sort_by_key(|e| Reverse(e.at));
         let ended = ended.into_iter().map(|e| (e.replica, now.since(e.at)));
         let suspects = suspects.filter(|s| !s.ends.is_empty() || s.answer.is_some());
-        Report::within(bytes, suspects, ended)
+        Report::within(bytes, &refuted, suspects, ended)
     }
 
     pub(crate) fn trials(&self, key: SuspectKey) -> u8 {
--- a/crates/blame/src/report.rs
+++ b/crates/blame/src/report.rs
@@ -12,6 +12,9 @@
 /// One in this many bytes of a report is for ends of replicas.
 const ENDED_DIVISOR: usize = 3;
 
+/// One in this many bytes of the rest is for suspects that this instance can refute at a peer.
+const REFUTED_DIVISOR: usize = 4;
+
 /// Evidence against and for suspects, most important first.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Report {
@@ -162,8 +165,14 @@
 }
 
 impl Report {
-    /// The first of `suspects` and of `ended` that take at most `bytes` in a datagram together.
-    pub(crate) fn within<S, E>(bytes: usize, suspects: S, ended: E) -> Self
+    /// The first of `refuted`, of the other `suspects` and of `ended` that take at most `bytes` in a
+    /// datagram together.
+    pub(crate) fn within<S, E>(
+        bytes: usize,
+        refuted: &[SuspectReport],
+        suspects: S,
+        ended: E,
+    ) -> Self
     where
         S: Iterator<Item = SuspectReport>,
         E: Iterator<Item = (EndId, Duration)>,
@@ -174,7 +183,12 @@
             postcard::to_stdvec(&(end.0, to_units(*age))).map_or(usize::MAX, |bytes| bytes.len())
         };
         let (ended, used) = within(bytes / ENDED_DIVISOR, ended, end_size);
+        let bytes = bytes - used;
+        let refuted = refuted.iter().cloned();
+        let (mut first, used) = within(bytes / REFUTED_DIVISOR, refuted, SuspectReport::size);
+        let suspects = suspects.filter(|s| first.iter().all(|f| f.key != s.key));
         let (suspects, _) = within(bytes - used, suspects, SuspectReport::size);
-        Self { suspects, ended }
+        first.extend(suspects);
+        Self { suspects: first, ended }
     }
 }
