Send nothing to replicas that said in an answer that they leave

What callers see without it: requests that reach a replica for seconds after it said Server-Leaving in its answers, and are lost when it goes, where the registry's entry lags (DRAIN).

Cause: the header was read nowhere; an incarnation left only by its entry, a peer's word about that, or an address that another replica has.

Why this works: the word belongs to the incarnation. It is kept beside other departures, goes to peers with them, and an entry of the same incarnation that says ready counts as leaving. It is checked again before the first byte, after the wait for a connection.

--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -115,6 +115,8 @@
 /// How long after its departure a replica is listed in datagrams to peers. During this time an
 /// older registry entry does not mark it as available again.
 const DEPARTED_TTL: Duration = Duration::from_secs(4);
+/// How long a replica that said that it is leaving is remembered. It ends sooner.
+const SAID_TTL: Duration = Duration::from_secs(600);
 
 /// How long after it was heard a peer or the registry shows that this instance's links work.
 const CONTACT_TTL: Duration = Duration::from_millis(1000);
@@ -128,6 +130,9 @@
     pub started_ms: u64,
     /// Whether it began to leave; otherwise its entry was removed.
     pub leaving: bool,
+    /// Whether it said so itself, to this instance or a peer: this incarnation does not come back,
+    /// whatever its entry says.
+    pub said: bool,
     /// When this instance observed it.
     pub at: Time,
     /// Whether the replica has registered again since.
@@ -297,21 +302,46 @@
     /// Records that a replica is leaving.
     pub fn record_departure(&self, id: &Arc<str>) {
         let started_ms = self.view.snapshot().replica(id).map_or(0, |r| r.started_ms);
-        self.push_departed(id, started_ms, true);
+        self.push_departed(id, started_ms, true, false);
+    }
+
+    /// Takes a replica that said itself that it is leaving out of the choice. Returns whether that is
+    /// new.
+    pub(crate) fn apply_leaving(&self, replica: &Replica) -> bool {
+        if self.has_said_leaving(replica) {
+            return false;
+        }
+        self.push_departed(&replica.id, replica.started_ms, true, true);
+        let snapshot = self.view.snapshot();
+        let same = |r: &&Arc<Replica>| r.started_ms == replica.started_ms;
+        if snapshot.replica(&replica.id).filter(same).is_some() {
+            self.view.mark_leaving(&replica.id);
+            self.pool.lock().sync(&self.view.snapshot().replicas);
+        }
+        true
+    }
+
+    /// Whether an incarnation of a replica said itself that it is leaving.
+    pub(crate) fn has_said_leaving(&self, replica: &Replica) -> bool {
+        let same = |d: &Departed| d.id == replica.id && d.started_ms == replica.started_ms;
+        self.departed.lock().iter().any(|d| d.said && same(d))
     }
 
     /// Records that a replica is gone. `started_ms` is 0 if its entry may only have expired.
     pub(crate) fn record_removal(&self, id: &Arc<str>, started_ms: u64) {
-        self.push_departed(id, started_ms, false);
+        self.push_departed(id, started_ms, false, false);
     }
 
-    fn push_departed(&self, id: &Arc<str>, started_ms: u64, leaving: bool) {
+    fn push_departed(&self, id: &Arc<str>, started_ms: u64, leaving: bool, said: bool) {
         let at = self.now();
         // Nothing is forgotten while the registry returns again and again.
         let forget = !self.returns.is_recent(at);
         let mut departed = self.departed.lock();
-        departed.retain(|d| d.id != *id && !(forget && at.since(d.at) >= RETURN_SPAN));
-        departed.push(Departed { id: id.clone(), started_ms, leaving, at, returned: false });
+        let said =
+            said || departed.iter().any(|d| d.said && d.id == *id && d.started_ms == started_ms);
+        let ttl = |d: &Departed| if d.said { SAID_TTL } else { RETURN_SPAN };
+        departed.retain(|d| d.id != *id && !(forget && at.since(d.at) >= ttl(d)));
+        departed.push(Departed { id: id.clone(), started_ms, leaving, said, at, returned: false });
     }
 
     /// Records that a replica that had departed is registered again.
@@ -351,13 +381,12 @@
             || self.departed.lock().iter().any(|d| d.leaving && same(&d.id, d.started_ms))
     }
 
-    /// Replicas that departed within [`DEPARTED_TTL`] and have not registered again, each with its [`fleet::Replica::started_ms`],
-    /// 0 if unknown.
-    pub(crate) fn lately_departed(&self) -> Vec<(Arc<str>, u64)> {
+    /// Replicas that departed within [`DEPARTED_TTL`] and have not registered again.
+    pub(crate) fn lately_departed(&self) -> Vec<Departed> {
         let now = self.now();
         let departed = self.departed.lock();
         let lately = departed.iter().filter(|d| !d.returned && now.since(d.at) < DEPARTED_TTL);
-        lately.map(|d| (d.id.clone(), d.started_ms)).collect()
+        lately.cloned().collect()
     }
 
     /// Whether a datagram of a peer, ready or not, came lately.
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -218,6 +218,7 @@
 
     fn put_replica(&self, mut replica: Replica) {
         let core = &self.core;
+        replica.leaving |= core.has_said_leaving(&replica);
         let (id, leaving, addr) = (replica.id.clone(), replica.leaving, replica.addr);
         let previous = core.view.snapshot().replica(&id).cloned();
         // A peer or an answer showed that the replica is leaving. An entry read before does not
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -57,6 +57,8 @@
     pub limited_replicas: IntGauge,
     /// Replicas that say how many refusals they bear.
     pub brittle_replicas: IntGauge,
+    /// Replicas that said in an answer that they are leaving.
+    pub leaving_said: IntCounter,
     /// Times at which one of them was found to be full.
     pub full_replicas: IntCounter,
     /// Seconds from the request to the head of a replica's answer, before its body is read.
@@ -145,6 +147,10 @@
                 "lentil_brittle_replicas",
                 "Replicas that say how many refusals they bear",
             ),
+            leaving_said: counter(
+                "lentil_leaving_said_total",
+                "Replicas that said in an answer that they are leaving",
+            ),
             full_replicas: counter(
                 "lentil_full_replicas_total",
                 "Times at which a replica that bears few refusals was found to be full",
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -18,7 +18,12 @@
 use tokio::{net::UdpSocket, time::timeout};
 use tracing::{info, warn};
 
-use crate::{conns::fetch_from_peer, core::Core, dates::RegistryClock, ends, links, origins};
+use crate::{
+    conns::fetch_from_peer,
+    core::{Core, Departed},
+    dates::RegistryClock,
+    ends, links, origins,
+};
 
 /// How long after its last datagram a peer is listed to callers. Where limits are divided among
 /// the instances, a peer counts four times as long.
@@ -122,6 +127,8 @@
     cut_off: Vec<String>,
     /// Replicas that bear few refusals and refused requests of the sender.
     full: Vec<RefusalWire>,
+    /// Whether each replica in [`Datagram::leaving`] said so itself.
+    said: Vec<bool>,
 }
 
 /// A [`LimitReport`].
@@ -210,6 +217,7 @@
     take(&mut trailer.ended, &mut rest)?;
     take(&mut trailer.cut_off, &mut rest)?;
     take(&mut trailer.full, &mut rest)?;
+    take(&mut trailer.said, &mut rest)?;
     Ok((datagram, trailer))
 }
 
@@ -233,8 +241,10 @@
     let load = |l: PeerLoad| {
         (l.replica.to_string(), l.load.prefill_tokens, l.load.memory_tokens, l.load.requests)
     };
-    let departed = core.lately_departed().into_iter().take(MAX_LEAVING);
-    let (leaving, started) = departed.map(|(id, started)| (id.to_string(), started)).unzip();
+    let departed: Vec<Departed> = core.lately_departed().into_iter().take(MAX_LEAVING).collect();
+    let leaving = departed.iter().map(|d| d.id.to_string()).collect();
+    let started = departed.iter().map(|d| d.started_ms).collect();
+    let said = departed.iter().map(|d| d.said).collect();
     let datagram = Datagram {
         format: FORMAT,
         name: core.settings.name.to_string(),
@@ -246,7 +256,7 @@
         weights: announced_weights(core, clock, &snapshot),
         confirmed: clock.to_registry(snapshot.confirmed.weights).unwrap_or(0),
     };
-    (datagram, Trailer { era: clock.era(), started, ..Trailer::default() })
+    (datagram, Trailer { era: clock.era(), started, said, ..Trailer::default() })
 }
 
 /// Encodes the datagram for peers, with as much of the evidence as fits. The loads of
@@ -405,6 +415,14 @@
     for (at, id) in datagram.leaving.iter().enumerate() {
         // A replica that started again may keep its id.
         let started = trailer.started.get(at).copied().unwrap_or(0);
+        let said = trailer.said.get(at).copied().unwrap_or(false);
+        let known = core.view.snapshot().replica(id).cloned();
+        if let Some(replica) = known.filter(|r| said && r.started_ms == started) {
+            if core.apply_leaving(&replica) {
+                info!(replica = %id, peer = %name, "peer reported that the replica said that it is leaving");
+            }
+            continue;
+        }
         let same = |r: &Replica| started == 0 || r.started_ms == 0 || r.started_ms == started;
         if core.view.snapshot().replica(id).is_some_and(|r| !r.leaving && same(r))
             && core.view.mark_leaving(id)
--- a/crates/relay/src/permits.rs
+++ b/crates/relay/src/permits.rs
@@ -53,6 +53,22 @@
     }
 }
 
+/// Takes a replica that says that it is leaving out of the choice, and tells peers.
+pub(crate) fn observe_leaving(core: &Core, meta: &ResponseMeta, replica: &Replica) {
+    match &meta.leaving {
+        Ok(false) => {}
+        Ok(true) if core.apply_leaving(replica) => {
+            core.metrics.leaving_said.inc();
+            info!(replica = &*replica.id, "replica said that it is leaving");
+            core.notify_peers.notify_one();
+        }
+        Ok(true) => {}
+        Err(error) => {
+            warn!(replica = &*replica.id, %error, "replica's word of leaving is malformed")
+        }
+    }
+}
+
 /// What a replica names, `None` if that is malformed. It names nothing where that is `Some(None)`.
 fn parse(named: &NamedLimit, replica: &Replica, message: &str) -> Option<Option<f64>> {
     match named {
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -77,6 +77,8 @@
     pub limit: NamedLimit,
     /// Refusals per second that the replica says it bears.
     pub max_refusals: NamedLimit,
+    /// Whether the replica says that it is leaving; an error if it says something else.
+    pub leaving: Result<bool, HeaderError>,
 }
 
 /// The protocol of callers and replicas.
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -96,7 +96,8 @@
 impl Gate for FlightGate<'_> {
     fn open(&self) -> bool {
         let Forwarder { core, suspects, .. } = self.forwarder;
-        let may_send = self.forwarder.may_send();
+        // It may have said that it is leaving while the request waited for a connection.
+        let may_send = self.forwarder.may_send() && !core.has_said_leaving(self.replica);
         let begin = || FlightGuard::new(core, self.replica, suspects.clone());
         *self.flight.lock() = may_send.then(begin);
         may_send
@@ -337,6 +338,7 @@
         links::note_reached(core, &choice.replica);
         if meta.sealed || meta.refused {
             permits::observe(core, &meta, &choice.replica, now);
+            permits::observe_leaving(core, &meta, &choice.replica);
         }
         if meta.refused {
             self.handle_refusal(head.status, &meta, choice, now);
