Send nothing to a replica for the time that its 503 names

Cause: Retry-After of replicas was read nowhere; each refusal left a replica out for 150 ms.

Why this works: the named time is a deadline of the incarnation beside the others, checked at the choice and again before the first byte. Where it holds for all replicas, the caller is refused at once with the time to the first deadline. Answers of peers keep their own Retry-After.

After the time, and for the next incarnation, it is used as before.

--- a/crates/place/src/choice.rs
+++ b/crates/place/src/choice.rs
@@ -111,6 +111,12 @@
         /// Time at which this instance may send the next request to one of them.
         until: Time,
     },
+    /// All replicas want no requests of this instance for a time that they named.
+    #[error("the replicas turn requests away")]
+    Barred {
+        /// Time at which the first of them may be sent to again.
+        until: Time,
+    },
     /// All replicas with suitable weights were tried already or are excluded for now.
     #[error("no replica is usable now")]
     Excluded {
@@ -196,11 +202,18 @@
             if any_usable {
                 return Err(PlacementError::Overloaded);
             }
+            let barred = members.iter().map(|m| m.entry.barred_until).min();
+            if let Some(until) = barred.filter(|until| !until.passed(now)) {
+                return Err(PlacementError::Barred { until });
+            }
             if let Some(until) = self.limited_until(&members, request, now) {
                 return Err(PlacementError::Limited { until });
             }
-            let first =
-                members.iter().map(|m| m.entry.excluded_until).filter(|t| !t.passed(now)).min();
+            let first = members
+                .iter()
+                .map(|m| m.entry.excluded_until.max(m.entry.barred_until))
+                .filter(|t| !t.passed(now))
+                .min();
             return Err(PlacementError::Excluded {
                 until: first.unwrap_or(now.after(FULL_COOLDOWN)),
             });
@@ -267,7 +280,8 @@
         let version = request.model.is_none_or(|(model, _)| {
             entry.version(model).is_some_and(|v| v >= request.min_version)
         });
-        !tried && version && entry.excluded_until.passed(now)
+        let is_open = entry.excluded_until.passed(now) && entry.barred_until.passed(now);
+        !tried && version && is_open
     }
 
     /// Expected delay of the first token, or of the answer if the replica is not an engine, in ms.
--- a/crates/relay/src/detour.rs
+++ b/crates/relay/src/detour.rs
@@ -189,7 +189,7 @@
             || head.headers.contains_key(TRANSFER_ENCODING));
     let length = body.size_hint().exact().filter(|_| !unframed);
     let kept = head.headers.clone();
-    core.adapters.protocol.strip_response(&mut head.headers);
+    core.adapters.protocol.strip_detour_response(&mut head.headers);
     head.headers.remove(CONTENT_LENGTH);
     let mut out = if length.is_some_and(|n| n <= MAX_BUFFERED_BYTES) {
         let read = timeout(job.time_left(core.now()), body.collect()).await;
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -315,6 +315,9 @@
                 }
                 return stop("the replicas are at their limits", wait.max(MIN_LIMITED_DELAY));
             }
+            Err(PlacementError::Barred { until }) => {
+                return stop("all replicas turn requests away for now", until.since(now));
+            }
             Err(PlacementError::NoReplica) => {
                 let why = match self.pin {
                     Pin::Free => "the target has no replica",
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -57,6 +57,8 @@
     pub limited_replicas: IntGauge,
     /// Replicas that say how many refusals they bear.
     pub brittle_replicas: IntGauge,
+    /// Answers in which a replica named a time for which it wants no requests.
+    pub retry_after: IntCounter,
     /// Replicas that said in an answer that they are leaving.
     pub leaving_said: IntCounter,
     /// Times at which one of them was found to be full.
@@ -147,6 +149,10 @@
                 "lentil_brittle_replicas",
                 "Replicas that say how many refusals they bear",
             ),
+            retry_after: counter(
+                "lentil_replica_retry_after_total",
+                "Answers in which a replica named a time for which it wants no requests",
+            ),
             leaving_said: counter(
                 "lentil_leaving_said_total",
                 "Replicas that said in an answer that they are leaving",
--- a/crates/relay/src/permits.rs
+++ b/crates/relay/src/permits.rs
@@ -69,6 +69,25 @@
     }
 }
 
+/// Sends nothing to a replica for the time that it named when it turned a request away.
+pub(crate) fn observe_retry_after(core: &Core, meta: &ResponseMeta, replica: &Replica, now: Time) {
+    match &meta.retry_after {
+        Ok(None) => {}
+        Ok(Some(time)) => {
+            core.metrics.retry_after.inc();
+            info!(
+                replica = &*replica.id,
+                ms = time.as_millis() as u64,
+                "replica wants no requests for some time"
+            );
+            core.pool.lock().bar(replica, *time, now);
+        }
+        Err(error) => {
+            warn!(replica = &*replica.id, %error, "time for which the replica wants no requests is malformed");
+        }
+    }
+}
+
 /// What a replica names, `None` if that is malformed. It names nothing where that is `Some(None)`.
 fn parse(named: &NamedLimit, replica: &Replica, message: &str) -> Option<Option<f64>> {
     match named {
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -79,6 +79,8 @@
     pub max_refusals: NamedLimit,
     /// Whether the replica says that it is leaving; an error if it says something else.
     pub leaving: Result<bool, HeaderError>,
+    /// How long the replica wants no requests of this instance; `None` if it does not say.
+    pub retry_after: Result<Option<Duration>, HeaderError>,
 }
 
 /// The protocol of callers and replicas.
@@ -101,6 +103,9 @@
     /// Removes hop-by-hop headers and what a replica says of itself from an answer.
     fn strip_response(&self, headers: &mut HeaderMap);
 
+    /// Removes hop-by-hop headers from a peer's answer.
+    fn strip_detour_response(&self, headers: &mut HeaderMap);
+
     /// The endpoint of the instance itself that a request asks for, by path and query.
     fn endpoint(&self, path: &str, query: Option<&str>) -> Endpoint;
 
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -96,8 +96,10 @@
 impl Gate for FlightGate<'_> {
     fn open(&self) -> bool {
         let Forwarder { core, suspects, .. } = self.forwarder;
-        // It may have said that it is leaving while the request waited for a connection.
-        let may_send = self.forwarder.may_send() && !core.has_said_leaving(self.replica);
+        // It may have turned others away while the request waited for a connection.
+        let may_send = self.forwarder.may_send()
+            && !core.has_said_leaving(self.replica)
+            && !core.pool.lock().is_barred(&self.replica.id, core.now());
         let begin = || FlightGuard::new(core, self.replica, suspects.clone());
         *self.flight.lock() = may_send.then(begin);
         may_send
@@ -339,6 +341,9 @@
         if meta.sealed || meta.refused {
             permits::observe(core, &meta, &choice.replica, now);
             permits::observe_leaving(core, &meta, &choice.replica);
+            if head.status == StatusCode::SERVICE_UNAVAILABLE {
+                permits::observe_retry_after(core, &meta, &choice.replica, now);
+            }
         }
         if meta.refused {
             self.handle_refusal(head.status, &meta, choice, now);
