Heed the word of leaving in a replica's report

Reports are answers, too: a replica that is asked for its state because its stream is silent, because a connection broke or before an order, and says that it leaves, goes out of the choice like one whose answer to a request says so. The report must be of the incarnation that was asked.

--- a/crates/relay/src/duty/orders.rs
+++ b/crates/relay/src/duty/orders.rs
@@ -13,6 +13,7 @@
 use crate::{
     core::Core,
     peers::LOADING_TTL,
+    permits,
     services::{Order, OrderAnswer, Report},
 };
 
@@ -174,7 +175,7 @@
 /// Queries a replica's state; `None` where it does not answer.
 async fn query(core: &Core, replica: &Replica, model: &Arc<str>) -> Option<ReplicaReport> {
     let asked_at = core.now();
-    match core.adapters.engines.report(replica.addr).await {
+    match permits::report(core, replica).await {
         Ok(report) => Some(to_replica_report(core, replica, model, &report, asked_at)),
         Err(error) => {
             info!(replica = %replica.id, %error, "replica state query failed");
--- a/crates/relay/src/ends.rs
+++ b/crates/relay/src/ends.rs
@@ -12,7 +12,7 @@
 use crate::{
     conns::{SendError, try_connect},
     core::Core,
-    links,
+    links, permits,
     services::CallError,
     verdicts,
 };
@@ -246,7 +246,7 @@
         Err(_) if core.is_in_contact() => return Finding::Ended,
         Err(_) => return Finding::Unknown,
     }
-    let report = core.adapters.engines.report(replica.addr);
+    let report = permits::report(core, replica);
     match timeout(REPORT_TIMEOUT, report).await {
         // Without a start time it may be another incarnation at the same address.
         Ok(Ok(report)) if report.started_ms == 0 || replica.started_ms == 0 => Finding::Unknown,
--- a/crates/relay/src/permits.rs
+++ b/crates/relay/src/permits.rs
@@ -7,7 +7,11 @@
 use place::{NamedLimit, Permit};
 use tracing::{info, warn};
 
-use crate::{core::Core, protocol::ResponseMeta};
+use crate::{
+    core::Core,
+    protocol::ResponseMeta,
+    services::{CallError, Report},
+};
 
 /// The replicas that restrict what they take, and whether this instance may send to them. Sorted by
 /// replica.
@@ -53,16 +57,30 @@
     }
 }
 
-/// Takes a replica that says that it is leaving out of the choice, and tells peers.
+/// Queries a replica's state, and takes it out of the choice if it says that it is leaving.
+pub(crate) async fn report(core: &Core, replica: &Replica) -> Result<Report, CallError> {
+    let report = core.adapters.engines.report(replica.addr).await?;
+    // Another replica may have the address now.
+    if report.leaving && report.started_ms == replica.started_ms {
+        apply_leaving(core, replica);
+    }
+    Ok(report)
+}
+
+/// Takes a replica that said that it is leaving out of the choice, and tells peers.
+fn apply_leaving(core: &Core, replica: &Replica) {
+    if core.apply_leaving(replica) {
+        core.metrics.leaving_said.inc();
+        info!(replica = &*replica.id, "replica said that it is leaving");
+        core.notify_peers.notify_one();
+    }
+}
+
+/// Takes a replica whose answer says that it is leaving out of the choice.
 pub(crate) fn observe_leaving(core: &Core, meta: &ResponseMeta, replica: &Replica) {
     match &meta.leaving {
         Ok(false) => {}
-        Ok(true) if core.apply_leaving(replica) => {
-            core.metrics.leaving_said.inc();
-            info!(replica = &*replica.id, "replica said that it is leaving");
-            core.notify_peers.notify_one();
-        }
-        Ok(true) => {}
+        Ok(true) => apply_leaving(core, replica),
         Err(error) => {
             warn!(replica = &*replica.id, %error, "replica's word of leaving is malformed")
         }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -22,6 +22,7 @@
     answer::{Body, Chunk, channel_body},
     events::{EventScanner, EventSplitter, StreamError},
     forward::{Forwarder, Step},
+    permits,
     send::{AttemptOutcome, ReplicaAnswer},
 };
 
@@ -240,7 +241,7 @@
             if left.is_zero() || !resumable {
                 return Err(End::TimedOut);
             }
-            let report = core.adapters.engines.report(replica.addr);
+            let report = permits::report(&core, replica);
             let responds = tokio::select! {
                 biased;
                 frame = body.frame() => return Ok(frame),
--- a/crates/relay/src/services.rs
+++ b/crates/relay/src/services.rs
@@ -110,6 +110,8 @@
     pub orders: u64,
     /// [`fleet::Replica::started_ms`] of the replica that reports; 0 if it does not say.
     pub started_ms: u64,
+    /// Whether the answer says that the replica is leaving.
+    pub leaving: bool,
 }
 
 /// An order to load another version of a model's weights.
