--- a/crates/blame/src/lib.rs
+++ b/crates/blame/src/lib.rs
@@ -7,6 +7,7 @@
 mod evidence;
 mod flights;
 mod report;
+mod suspect;
 mod verdict;
 
 use std::{sync::Arc, time::Duration};
@@ -14,8 +15,8 @@
 use ident::Time;
 
 pub use crate::{
-    evidence::{EndId, SuspectKey},
     report::{Report, ReportWire, SuspectReport, SuspectWire},
+    suspect::{EndId, SuspectKey},
     verdict::{Admission, Fatal},
 };
 
--- a/crates/blame/src/verdict.rs
+++ b/crates/blame/src/verdict.rs
@@ -4,7 +4,8 @@
 
 use crate::{
     EndId, SuspectKey,
-    evidence::{Evidence, Suspect, fatal_since},
+    evidence::Evidence,
+    suspect::{Suspect, fatal_since},
 };
 
 /// Most causes that are blamed together where none was at half of the ends by itself.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,6 +10,7 @@
 mod caller_conn;
 mod conns;
 pub mod core;
+mod datagram;
 mod dates;
 mod detour;
 mod directory;
