--- a/crates/place/src/choice.rs
+++ b/crates/place/src/choice.rs
@@ -113,7 +113,7 @@
     },
     /// All replicas want no requests of this instance for a time that they named.
     #[error("the replicas turn requests away")]
-    Barred {
+    Declined {
         /// Time at which the first of them may be sent to again.
         until: Time,
     },
@@ -202,16 +202,16 @@
             if any_usable {
                 return Err(PlacementError::Overloaded);
             }
-            let barred = members.iter().map(|m| m.entry.barred_until).min();
-            if let Some(until) = barred.filter(|until| !until.passed(now)) {
-                return Err(PlacementError::Barred { until });
+            let declined = members.iter().map(|m| m.entry.declined_until).min();
+            if let Some(until) = declined.filter(|until| !until.passed(now)) {
+                return Err(PlacementError::Declined { until });
             }
             if let Some(until) = self.limited_until(&members, request, now) {
                 return Err(PlacementError::Limited { until });
             }
             let first = members
                 .iter()
-                .map(|m| m.entry.excluded_until.max(m.entry.barred_until))
+                .map(|m| m.entry.excluded_until.max(m.entry.declined_until))
                 .filter(|t| !t.passed(now))
                 .min();
             return Err(PlacementError::Excluded {
@@ -280,7 +280,7 @@
         let version = request.model.is_none_or(|(model, _)| {
             entry.version(model).is_some_and(|v| v >= request.min_version)
         });
-        let is_open = entry.excluded_until.passed(now) && entry.barred_until.passed(now);
+        let is_open = entry.excluded_until.passed(now) && entry.declined_until.passed(now);
         !tried && version && is_open
     }
 
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -17,7 +17,7 @@
 /// How long a replica's own report of its load is used.
 const LOAD_REPORT_TTL: Duration = Duration::from_millis(500);
 /// Longest time for which a replica's word keeps requests away: a wrong one must not shut it out.
-const MAX_BAR: Duration = Duration::from_secs(60);
+const MAX_DECLINED: Duration = Duration::from_secs(60);
 /// Number of attempts in a row without an answer from which a replica counts as unhealthy.
 pub(crate) const FAILURE_THRESHOLD: u32 = 2;
 
@@ -82,7 +82,7 @@
     /// Time until which the replica is excluded.
     pub(crate) excluded_until: Time,
     /// Time until which the replica wants no requests of this instance.
-    pub(crate) barred_until: Time,
+    pub(crate) declined_until: Time,
     /// Time until which the replica loads weights, as far as is known.
     pub(crate) loading_until: Time,
     /// Model and weights version that the replica itself reported. They take precedence over the
@@ -140,7 +140,7 @@
                     failures: 0,
                     heard: Time(0),
                     excluded_until: Time(0),
-                    barred_until: Time(0),
+                    declined_until: Time(0),
                     loading_until: Time(0),
                     observed: None,
                 },
@@ -242,17 +242,17 @@
 
     /// Sends nothing to an incarnation of a replica for a time that it named. The later of two
     /// deadlines counts.
-    pub fn bar(&mut self, replica: &Replica, time: Duration, now: Time) {
+    pub fn decline(&mut self, replica: &Replica, time: Duration, now: Time) {
         let known = self.find(&replica.id).filter(|e| e.replica.started_ms == replica.started_ms);
         if let Some(entry) = known {
-            entry.barred_until = entry.barred_until.max(now.after(time.min(MAX_BAR)));
+            entry.declined_until = entry.declined_until.max(now.after(time.min(MAX_DECLINED)));
         }
     }
 
     /// Whether a replica wants no requests of this instance now.
-    pub fn is_barred(&self, id: &str, now: Time) -> bool {
+    pub fn declines(&self, id: &str, now: Time) -> bool {
         let found = self.entries.binary_search_by(|e| (*e.replica.id).cmp(id));
-        found.is_ok_and(|at| !self.entries[at].barred_until.passed(now))
+        found.is_ok_and(|at| !self.entries[at].declined_until.passed(now))
     }
 
     /// Records a replica's own report of its running and queued requests.
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -315,7 +315,7 @@
                 }
                 return stop("the replicas are at their limits", wait.max(MIN_LIMITED_DELAY));
             }
-            Err(PlacementError::Barred { until }) => {
+            Err(PlacementError::Declined { until }) => {
                 return stop("all replicas turn requests away for now", until.since(now));
             }
             Err(PlacementError::NoReplica) => {
--- a/crates/relay/src/permits.rs
+++ b/crates/relay/src/permits.rs
@@ -98,7 +98,7 @@
                 ms = time.as_millis() as u64,
                 "replica wants no requests for some time"
             );
-            core.pool.lock().bar(replica, *time, now);
+            core.pool.lock().decline(replica, *time, now);
         }
         Err(error) => {
             warn!(replica = &*replica.id, %error, "time for which the replica wants no requests is malformed");
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -99,7 +99,7 @@
         // It may have turned others away while the request waited for a connection.
         let may_send = self.forwarder.may_send()
             && !core.has_said_leaving(self.replica)
-            && !core.pool.lock().is_barred(&self.replica.id, core.now());
+            && !core.pool.lock().declines(&self.replica.id, core.now());
         let begin = || FlightGuard::new(core, self.replica, suspects.clone());
         *self.flight.lock() = may_send.then(begin);
         may_send
