Take a refusal without an id for the request at hand only on a new connection

Callers saw: bookings that ran at two replicas, or that were answered 503 "not run" and ran. Cause: an answer without a request id was foreign unless it was a refusal. A replica that writes an earlier refusal once more on a kept connection, without an id, so refused the request after it, which it ran. Ruled out: a copy with the earlier request's id was foreign before, and the connection of a refused request was never kept, so that a request cannot meet its own refusal again. Change: without an id a refusal counts only where nothing was answered on the connection before.

--- a/crates/relay/src/conns.rs
+++ b/crates/relay/src/conns.rs
@@ -86,6 +86,16 @@
     replica: Arc<ReplicaConns>,
     /// When the connection expires if it stays unused.
     expires: Time,
+    /// Whether an earlier request was answered on it.
+    is_kept: bool,
+}
+
+impl Conn {
+    /// Whether an earlier request was answered on the connection, so that bytes on it may belong to
+    /// that one.
+    pub(crate) fn is_kept(&self) -> bool {
+        self.is_kept
+    }
 }
 
 impl Drop for Conn {
@@ -180,6 +190,7 @@
             return;
         }
         conn.expires = now.after(idle_timeout);
+        conn.is_kept = true;
         let replica = conn.replica.clone();
         replica.idle.lock().push(conn);
     }
@@ -248,7 +259,7 @@
     }
     match handshake(replica.addr, source).await {
         // The expiry is set when the connection becomes idle.
-        Ok((sender, task)) => Ok(Conn { sender, task, replica, expires: Time(0) }),
+        Ok((sender, task)) => Ok(Conn { sender, task, replica, expires: Time(0), is_kept: false }),
         Err(e) => {
             replica.open.fetch_sub(1, Ordering::Relaxed);
             Err(e)
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -326,8 +326,13 @@
         if let Some(requests) = meta.requests {
             core.pool.lock().record_report(id, requests, now);
         }
-        let mismatched = meta.request_id.as_ref().is_some_and(|i| *i != job.meta.id);
-        if mismatched || (meta.request_id.is_none() && !meta.refused) {
+        // Nothing came before the first answer on a connection. Later, a refusal without an id may
+        // be a copy of that of an earlier request.
+        let is_own = match &meta.request_id {
+            Some(id) => *id == job.meta.id,
+            None => meta.refused && !conn.is_kept(),
+        };
+        if !is_own {
             core.pool.lock().record_outcome(id, Outcome::Failed, now);
             self.log_outcome(
                 "foreign",
