Take a replica for reached only after an answer

Callers saw: behind links that accept connections and carry nothing, 0 of 90 requests were served at three of eight instances, 150 of 150 at the others; lookups got 504. Cause: a probe opened a connection and took the handshake for the replica. So such an instance never counted itself as cut off, and sent nothing through peers. Change: a probe asks for the replica's report over a new connection and takes any answer, within half a second. The decision in crate reach is as it was: a target is cut off where none of its replicas is reached, and a peer's datagram tells one's own path from theirs. Requests that may be repeated leave a replica of a target that is cut off. Ruled out: a sound replica that is silent for 0.8, 1.2 or 1.5 s loses no booking, as before.

--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -5,19 +5,17 @@
 use fleet::Replica;
 use rand::seq::IndexedRandom;
 use reach::Member;
-use tokio::{io::AsyncReadExt, time::timeout};
+use tokio::time::timeout;
 use tracing::info;
 
-use crate::{conns, core::Core};
+use crate::core::Core;
 
 /// Pause between two looks for replicas to probe.
 const PROBE_TICK: Duration = Duration::from_millis(100);
 /// Most replicas that are probed in one look.
 const MAX_PROBES: usize = 8;
-/// Timeout of a probe's connection.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
-/// How long a probe's connection must stay open: a link may accept connections and reset them.
-const PROBE_HOLD: Duration = Duration::from_millis(20);
+/// Timeout of a probe: a sound replica may be silent for a while.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Most other replicas that are probed after one did not answer.
 const MAX_WITNESSES: usize = 2;
 
@@ -38,16 +36,16 @@
     taking.map(|r| Member { replica: r.id.clone(), target: r.target.clone() }).collect()
 }
 
-/// Whether a connection to a replica can be opened and stays open. Nothing is sent.
-async fn probe(replica: &Replica) -> bool {
-    let Ok(mut stream) = conns::open(replica.addr, PROBE_TIMEOUT, None).await else { return false };
-    // A replica sends nothing by itself.
-    timeout(PROBE_HOLD, stream.read(&mut [0])).await.is_err()
+/// Whether a replica answers over a new connection. One that is accepted shows nothing: the way may
+/// carry the handshake alone.
+async fn probe(core: &Core, replica: &Replica) -> bool {
+    let answer = core.adapters.engines.probe(replica.addr);
+    timeout(PROBE_TIMEOUT, answer).await.is_ok_and(|answered| answered.is_ok())
 }
 
 /// Probes a replica, records the outcome and returns whether the replica was reached.
 pub(crate) async fn check(core: &Core, replica: &Replica) -> bool {
-    let reached = probe(replica).await;
+    let reached = probe(core, replica).await;
     if reached {
         note_reached(core, replica);
     } else {
@@ -74,7 +72,7 @@
     }
     let some: Vec<_> = others.choose_multiple(&mut rand::rng(), MAX_WITNESSES).collect();
     for witness in some {
-        if probe(witness).await {
+        if probe(core, witness).await {
             return true;
         }
     }
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -1,6 +1,6 @@
 //! One attempt to have a replica answer a request, and the check of the answer's head.
 
-use std::{convert::Infallible, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use fleet::{Replica, Snapshot};
 use http_body_util::Full;
@@ -14,6 +14,7 @@
 use crate::{
     conns::{Conn, Gate, SendError},
     core::Core,
+    detour,
     ends::{self, FlightGuard},
     forward::{Attempt, Forwarder},
     links, permits,
@@ -177,7 +178,9 @@
             .map_or(forward_headers.time_left, |at| forward_headers.time_left.min(at.since(now)));
         let sent = tokio::select! {
             sent = timeout(wait, sent) => sent,
-            never = self.watch_silence(replica) => match never {},
+            () = self.watch_silence(replica) => {
+                Ok(Err(SendError::Broken("no replica of the target is reached, a peer reaches some".into())))
+            }
         };
         // Without one, nothing was written.
         let flight = flight.into_inner();
@@ -239,11 +242,18 @@
 
     /// Checks a replica that does not answer, at intervals, so that no further requests are sent to
     /// one that is not reached. Those that are there go on: a sound one may be silent for a second.
-    async fn watch_silence(&self, replica: &Arc<Replica>) -> Infallible {
+    /// Completes for a request that may be repeated, once it must go through a peer.
+    async fn watch_silence(&self, replica: &Arc<Replica>) {
         let core = &self.core;
         loop {
             let since = core.now();
             tokio::time::sleep(SILENCE_CHECK_INTERVAL).await;
+            if self.job.route.repeatable()
+                && !self.job.is_detour
+                && detour::is_needed(core, &self.target)
+            {
+                return;
+            }
             let check = core.pool.lock().take_check(&replica.id, since, core.now());
             if check && !links::check(core, replica).await {
                 core.pool.lock().mark_unreachable(&replica.id, core.now());
--- a/crates/relay/src/services.rs
+++ b/crates/relay/src/services.rs
@@ -179,6 +179,9 @@
 /// Client of model engines and stores of kept KV cache.
 #[async_trait]
 pub trait Engines: Send + Sync {
+    /// Asks a replica over a new connection for any answer, whatever its status.
+    async fn probe(&self, addr: SocketAddr) -> Result<(), CallError>;
+
     /// Queries a replica's state.
     async fn report(&self, addr: SocketAddr) -> Result<Report, CallError>;
 
