Try to take the lease as often in all, however many instances stand by

Seen in the price of calls on deployments of 195 instances: 192 instances that are no candidates read the lease row every 4 s each, 48 calls a second. Their interval grows with the instances, so that together they try three times a second. The three candidates and deployments of up to 12 instances are as before.

--- a/crates/relay/src/duty.rs
+++ b/crates/relay/src/duty.rs
@@ -36,8 +36,11 @@
 const RENEW_RETRY_DELAY: Duration = Duration::from_millis(240);
 /// Number of instances that use [`CANDIDATE_INTERVAL`]; the others use [`STANDBY_INTERVAL`].
 const MAX_CANDIDATES: usize = 3;
-/// Interval at which the other instances try to acquire the lease.
+/// Interval at which the other instances of a small deployment try to acquire the lease. It grows with
+/// the instances, so that all together try as often.
 const STANDBY_INTERVAL: Duration = Duration::from_secs(4);
+/// Instances up to which [`STANDBY_INTERVAL`] does not grow.
+const SMALL_DEPLOYMENT: usize = 12;
 /// No order or free call is sent within this time before the lease expires, so that it arrives
 /// while the lease is valid.
 const ACT_MARGIN: Duration = Duration::from_millis(700);
@@ -72,11 +75,17 @@
             Err(error) => warn!(%error, "duty lease could not be acquired"),
         }
         let jitter = rand::rng().random_range(0.8..1.2);
-        let pause = if is_candidate(&core) { CANDIDATE_INTERVAL } else { STANDBY_INTERVAL };
+        let pause = if is_candidate(&core) { CANDIDATE_INTERVAL } else { standby_interval(&core) };
         tokio::time::sleep(pause.mul_f64(jitter)).await;
     }
 }
 
+/// Interval at which an instance that is no candidate tries to acquire the lease.
+fn standby_interval(core: &Core) -> Duration {
+    let count = core.view.snapshot().instances.len();
+    STANDBY_INTERVAL.mul_f64((count as f64 / SMALL_DEPLOYMENT as f64).max(1.0))
+}
+
 /// Whether this instance is one of the [`MAX_CANDIDATES`] that use [`CANDIDATE_INTERVAL`]. So is an
 /// instance that is not listed.
 fn is_candidate(core: &Core) -> bool {
