Let a few instances read the registry and the stores, and the others follow them

Cause: every instance polled all topics by itself, woken by each heartbeat, and a store takes about a dozen polls. Change: crate feed decides which instances of a zone read and whom the others follow, and keeps what changed after a position; relay::feed serves it to peers with the age of the source's word. Up to 12 instances each one reads by itself, as before. Found by its own tests: a removed row that an instance never knew must be remembered, since a follower may know it; a reader whose source fails must say so to polls that wait (2.5 s for a bound of 2 s before).

--- a/crates/place/src/catalog.rs
+++ b/crates/place/src/catalog.rs
@@ -113,6 +113,11 @@
         self.clock_ms + FETCH_TIMEOUT_MS
     }
 
+    /// When the request that the store answered last was sent.
+    pub fn asked_at(&self) -> Time {
+        self.asked_at
+    }
+
     /// Returns the time of the store's last answer by the engines' clock, in ms.
     pub fn clock_ms(&self) -> u64 {
         self.clock_ms
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -9,15 +9,16 @@
     time::Duration,
 };
 
+use ::feed::{Delta, Log};
 use blame::{Blame, EndId, SuspectKey};
 use bytes::Bytes;
 use fleet::{Config, Replica, Snapshot, Store, View};
 use ident::{Clock, Time};
 use origin::{Latest, Origins};
 use parking_lot::Mutex;
-use place::{Catalog, Limits, Peers, Pool, Refusals, RetryBudgets};
+use place::{Catalog, Change, HeldPart, Limits, Peers, Pool, Refusals, RetryBudgets};
 use reach::Reach;
-use table::Table;
+use table::{Table, Version};
 use tokio::{
     net::UdpSocket,
     sync::{Notify, Semaphore, watch},
@@ -27,7 +28,8 @@
 use crate::{
     conns::ConnPool,
     dates::RegistryClock,
-    kept,
+    feed::Feeds,
+    feed_wire, kept,
     metrics::Metrics,
     origins,
     peers::{HEARD_TTL, PEER_TTL},
@@ -108,6 +110,72 @@
     pub store: Arc<Store>,
     /// Catalog of the parts that the store holds.
     pub catalog: Catalog,
+    /// The same parts as the store reported them, for followers. The era of a position is the
+    /// store's epoch.
+    pub log: Log<HeldPart>,
+}
+
+impl StoreCatalog {
+    /// A store whose parts are not known.
+    pub(crate) fn new(store: Arc<Store>) -> Self {
+        Self { store, catalog: Catalog::default(), log: Log::default() }
+    }
+
+    /// Forgets the parts.
+    pub(crate) fn clear(&mut self) {
+        self.catalog.clear();
+        self.log.clear();
+    }
+
+    /// Replaces the parts by the store's list, which was requested at `asked`.
+    pub(crate) fn replace(
+        &mut self,
+        held: Vec<HeldPart>,
+        next: Version,
+        clock_ms: u64,
+        asked: Time,
+    ) {
+        let row = |h: &HeldPart| (feed_wire::part_key(&h.salt, &h.part), h.clone());
+        self.log.replace(held.iter().map(row).collect(), next);
+        self.catalog.replace(next.era, held);
+        self.catalog.apply(next.era, false, Vec::new(), clock_ms, asked);
+    }
+
+    /// Applies changes that follow the known ones. Returns false, and forgets the parts, if they
+    /// don't.
+    pub(crate) fn apply(
+        &mut self,
+        changes: Vec<Change>,
+        gap: bool,
+        next: Version,
+        clock_ms: u64,
+        asked: Time,
+    ) -> bool {
+        let row = |change: &Change| match change {
+            Change::Added(h) => (feed_wire::part_key(&h.salt, &h.part), Some(h.clone())),
+            Change::Removed { salt, part } => (feed_wire::part_key(salt, part), None),
+        };
+        let follows = !gap && self.log.apply(changes.iter().map(row).collect(), next);
+        let usable = follows && self.catalog.apply(next.era, gap, changes, clock_ms, asked);
+        if !usable {
+            self.clear();
+        }
+        usable
+    }
+
+    /// Applies what a reader sent.
+    pub(crate) fn apply_delta(&mut self, delta: Delta<HeldPart>, clock_ms: u64, asked: Time) {
+        let Delta { full, rows, removed, next } = delta;
+        let held = rows.into_iter().map(|(_, held)| held);
+        if full {
+            return self.replace(held.collect(), next, clock_ms, asked);
+        }
+        let gone = removed.iter().filter_map(|key| {
+            let (salt, part) = key.rsplit_once('\n')?;
+            Some(Change::Removed { salt: salt.into(), part: part.into() })
+        });
+        self.apply(held.map(Change::Added).chain(gone).collect(), false, next, clock_ms, asked);
+    }
 }
 
 /// Bytes of a request body that one permit stands for.
@@ -218,6 +286,8 @@
     pub(crate) checked: Mutex<Vec<EndId>>,
     /// Wakes the task that tells some peers at once of new evidence in `blame` or a changed limit.
     pub(crate) notify_evidence: Notify,
+    /// What peers are served of the registry, and whom this instance follows.
+    pub(crate) feeds: Feeds,
 }
 
 impl Core {
@@ -267,6 +337,7 @@
             fatal: Mutex::default(),
             checked: Mutex::default(),
             notify_evidence: Notify::new(),
+            feeds: Feeds::new(now),
         })
     }
 
--- a/crates/relay/src/detour.rs
+++ b/crates/relay/src/detour.rs
@@ -41,7 +41,7 @@
 const MAX_CONNS: u32 = 64;
 
 /// Lets all requests pass.
-struct Open;
+pub(crate) struct Open;
 
 impl Gate for Open {
     fn open(&self) -> bool {
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -11,11 +11,15 @@
 use crate::{
     core::Core,
     dates, ends,
-    services::{CallError, Topic, Update},
+    feed::{self, Answer},
+    feed_wire,
+    services::{Batch, CallError, Topic, Update},
 };
 
 /// Longest wait of a poll for a change. Each answer also confirms that there is nothing newer.
 const MAX_POLL_WAIT: Duration = Duration::from_millis(2400);
+/// The same while other instances follow this one.
+const READER_POLL_WAIT: Duration = Duration::from_millis(700);
 /// Longest wait of a poll while entries of replicas are missing and about to be dropped.
 const MISSING_POLL_WAIT: Duration = Duration::from_millis(400);
 /// Pause after an answer with changes to replicas or instances. Replicas' heartbeats change rows
@@ -49,6 +53,9 @@
     next: Option<Version>,
     /// Number of failed polls in a row.
     failures: u32,
+    /// The reader that answered last; `None` where the registry was asked or the reader did not
+    /// answer.
+    followed: Option<Arc<str>>,
     /// Replicas whose entries are missing, and when each is dropped. Sorted by that time.
     missing: Vec<(Arc<str>, Time)>,
     /// Instances whose entries are missing since a return of the registry, and which are kept while
@@ -58,10 +65,76 @@
 
 impl Follower {
     fn new(core: Arc<Core>, topic: Topic) -> Self {
-        Self { core, topic, next: None, failures: 0, missing: Vec::new(), heard: Vec::new() }
+        let (missing, heard) = (Vec::new(), Vec::new());
+        Self { core, topic, next: None, failures: 0, followed: None, missing, heard }
     }
 
     async fn poll(&mut self) {
+        match self.core.feeds.reader(self.core.now()) {
+            Some(reader) => self.poll_reader(reader).await,
+            None => self.poll_registry().await,
+        }
+    }
+
+    /// Asks a reader for changes.
+    async fn poll_reader(&mut self, reader: Arc<str>) {
+        let (asked_at, full) = (self.core.now(), self.next.is_none());
+        // The first answer of a reader shows whether it answers at all.
+        let known = self.followed.take().is_some_and(|followed| followed == reader);
+        let may_wait = known && self.missing.is_empty();
+        let Some(answer) = feed::poll(&self.core, &reader, self.topic, self.next, may_wait).await
+        else {
+            return;
+        };
+        let core = self.core.clone();
+        let Answer { batch, rows, full: is_full, age, is_old } = answer;
+        core.adapters.registry.observe_era(batch.next.era);
+        if core.returns.era().is_some() {
+            core.observe_era();
+        }
+        let era = core.adapters.registry.era();
+        if batch.next.era < era || self.next.is_some_and(|next| next.era < era) {
+            core.feeds.stale(&reader, core.now());
+            return self.restart().await;
+        }
+        // All rows as of an earlier position than the known ones.
+        let served = core.feeds.position(self.topic);
+        if is_full && served.is_some_and(|at| at.era == batch.next.era && at > batch.next) {
+            core.feeds.stale(&reader, core.now());
+            return;
+        }
+        if is_old {
+            let age_ms = age.as_millis() as u64;
+            info!(reader = &*reader, topic = ?self.topic, age_ms, "reader left, its word is old");
+            core.metrics.feed_polls.with_label_values(&["stale"]).inc();
+            core.feeds.stale(&reader, core.now());
+        }
+        let made_at = {
+            let mut clock = core.registry_clock.lock();
+            // The reader's estimate of the registry's clock when it answered.
+            clock.observe(batch.next.era, batch.clock + age.as_millis() as u64, core.now());
+            clock.to_local(batch.clock).unwrap_or(asked_at.before(age))
+        };
+        self.followed = Some(reader);
+        core.feeds.record(self.topic, rows, is_full, batch.next, batch.clock);
+        self.take(batch, full || is_full, made_at.min(core.now()));
+    }
+
+    /// Takes changes, or all rows if `full`, that the registry confirmed at `made_at`.
+    fn take(&mut self, batch: Batch, full: bool, made_at: Time) {
+        self.next = Some(batch.next);
+        self.core.returns.note_position(self.topic, batch.next, full, self.core.now());
+        let weights_confirmed = self.core.view.snapshot().confirmed.weights;
+        // Before the updates are applied: this records the end of an outage, after which missing
+        // replicas are dropped only later, since their entries may come back.
+        self.confirm(made_at);
+        self.apply_batch(batch.updates, full, weights_confirmed);
+        self.drop_missing();
+        self.drop_unheard();
+    }
+
+    /// Asks the registry for changes.
+    async fn poll_registry(&mut self) {
         let asked_at = self.core.now();
         let registry = &self.core.adapters.registry;
         let full = self.next.is_none();
@@ -72,8 +145,13 @@
                 // the next answers arrive at different times. Each of them confirms to all peers
                 // that there is nothing newer.
                 let spread = rand::rng().random_range(0.5..1.0);
+                let has_followers = self.core.feeds.has_followers();
+                let longest = match self.topic {
+                    Topic::Operator | Topic::Replicas if has_followers => READER_POLL_WAIT,
+                    _ => MAX_POLL_WAIT,
+                };
                 let wait = match (self.failures, self.missing.is_empty()) {
-                    (0, true) => MAX_POLL_WAIT.mul_f64(spread),
+                    (0, true) => longest.mul_f64(spread),
                     (0, false) => MISSING_POLL_WAIT,
                     // Polls without waiting show whether the registry is back.
                     _ => Duration::ZERO,
@@ -89,6 +167,8 @@
         };
         let outcome = if answer.is_ok() { "answered" } else { "failed" };
         self.core.metrics.platform_calls.with_label_values(&[outcome]).inc();
+        let is_failing = answer.as_ref().is_err_and(|e| *e != CallError::History);
+        self.core.feeds.set_failing(self.topic, is_failing);
         if answer.is_ok() || self.core.returns.era().is_some() {
             self.core.observe_era();
         }
@@ -107,21 +187,15 @@
                     info!(topic = ?self.topic, failures, steady_ms, "registry answers again");
                 }
                 self.failures = 0;
-                self.next = Some(batch.next);
-                self.core.returns.note_position(self.topic, batch.next, full, self.core.now());
                 let made_at = {
                     let mut clock = self.core.registry_clock.lock();
                     clock.observe(batch.next.era, batch.clock, self.core.now());
                     clock.to_local(batch.clock).unwrap_or(asked_at)
                 };
                 let changed = !batch.updates.is_empty();
-                let weights_confirmed = self.core.view.snapshot().confirmed.weights;
-                // Before the updates are applied: this records the end of an outage, after which
-                // missing replicas are dropped only later, since their entries may come back.
-                self.confirm(made_at.max(asked_at));
-                self.apply_batch(batch.updates, full, weights_confirmed);
-                self.drop_missing();
-                self.drop_unheard();
+                let rows = batch.updates.iter().map(feed_wire::encode).collect();
+                self.core.feeds.record(self.topic, rows, full, batch.next, batch.clock);
+                self.take(batch, full, made_at.max(asked_at));
                 if changed && self.topic != Topic::Operator {
                     tokio::time::sleep(CHANGE_POLL_INTERVAL).await;
                 }
--- a/crates/relay/src/kept.rs
+++ b/crates/relay/src/kept.rs
@@ -1,13 +1,15 @@
 //! Follows the stores of kept KV cache and maintains their catalogs.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use fleet::Store;
-use ident::rendezvous_order;
-use place::Catalog;
+use ident::Time;
+use table::Version;
 use tracing::{info, warn};
 
-use crate::core::{Core, StoreCatalog};
+use crate::{
+    core::{Core, StoreCatalog},
+    services::CallError,
+};
 
 /// How long a poll for events waits. The platform charges shorter polls as probes. During longer
 /// ones the catalog would get too old to be trusted.
@@ -15,23 +17,10 @@
 /// Delay before a failed poll is repeated.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 
-/// Event polls at a store that are reserved for clients other than instances.
-const RESERVED_CALLS: u32 = 2;
-/// Interval at which an instance checks whether it is to follow a store.
-const FOLLOW_CHECK_INTERVAL: Duration = Duration::from_secs(2);
-
-/// Whether this instance is one of those that follow a store. A store accepts a limited number of
-/// polls at once, and refused polls are charged too. Rendezvous hashing spreads the stores over the
-/// instances.
-fn should_follow(core: &Core, store: &Store) -> bool {
-    let snapshot = core.view.snapshot();
-    let max_followers = store.max_polls.saturating_sub(RESERVED_CALLS).max(1) as usize;
-    if snapshot.instances.len() <= max_followers {
-        return true;
-    }
-    let order = rendezvous_order(store.name.as_bytes(), &snapshot.instances, |i| &i.name);
-    order.into_iter().take(max_followers).any(|i| i.name == core.settings.name)
-}
+/// The same where other instances follow this one, which ages the catalog further.
+const READER_POLL_WAIT: Duration = Duration::from_millis(250);
+/// Interval at which an instance checks whether it is to read a store.
+const READ_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Keeps one catalog for each managed store of the configuration, and starts to follow new stores.
 pub(crate) fn sync_catalogs(core: &Arc<Core>) {
@@ -43,9 +32,7 @@
         match catalogs.binary_search_by(|s| s.store.name.cmp(&store.name)) {
             Ok(at) => catalogs[at].store = Arc::new(store.clone()),
             Err(at) => {
-                let store = Arc::new(store.clone());
-                catalogs
-                    .insert(at, StoreCatalog { store: store.clone(), catalog: Catalog::default() });
+                catalogs.insert(at, StoreCatalog::new(Arc::new(store.clone())));
                 tokio::spawn(follow(core.clone(), store.name.clone()));
             }
         }
@@ -62,57 +49,26 @@
     Some(f(&mut catalogs[at]))
 }
 
-/// Follows a store until it is no longer configured.
+/// Reads a store until it is no longer configured, while this instance is a reader.
 async fn follow(core: Arc<Core>, name: Arc<str>) {
-    let mut next = 0;
     loop {
-        let entry = with_catalog(&core, &name, |s| (s.store.clone(), s.catalog.needs_list()));
-        let Some((store, unlisted)) = entry else { return };
-        if !should_follow(&core, &store) {
-            with_catalog(&core, &name, |s| s.catalog.clear());
-            tokio::time::sleep(FOLLOW_CHECK_INTERVAL).await;
+        let known = with_catalog(&core, &name, |s| {
+            (s.store.addr, s.log.position().filter(|_| !s.catalog.needs_list()))
+        });
+        let Some((addr, position)) = known else { return };
+        if core.feeds.follows() {
+            tokio::time::sleep(READ_CHECK_INTERVAL).await;
             continue;
         }
-        let addr = store.addr;
         let asked_at = core.now();
-        let result = if unlisted {
-            core.adapters.engines.content(addr).await.map(|content| {
-                next = content.next;
-                let parts = content.held.len();
-                info!(store = %name, epoch = content.epoch, parts, "store content listed");
-                with_catalog(&core, &name, |s| {
-                    s.catalog.replace(content.epoch, content.held);
-                    s.catalog.apply(content.epoch, false, Vec::new(), content.clock, asked_at);
-                });
-            })
-        } else {
-            core.adapters.engines.events(addr, next, POLL_WAIT).await.map(|events| {
-                next = events.next;
-                // The catalog is dated by when the poll was sent: the answer describes the store at
-                // some later moment, which is not known.
-                with_catalog(&core, &name, |s| {
-                    let usable = s.catalog.apply(
-                        events.epoch,
-                        events.gap,
-                        events.changes,
-                        events.clock,
-                        asked_at,
-                    );
-                    if !usable {
-                        info!(
-                            store = %name,
-                            epoch = events.epoch,
-                            gap = events.gap,
-                            "store catalog discarded"
-                        );
-                    }
-                });
-            })
+        let result = match position {
+            None => read_content(&core, &name, addr, asked_at).await,
+            Some(position) => read_events(&core, &name, addr, position, asked_at).await,
         };
         if let Err(error) = result {
             let was_listed = with_catalog(&core, &name, |s| {
                 let was_listed = !s.catalog.needs_list();
-                s.catalog.clear();
+                s.clear();
                 was_listed
             });
             if was_listed == Some(true) {
@@ -122,3 +78,44 @@
         }
     }
 }
+
+/// Reads the complete list of a store.
+async fn read_content(
+    core: &Core,
+    name: &str,
+    addr: SocketAddr,
+    asked_at: Time,
+) -> Result<(), CallError> {
+    let content = core.adapters.engines.content(addr).await?;
+    let (epoch, parts) = (content.epoch, content.held.len());
+    info!(store = %name, epoch, parts, "store content listed");
+    let next = Version { era: epoch, number: content.next };
+    with_catalog(core, name, |s| s.replace(content.held, next, content.clock, asked_at));
+    Ok(())
+}
+
+/// Waits for the events of a store after `position`.
+async fn read_events(
+    core: &Core,
+    name: &str,
+    addr: SocketAddr,
+    position: Version,
+    asked_at: Time,
+) -> Result<(), CallError> {
+    let wait = if core.feeds.has_followers() { READER_POLL_WAIT } else { POLL_WAIT };
+    let events = core.adapters.engines.events(addr, position.number, wait).await?;
+    let (epoch, gap) = (events.epoch, events.gap);
+    let next = Version { era: epoch, number: events.next };
+    with_catalog(core, name, |s| {
+        // Another reader's answer may have come meanwhile.
+        if s.log.position() != Some(position) {
+            return;
+        }
+        // The catalog is dated by when the poll was sent: the answer describes the store at some
+        // later moment, which is not known.
+        if !s.apply(events.changes, gap, next, events.clock, asked_at) {
+            info!(store = %name, epoch, gap, "store catalog discarded");
+        }
+    });
+    Ok(())
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,6 +17,8 @@
 mod duty;
 mod ends;
 mod events;
+mod feed;
+mod feed_wire;
 mod follow;
 mod forward;
 mod job;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -63,6 +63,13 @@
     pub leaving_said: IntCounter,
     /// Times at which one of them was found to be full.
     pub full_replicas: IntCounter,
+    /// Polls of readers by outcome: `answered`, `failed`, or `stale` where the source's word was too
+    /// old.
+    pub feed_polls: IntCounterVec,
+    /// Answers to followers' polls.
+    pub feed_answers: IntCounter,
+    /// Whether this instance follows readers, 1, or reads the sources itself, 0.
+    pub follows: IntGauge,
     /// Seconds from the request to the head of a replica's answer, before its body is read.
     pub first_byte: Histogram,
     /// Seconds from the request to the end of a relayed answer.
@@ -161,6 +168,9 @@
                 "lentil_full_replicas_total",
                 "Times at which a replica that bears few refusals was found to be full",
             ),
+            feed_polls: family("lentil_feed_polls_total", "Polls of readers by outcome", "outcome"),
+            feed_answers: counter("lentil_feed_answers_total", "Answers to followers' polls"),
+            follows: gauge("lentil_follows_readers", "Whether this instance follows readers"),
             ended,
             registry,
         }
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     core::Core,
-    duty, follow, links, origins, peers,
+    duty, feed, follow, links, origins, peers,
     serve::{ListenerKind, listen},
     services::Topic,
     verdicts,
@@ -120,6 +120,8 @@
     for topic in Topic::ALL {
         tokio::spawn(follow::follow(core.clone(), topic));
     }
+    tokio::spawn(feed::choose_role(core.clone()));
+    tokio::spawn(feed::follow_parts(core.clone()));
     tokio::spawn(register(core.clone()));
     tokio::spawn(verdicts::load(core.clone()));
     tokio::spawn(origins::keep(core.clone()));
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -17,7 +17,7 @@
     conns::{CALLER_UNACKED_TIMEOUT, set_socket_options},
     core::Core,
     detour::{self, DETOUR},
-    directory,
+    directory, feed,
     forward::forward,
     peers::CONFIG_PATH,
     protocol::Endpoint,
@@ -121,7 +121,10 @@
             let answer = detour::answer(&core, request, from).await;
             incomplete.follow(version, &method, answer.unwrap_or_else(|| not_found(&core)))
         }
-        ListenerKind::Peer => serve_peer(&core, &request),
+        ListenerKind::Peer => match feed::answer(&core, &request).await {
+            Some(answer) => answer,
+            None => serve_peer(&core, &request),
+        },
     };
     if core.is_leaving() {
         out.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/relay/src/services.rs
+++ b/crates/relay/src/services.rs
@@ -40,6 +40,15 @@
 impl Topic {
     /// All topics.
     pub const ALL: [Self; 3] = [Self::Operator, Self::Replicas, Self::Instances];
+
+    /// Name of the topic among peers.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Operator => "operator",
+            Self::Replicas => "replicas",
+            Self::Instances => "instances",
+        }
+    }
 }
 
 /// A change in the registry, or one row of a complete reading.
@@ -81,6 +90,9 @@
     /// The highest era in which the registry has answered; see [`table::Table::era`].
     fn era(&self) -> u64;
 
+    /// Records an era in which the registry has answered a peer.
+    fn observe_era(&self, era: u64);
+
     /// Reads all rows of `topic`.
     async fn read(&self, topic: Topic) -> Result<Batch, CallError>;
 
