--- a/crates/place/src/choice.rs
+++ b/crates/place/src/choice.rs
@@ -298,7 +298,7 @@
         let noise =
             (request.tie_breaker.wrapping_mul(entry.replica.addr.port().into()) % 64) as f64 / 64.0;
         let Some(engine) = request.engine else {
-            let load = f64::from(self.requests(entry, now) + 1);
+            let load = f64::from(self.requests(entry, now)) + 1.0;
             return load / f64::from(entry.replica.slots.max(1)) * FULL_SLOTS_COST_MS
                 + zone
                 + noise;
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -34,9 +34,9 @@
 
 impl Load {
     fn add(&mut self, other: Self) {
-        self.prefill_tokens += other.prefill_tokens;
-        self.memory_tokens += other.memory_tokens;
-        self.requests += other.requests;
+        self.prefill_tokens = self.prefill_tokens.saturating_add(other.prefill_tokens);
+        self.memory_tokens = self.memory_tokens.saturating_add(other.memory_tokens);
+        self.requests = self.requests.saturating_add(other.requests);
     }
 
     fn sub(&mut self, other: Self) {
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -418,7 +418,7 @@
     fn learn_version(&self, meta: &ResponseMeta, choice: &Choice) {
         let (Some(prompt), Some(assumed)) = (self.job.prompt(), choice.version) else { return };
         let newest = self.core.view.snapshot().announced(&prompt.model).map_or(0, |w| w.version);
-        let version = meta.version.unwrap_or(newest.max(assumed + 1));
+        let version = meta.version.unwrap_or(newest.max(assumed.saturating_add(1)));
         self.core.pool.lock().set_version(&choice.replica.id, &prompt.model, version);
     }
 
