Tell peers again which replicas load weights, every 250 ms

Peers exclude a replica that loads for 500 ms after a datagram says so, but with 195 instances a peer's next datagram comes after 3.2 s, so that requests went to replicas that turned them away. The holder of the lease now repeats it at half of that time while replicas load.

--- a/crates/relay/src/duty/orders.rs
+++ b/crates/relay/src/duty/orders.rs
@@ -21,13 +21,17 @@
 const BUSY_INTERVAL: Duration = Duration::from_millis(120);
 /// Interval between two runs otherwise, unless the view changes.
 const IDLE_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval at which peers are told of replicas that load: half of the time for which they exclude
+/// them.
+const NOTICE_INTERVAL: Duration = Duration::from_millis(250);
 /// Time for peers to receive the datagram that excludes a replica, before its order is sent.
 const EXCLUDE_DELAY: Duration = Duration::from_millis(5);
 
 /// Gives orders until the lease ends.
 pub(super) async fn run(lease_state: &LeaseState) {
     let core = &lease_state.core;
-    let mut orders = Orders { lease_state, core, upgrades: Vec::new(), states: Vec::new() };
+    let (upgrades, states) = (Vec::new(), Vec::new());
+    let mut orders = Orders { lease_state, core, upgrades, states, next_notice: Time(0) };
     let mut changes = core.view.changes();
     loop {
         let busy = orders.run_once().await;
@@ -46,6 +50,8 @@
     upgrades: Vec<(Arc<str>, Upgrade)>,
     /// Newest state of each replica that was queried. Sorted by replica.
     states: Vec<ReplicaReport>,
+    /// When peers are told again which replicas load.
+    next_notice: Time,
 }
 
 impl Orders<'_> {
@@ -60,7 +66,14 @@
             self.apply_actions(&snapshot, &weights.model, weights.version, actions, &mut loading)
                 .await;
         }
+        let is_loading = !loading.is_empty();
         *self.core.loading.lock() = loading;
+        // Peers exclude a replica for a short time only, and hear of it seldom if there are many.
+        let now = self.core.now();
+        if is_loading && self.next_notice.passed(now) {
+            self.next_notice = now.after(NOTICE_INTERVAL);
+            self.core.notify_peers.notify_one();
+        }
         busy
     }
 
