Share replicas' loads, and choose among the preferred engine and two others

Users saw on large deployments: contexts late by seconds and requests turned away by a replica while others had room. Cause: with 195 instances a peer's load arrives every 3.2 s and counted for 1.5 s, so each decided by half of a stale picture; and all of them chose the least loaded of all engines by the same old words, and met there. Change: a follower's poll carries the loads that replicas told it, and brings those of the reader's other followers; where there are more than 12 peers an engine's own report, at most 1.2 s old, counts instead of the peers' sums, with typical sizes for the requests of others; the choice is between the preferred engine and two drawn at random.

--- a/crates/place/src/choice.rs
+++ b/crates/place/src/choice.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     Headroom, Load, Permit, Pool,
-    pool::{Entry, FAILURE_THRESHOLD, FULL_COOLDOWN},
+    pool::{Entry, FAILURE_THRESHOLD, FULL_COOLDOWN, is_short},
 };
 
 /// Prompt tokens that an engine prefills per ms.
@@ -32,8 +32,6 @@
 const MEMORY_COST_THRESHOLD: f64 = 0.85;
 /// Cost of a replica whose weights are not the newest, in ms.
 const OLD_WEIGHTS_COST_MS: f64 = 150.0;
-/// Prompts with fewer tokens than this are short: their prefill does not noticeably delay others.
-const SHORT_PROMPT_TOKENS: u64 = 2048;
 /// One in this many replicas of an engine target is preferred for short prompts, the others for
 /// long prompts. Long prompts evict the parts of short ones from a replica's memory within seconds,
 /// and each prefill chunk of a long prompt delays all short prompts at the same replica.
@@ -42,6 +40,9 @@
 const SHORT_FALLBACK_COST_MS: f64 = 40.0;
 /// Cost of a long prompt at a replica for short prompts, in ms.
 const LONG_FALLBACK_COST_MS: f64 = 400.0;
+/// Engines of a target among which one is chosen besides the preferred one, where there are many
+/// peers.
+const SAMPLE_SIZE: usize = 2;
 /// Delay after which a caller finds another instance, where this one sends to none of the limited
 /// replicas.
 const LIMITED_DELAY: Duration = Duration::from_secs(1);
@@ -141,7 +142,7 @@
 
     /// Whether the prompt is a short one.
     fn is_short(&self) -> bool {
-        self.load.prefill_tokens < SHORT_PROMPT_TOKENS
+        is_short(self.load.prefill_tokens)
     }
 }
 
@@ -195,7 +196,19 @@
         let usable = members.iter().filter(|m| self.usable(m.entry, request, now));
         let fitting = usable.clone().filter(|m| self.has_headroom(m, request, now));
         let any_usable = usable.count() > 0;
-        let best = fitting
+        let sampled = self.sample(&members, request);
+        let is_sampled = |m: &&Member<'_>| {
+            let is_preferred =
+                preferred_for(m.entry).is_some_and(|p| p.replica.id == m.entry.replica.id);
+            is_preferred || sampled.contains(&&*m.entry.replica.id)
+        };
+        let some: Vec<&Member<'_>> = match sampled.is_empty() {
+            true => Vec::new(),
+            false => fitting.clone().filter(is_sampled).collect(),
+        };
+        let best = if some.is_empty() { fitting.collect() } else { some };
+        let best = best
+            .into_iter()
             .map(|m| (self.cost(m, preferred_for(m.entry), request, now), m.entry))
             .min_by(|(a, _), (b, _)| a.total_cmp(b));
         let Some((delay_ms, entry)) = best else {
@@ -225,6 +238,20 @@
         Ok(Choice { replica: entry.replica.clone(), preferred, version, delay_ms, load, requests })
     }
 
+    /// The replicas among which an engine is chosen besides the preferred one; empty for all. Many
+    /// instances that choose the least loaded of all, by the same word of its load, would all send
+    /// there.
+    fn sample<'m>(&self, members: &[Member<'m>], request: &PlacementRequest<'_>) -> Vec<&'m str> {
+        if !self.has_many_peers() || request.engine.is_none() || request.software.is_some() {
+            return Vec::new();
+        }
+        let suitable = members.iter().filter(|m| m.for_short == request.is_short());
+        let seed = request.tie_breaker.to_le_bytes();
+        let suitable: Vec<&Member<'m>> = suitable.collect();
+        let order = rendezvous_order(&seed, &suitable, |m| &m.entry.replica.id);
+        order.into_iter().take(SAMPLE_SIZE).map(|m| &*m.entry.replica.id).collect()
+    }
+
     /// When this instance may next send to a replica that only its limit excludes; `None` if there is
     /// no such replica.
     fn limited_until(
@@ -264,7 +291,7 @@
         else {
             return true;
         };
-        let taken = self.total_load(member.entry, now).memory_tokens;
+        let taken = self.engine_load(member.entry, member.for_short, now).memory_tokens;
         let suits = request.headroom == Headroom::Tight || !member.for_short;
         suits && request.headroom.fits(taken, request.load.memory_tokens, engine.capacity_tokens)
     }
@@ -293,7 +320,10 @@
         now: Time,
     ) -> f64 {
         let entry = member.entry;
-        let total = self.total_load(entry, now);
+        let total = match request.engine {
+            Some(_) => self.engine_load(entry, member.for_short, now),
+            None => self.total_load(entry, now),
+        };
         let zone = if &*entry.replica.zone == request.zone { 0.0 } else { CROSS_ZONE_COST_MS };
         let noise =
             (request.tie_breaker.wrapping_mul(entry.replica.addr.port().into()) % 64) as f64 / 64.0;
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -21,7 +21,7 @@
     choice::{Choice, PlacementError, PlacementRequest},
     limits::{LimitReport, Limits, NamedLimit, Peers, Permit},
     plan::{Plan, Source, Transfer, cache_salt, free_delay, old_part_grace, parse_salt},
-    pool::{Load, Outcome, PeerLoad, Pool},
+    pool::{Load, LoadReport, Outcome, PeerLoad, Pool},
     prompt::{Part, Prompt},
     refusals::{RefusalReport, Refusals},
     room::Headroom,
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -16,6 +16,14 @@
 const PEER_LOAD_TTL: Duration = Duration::from_millis(1500);
 /// How long a replica's own report of its load is used.
 const LOAD_REPORT_TTL: Duration = Duration::from_millis(500);
+/// The same where peers' loads are old.
+const SHARED_REPORT_TTL: Duration = Duration::from_millis(1200);
+/// Peers from which on their datagrams are so rare that replicas' reports say more of the load.
+const MANY_PEERS: usize = 12;
+/// Weight of a new request in the typical load.
+const TYPICAL_WEIGHT: f64 = 0.05;
+/// Share of its prefill that a request at a replica still needs, on average.
+const UNREAD_SHARE: f64 = 0.5;
 /// Longest time for which a replica's word keeps requests away: a wrong one must not shut it out.
 const MAX_DECLINED: Duration = Duration::from_secs(60);
 /// Number of attempts in a row without an answer from which a replica counts as unhealthy.
@@ -32,6 +40,14 @@
     pub requests: u32,
 }
 
+/// Prompts with fewer tokens than this are short: their prefill does not noticeably delay others.
+const SHORT_PROMPT_TOKENS: u64 = 2048;
+
+/// Whether a prompt with this many tokens is a short one.
+pub(crate) fn is_short(tokens: u64) -> bool {
+    tokens < SHORT_PROMPT_TOKENS
+}
+
 impl Load {
     fn add(&mut self, other: Self) {
         self.prefill_tokens = self.prefill_tokens.saturating_add(other.prefill_tokens);
@@ -73,8 +89,13 @@
     pub(crate) replica: Arc<Replica>,
     /// Load of this instance's own requests at the replica.
     own: Load,
-    /// Running and queued requests that the replica last reported, and when the report arrived.
+    /// Running and queued requests that the replica last reported, and when the report arrived, at
+    /// this instance or a peer.
     reported: Option<(u32, Time)>,
+    /// Whether the report arrived at this instance.
+    is_own_report: bool,
+    /// Number of the report among all that this instance recorded.
+    report_rev: u64,
     /// Number of attempts without an answer since the last [`Outcome::Answered`].
     pub(crate) failures: u32,
     /// When the replica last answered this instance, or was checked since it did not.
@@ -117,6 +138,21 @@
     pub(crate) entries: Vec<Entry>,
     /// Sorted by name.
     peers: Vec<Peer>,
+    /// Typical prefill and memory tokens of this instance's short and long prompts.
+    typical: [Option<(f64, f64)>; 2],
+    /// Number of reports that were recorded.
+    reports: u64,
+}
+
+/// A replica's report of its running and queued requests, as peers share it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Identifier of the replica.
+    pub replica: Arc<str>,
+    /// Running and queued requests.
+    pub requests: u32,
+    /// When the report arrived.
+    pub at: Time,
 }
 
 impl Pool {
@@ -137,6 +173,8 @@
                     replica: replica.clone(),
                     own: Load::default(),
                     reported: None,
+                    is_own_report: false,
+                    report_rev: 0,
                     failures: 0,
                     heard: Time(0),
                     excluded_until: Time(0),
@@ -171,6 +209,7 @@
 
     /// Adds the load of a request that is sent to a replica.
     pub fn add_load(&mut self, id: &str, load: Load) {
+        self.learn_typical(load);
         if let Some(entry) = self.find(id) {
             entry.own.add(load);
         }
@@ -257,9 +296,71 @@
 
     /// Records a replica's own report of its running and queued requests.
     pub fn record_report(&mut self, id: &str, requests: u32, now: Time) {
+        self.set_report(id, requests, now, true);
+    }
+
+    /// Records a report that arrived at a peer, unless a later one is known.
+    pub fn merge_report(&mut self, report: &LoadReport) {
+        let LoadReport { replica, requests, at } = report;
+        let is_later = |e: &mut Entry| e.reported.is_none_or(|(_, known)| known < *at);
+        if self.find(replica).is_some_and(is_later) {
+            self.set_report(replica, *requests, *at, false);
+        }
+    }
+
+    fn set_report(&mut self, id: &str, requests: u32, at: Time, is_own: bool) {
+        self.reports += 1;
+        let rev = self.reports;
         if let Some(entry) = self.find(id) {
-            entry.reported = Some((requests, now));
+            (entry.reported, entry.is_own_report) = (Some((requests, at)), is_own);
+            entry.report_rev = rev;
+        }
+    }
+
+    /// Replicas' reports that were recorded after number `rev`, here, or also at peers if `shared`,
+    /// and the number of the last one.
+    pub fn reports_since(&self, rev: u64, shared: bool) -> (Vec<LoadReport>, u64) {
+        let is_new = |e: &&Entry| e.report_rev > rev && (shared || e.is_own_report);
+        let report = |e: &Entry| {
+            let (requests, at) = e.reported?;
+            Some(LoadReport { replica: e.replica.id.clone(), requests, at })
+        };
+        (self.entries.iter().filter(is_new).filter_map(report).collect(), self.reports)
+    }
+
+    fn learn_typical(&mut self, load: Load) {
+        if load.prefill_tokens == 0 {
+            return;
         }
+        let new = (load.prefill_tokens as f64, load.memory_tokens as f64);
+        let typical = &mut self.typical[usize::from(!is_short(load.memory_tokens))];
+        let (prefill, memory) = typical.unwrap_or(new);
+        let mix = |old: f64, new: f64| old + (new - old) * TYPICAL_WEIGHT;
+        *typical = Some((mix(prefill, new.0), mix(memory, new.1)));
+    }
+
+    /// Whether there are so many peers that what they say of their loads is old.
+    pub(crate) fn has_many_peers(&self) -> bool {
+        self.peers.len() >= MANY_PEERS
+    }
+
+    /// Load that all instances have at an engine. Where peers' loads are old, the engine's own report
+    /// counts: the requests in it that are not this instance's are taken for typical ones.
+    pub(crate) fn engine_load(&self, entry: &Entry, for_short: bool, now: Time) -> Load {
+        let recent = |(_, at): &(u32, Time)| now.since(*at) < SHARED_REPORT_TTL;
+        let Some((reported, _)) = entry.reported.filter(recent).filter(|_| self.has_many_peers())
+        else {
+            return self.total_load(entry, now);
+        };
+        let others = reported.saturating_sub(entry.own.requests);
+        let (prefill, memory) = self.typical[usize::from(!for_short)].unwrap_or_default();
+        let mut out = entry.own;
+        out.add(Load {
+            prefill_tokens: (f64::from(others) * prefill * UNREAD_SHARE) as u64,
+            memory_tokens: (f64::from(others) * memory) as u64,
+            requests: others,
+        });
+        out
     }
 
     /// Records the weights version of a model that a replica itself reported.
@@ -292,7 +393,8 @@
     /// higher.
     pub(crate) fn requests(&self, entry: &Entry, now: Time) -> u32 {
         let counted = self.total_load(entry, now).requests;
-        let recent = |(_, received): &(u32, Time)| now.since(*received) < LOAD_REPORT_TTL;
+        let ttl = if self.has_many_peers() { SHARED_REPORT_TTL } else { LOAD_REPORT_TTL };
+        let recent = |(_, received): &(u32, Time)| now.since(*received) < ttl;
         entry.reported.filter(recent).map_or(counted, |(n, _)| n.max(counted))
     }
 
--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -19,7 +19,7 @@
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use ident::Time;
 use parking_lot::Mutex;
-use place::HeldPart;
+use place::{HeldPart, LoadReport};
 use table::Version;
 use tokio::{sync::watch, time::timeout};
 use tracing::{info, warn};
@@ -29,7 +29,7 @@
     conns::SendError,
     core::{Core, StoreCatalog},
     detour::Open,
-    feed_wire::{self, PartsWire, TopicWire},
+    feed_wire::{self, LoadWire, PartsPoll, PartsWire, TopicWire},
     services::{Batch, Topic, Update},
 };
 
@@ -50,6 +50,8 @@
 const MAX_INSTANCES_AGE: Duration = Duration::from_millis(4000);
 /// Interval at which a follower asks for changes of the stores' catalogs.
 const PARTS_INTERVAL: Duration = Duration::from_millis(250);
+/// Age from which a replica's report of its load is not handed on.
+const MAX_LOAD_AGE: Duration = Duration::from_millis(1200);
 /// Most connections of followers' polls to a reader.
 const MAX_CONNS: u32 = 64;
 /// Longest answer of a reader, in bytes.
@@ -360,15 +362,17 @@
     }
 }
 
-/// Answers with what changed in the catalogs of stores.
+/// Answers with what changed in the catalogs of stores, and with replicas' loads.
 fn parts_answer(core: &Core, query: &str) -> Response<Body> {
-    let positions = feed_wire::parse_positions(query);
+    let poll = PartsPoll::parse(query);
     let now = core.now();
-    let mut wire = PartsWire::default();
+    merge_loads(core, &poll.loads, now);
+    let (reports, seen) = core.pool.lock().reports_since(poll.seen, true);
+    let mut wire = PartsWire::new(seen, load_wires(reports, now));
     for entry in core.catalogs.lock().iter() {
         let tag = feed_wire::store_tag(&entry.store.name);
-        let found = positions.binary_search_by_key(&tag, |(tag, _)| *tag);
-        let position = found.ok().map(|at| positions[at].1);
+        let found = poll.positions.binary_search_by_key(&tag, |(tag, _)| *tag);
+        let position = found.ok().map(|at| poll.positions[at].1);
         // A catalog that is not fresh is of no use to a follower either.
         if let Some(delta) = entry.log.since(position).filter(|_| entry.catalog.is_fresh(now)) {
             let age = now.since(entry.catalog.asked_at());
@@ -379,23 +383,62 @@
     Response::new(full_body(serde_json::to_vec(&wire).unwrap_or_default().into()))
 }
 
-/// Keeps the catalogs of stores up to date from a reader, while this instance is none.
+fn load_wires(reports: Vec<LoadReport>, now: Time) -> Vec<LoadWire> {
+    let age = |at: Time| now.since(at).as_millis() as u64;
+    let recent = reports.iter().filter(|r| now.since(r.at) < MAX_LOAD_AGE);
+    recent.map(|r| LoadWire(feed_wire::replica_tag(&r.replica), r.requests, age(r.at))).collect()
+}
+
+/// Records replicas' loads that a peer heard of, with their age at `now`.
+fn merge_loads(core: &Core, loads: &[LoadWire], now: Time) {
+    if loads.is_empty() {
+        return;
+    }
+    let snapshot = core.view.snapshot();
+    let mut tags: Vec<(u32, &Arc<str>)> =
+        snapshot.replicas.iter().map(|r| (feed_wire::replica_tag(&r.id), &r.id)).collect();
+    tags.sort_unstable();
+    let mut pool = core.pool.lock();
+    for LoadWire(tag, requests, age_ms) in loads {
+        let at = now.before(Duration::from_millis(*age_ms));
+        if let Ok(found) = tags.binary_search_by_key(tag, |(tag, _)| *tag) {
+            let (replica, requests) = (tags[found].1.clone(), *requests);
+            pool.merge_report(&LoadReport { replica, requests, at });
+        }
+    }
+}
+
+/// Keeps the catalogs of stores and the loads of replicas up to date from a reader, while this
+/// instance is none.
 pub(crate) async fn follow_parts(core: Arc<Core>) {
+    // The reader that answered last, and the numbers of the last reports, its own and this
+    // instance's, that went over.
+    let (mut followed, mut seen, mut sent) = (None, 0, 0);
     loop {
         tokio::time::sleep(PARTS_INTERVAL).await;
-        let reader = core.feeds.reader(core.now()).filter(|_| !core.catalogs.lock().is_empty());
-        let Some(reader) = reader else { continue };
+        let Some(reader) = core.feeds.reader(core.now()) else { continue };
+        if followed.as_ref() != Some(&reader) {
+            (followed, seen) = (Some(reader.clone()), 0);
+        }
         let positions: Vec<(u64, Version)> = {
             let catalogs = core.catalogs.lock();
             let position =
                 |s: &StoreCatalog| Some((feed_wire::store_tag(&s.store.name), s.log.position()?));
             catalogs.iter().filter_map(position).collect()
         };
-        let path = format!("{PARTS_PATH}?{}", feed_wire::positions_query(&positions));
         let asked_at = core.now();
+        let (reports, newest) = core.pool.lock().reports_since(sent, false);
+        let loads = load_wires(reports, asked_at);
+        let poll = PartsPoll { positions, seen, loads };
+        let path = format!("{PARTS_PATH}?{}", poll.query());
         let Some(bytes) = fetch(&core, &reader, &path, FEED_TIMEOUT).await else { continue };
+        sent = newest;
         match serde_json::from_slice::<PartsWire>(&bytes) {
-            Ok(wire) => apply_parts(&core, wire, &positions, asked_at),
+            Ok(wire) => {
+                seen = wire.seen;
+                merge_loads(&core, &wire.loads, asked_at);
+                apply_parts(&core, wire, &poll.positions, asked_at);
+            }
             Err(error) => {
                 warn!(reader = &*reader, %error, "catalogs of a reader could not be decoded");
                 core.feeds.failed(&reader, core.now());
--- a/crates/relay/src/feed_wire.rs
+++ b/crates/relay/src/feed_wire.rs
@@ -238,15 +238,55 @@
     xxhash_rust::xxh3::xxh3_64(name.as_bytes())
 }
 
-/// The query of a poll for the catalogs of stores, by the stores' tags.
-pub(crate) fn positions_query(positions: &[(u64, Version)]) -> String {
-    let word = |(tag, at): &(u64, Version)| format!("{tag:x}.{}.{}", at.era, at.number);
-    let words: Vec<String> = positions.iter().map(word).collect();
-    format!("format={FORMAT}&after={}", words.join(","))
+/// A poll for the catalogs of stores and for replicas' loads.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub(crate) struct PartsPoll {
+    /// Positions in the catalogs by the stores' tags. Sorted.
+    pub(crate) positions: Vec<(u64, Version)>,
+    /// Number of the reader's last report that is known.
+    pub(crate) seen: u64,
+    /// Reports that arrived at the follower since its last poll.
+    pub(crate) loads: Vec<LoadWire>,
+}
+
+impl PartsPoll {
+    pub(crate) fn query(&self) -> String {
+        let position = |(tag, at): &(u64, Version)| format!("{tag:x}.{}.{}", at.era, at.number);
+        let load = |LoadWire(tag, requests, age): &LoadWire| format!("{tag:x}.{requests}.{age}");
+        let positions: Vec<String> = self.positions.iter().map(position).collect();
+        let loads: Vec<String> = self.loads.iter().map(load).collect();
+        let (positions, loads) = (positions.join(","), loads.join(","));
+        format!("format={FORMAT}&after={positions}&seen={}&loads={loads}", self.seen)
+    }
+
+    /// Reads a query. What can't be read counts as missing.
+    pub(crate) fn parse(query: &str) -> Self {
+        let word = |name: &str| query.split('&').find_map(|w| w.strip_prefix(name));
+        let load = |word: &str| {
+            let mut words = word.split('.');
+            let tag = u32::from_str_radix(words.next()?, 16).ok()?;
+            Some(LoadWire(tag, words.next()?.parse().ok()?, words.next()?.parse().ok()?))
+        };
+        let loads = word("loads=").unwrap_or_default().split(',').filter_map(load);
+        Self {
+            positions: parse_positions(query),
+            seen: word("seen=").and_then(|w| w.parse().ok()).unwrap_or(0),
+            loads: loads.collect(),
+        }
+    }
+}
+
+/// A replica's report of its running and queued requests: tag, requests, and its age in ms.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct LoadWire(pub(crate) u32, pub(crate) u32, pub(crate) u64);
+
+/// Short name of a replica. Two that share one also share a load, which only costs placement.
+pub(crate) fn replica_tag(id: &str) -> u32 {
+    xxhash_rust::xxh3::xxh3_64(id.as_bytes()) as u32
 }
 
 /// The positions in a query, sorted by tag. What can't be read counts as missing.
-pub(crate) fn parse_positions(query: &str) -> Vec<(u64, Version)> {
+fn parse_positions(query: &str) -> Vec<(u64, Version)> {
     let words = query.split('&').find_map(|w| w.strip_prefix("after=")).unwrap_or_default();
     let word = |word: &str| {
         let (tag, at) = word.split_once('.')?;
@@ -263,6 +303,11 @@
 pub(crate) struct PartsWire {
     format: u32,
     pub(crate) stores: Vec<StoreWire>,
+    /// Number of the reader's last report.
+    pub(crate) seen: u64,
+    /// Reports since the number that the follower named.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub(crate) loads: Vec<LoadWire>,
 }
 
 /// What changed in the catalog of one store.
@@ -290,6 +335,10 @@
 }
 
 impl PartsWire {
+    pub(crate) fn new(seen: u64, loads: Vec<LoadWire>) -> Self {
+        Self { format: FORMAT, stores: Vec::new(), seen, loads }
+    }
+
     pub(crate) fn push(&mut self, tag: u64, delta: Delta<HeldPart>, clock: u64, age: Duration) {
         let Delta { full, rows, removed, next } = delta;
         let gone = |key: &Arc<str>| {
@@ -297,7 +346,6 @@
             Some((salt.to_owned(), part.to_owned()))
         };
         let part = |(_, h): (_, HeldPart)| (h.salt.to_string(), h.part.to_string(), h.tokens);
-        self.format = FORMAT;
         self.stores.push(StoreWire {
             tag,
             epoch: next.era,
