--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -139,7 +139,7 @@
     core.leaving.store(true, Ordering::Relaxed);
     let active = core.active.load(Ordering::Relaxed);
     info!(active, "instance stopping, no longer ready");
-    peers::send(core, socket, &peers::peer_addresses(core), true, "regular").await;
+    peers::send(core, socket, &peers::peer_addresses(core), "regular").await;
     let stopping = core.clone();
     tokio::spawn(async move {
         if let Err(error) = stopping.adapters.registry.deregister(&stopping.settings.name).await {
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -34,11 +34,6 @@
 const SEND_INTERVAL: Duration = Duration::from_millis(200);
 /// Most datagrams that an instance sends per second; with more peers the interval gets longer.
 const MAX_DATAGRAMS_PER_SECOND: u32 = 60;
-/// Peers up to which each datagram has evidence.
-const FEW_PEERS: usize = 12;
-/// With more peers, one in this many regular datagrams has evidence: news of it goes at once to some
-/// peers, and from them to others.
-const EVIDENCE_SHARE: usize = 8;
 /// Most peers that are told at once of new evidence.
 const EVIDENCE_PEERS: usize = 30;
 /// Shortest interval between two datagrams with new evidence.
@@ -95,10 +90,9 @@
     (datagram, Trailer { era: clock.era(), started, said, ..Trailer::default() })
 }
 
-/// Encodes the datagram for peers, with as much of the evidence as fits if `with_evidence`. The loads
-/// of the least loaded replicas are left out if it gets too long. `None` if it is too long without
-/// any.
-fn encode(core: &Core, with_evidence: bool) -> Option<Vec<u8>> {
+/// Encodes the datagram for peers, with as much of the evidence as fits. The loads of
+/// the least loaded replicas are left out if it gets too long. `None` if it is too long without any.
+fn encode(core: &Core) -> Option<Vec<u8>> {
     let clock = *core.registry_clock.lock();
     let (mut datagram, mut trailer) = datagram(core, &clock);
     let limits = core.limits.lock().report(core.now());
@@ -107,8 +101,7 @@
     trailer.limits = limits.into_iter().take(MAX_LIMITS).map(LimitWire::from).collect();
     let full = core.refusals.lock().report(core.now());
     trailer.full = full.into_iter().take(MAX_FULL).map(RefusalWire::from).collect();
-    let has_evidence = with_evidence && core.blame.lock().has_suspects();
-    let reserved = if has_evidence { RESERVED_BYTES } else { 0 };
+    let reserved = if core.blame.lock().has_suspects() { RESERVED_BYTES } else { 0 };
     let mut bare = postcard::to_stdvec(&(&datagram, &trailer)).ok()?.len();
     while bare + reserved > MAX_DATAGRAM_BYTES && datagram.loads.pop().is_some() {
         bare = postcard::to_stdvec(&(&datagram, &trailer)).ok()?.len();
@@ -117,10 +110,8 @@
         warn!(bytes = bare, "datagram for peers is too long and was not sent");
         return None;
     };
-    if with_evidence {
-        let wire = ReportWire::from(&core.blame.lock().report(space, core.now()));
-        (trailer.parts, trailer.requests, trailer.ended) = (wire.parts, wire.requests, wire.ended);
-    }
+    let wire = ReportWire::from(&core.blame.lock().report(space, core.now()));
+    (trailer.parts, trailer.requests, trailer.ended) = (wire.parts, wire.requests, wire.ended);
     postcard::to_stdvec(&(&datagram, &trailer)).ok()
 }
 
@@ -148,19 +139,11 @@
 
 /// Sends datagrams to all peers at intervals, and at once when [`Core::notify_peers`] is notified.
 pub(crate) async fn send_loop(core: Arc<Core>, socket: Arc<UdpSocket>) {
-    let mut round = 0;
     loop {
         let peers = peer_addresses(&core);
         let interval = Duration::from_secs(1) * peers.len() as u32 / MAX_DATAGRAMS_PER_SECOND;
         let _ = timeout(SEND_INTERVAL.max(interval), core.notify_peers.notified()).await;
-        let (with, without): (Vec<_>, Vec<_>) =
-            peers.iter().enumerate().partition(|(at, _)| has_evidence(round, *at, peers.len()));
-        let addresses = |part: Vec<(usize, &SocketAddr)>| -> Vec<SocketAddr> {
-            part.into_iter().map(|(_, addr)| *addr).collect()
-        };
-        send(&core, &socket, &addresses(with), true, "regular").await;
-        send(&core, &socket, &addresses(without), false, "regular").await;
-        round += 1;
+        send(&core, &socket, &peers, "regular").await;
     }
 }
 
@@ -172,20 +155,14 @@
         let peers = peer_addresses(&core);
         let some = peers.choose_multiple(&mut rand::rng(), EVIDENCE_PEERS);
         let some: Vec<SocketAddr> = some.copied().collect();
-        send(&core, &socket, &some, true, "news").await;
+        send(&core, &socket, &some, "news").await;
         tokio::time::sleep(EVIDENCE_INTERVAL).await;
     }
 }
 
-/// Sends one datagram to each peer, with evidence if `with_evidence`. `kind` names it in the metrics.
-pub(crate) async fn send(
-    core: &Core,
-    socket: &UdpSocket,
-    peers: &[SocketAddr],
-    with_evidence: bool,
-    kind: &str,
-) {
-    let Some(bytes) = encode(core, with_evidence).filter(|_| !peers.is_empty()) else { return };
+/// Sends one datagram to each peer. `kind` names it in the metrics.
+pub(crate) async fn send(core: &Core, socket: &UdpSocket, peers: &[SocketAddr], kind: &str) {
+    let Some(bytes) = encode(core) else { return };
     core.metrics.datagrams.with_label_values(&[kind]).inc_by(peers.len() as u64);
     for peer in peers {
         // The next datagram makes up for a lost one.
@@ -193,11 +170,6 @@
     }
 }
 
-/// Whether the datagram of a round to the peer at a place has evidence.
-fn has_evidence(round: usize, at: usize, peers: usize) -> bool {
-    peers <= FEW_PEERS || (round + at).is_multiple_of(EVIDENCE_SHARE)
-}
-
 pub(crate) fn peer_addresses(core: &Core) -> Vec<SocketAddr> {
     let snapshot = core.view.snapshot();
     let others = snapshot.instances.iter().filter(|i| i.name != core.settings.name);
