Wait between polls of a reader while replicas are missing

Read in the code: with entries missing after an outage a follower asked its reader without a wait and without a pause, for up to 2.2 s. The log names the reader as the origin of a configuration. The test bounds the polls after an outage; it passed before as well, since followers whose readers went stale in the outage ask the registry for a while, so the loop was not seen to happen.

--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -273,19 +273,19 @@
     }
 }
 
-/// Asks a reader for what follows `position` of a topic, and waits for a change if `may_wait`.
+/// Asks a reader for what follows `position` of a topic, and waits up to `longest` for a change.
 pub(crate) async fn poll(
     core: &Core,
     reader: &Arc<str>,
     topic: Topic,
     position: Option<Version>,
-    may_wait: bool,
+    longest: Duration,
 ) -> Option<Answer> {
     let wait = match topic {
-        _ if !may_wait => Duration::ZERO,
         Topic::Instances => INSTANCES_WAIT,
         Topic::Operator | Topic::Replicas => FEED_WAIT,
     };
+    let wait = wait.min(longest);
     let path = format!("{TOPIC_PATH}{}?{}", topic.name(), feed_wire::poll_query(position, wait));
     let bytes = fetch(core, reader, &path, wait + FEED_TIMEOUT).await?;
     let wire: TopicWire = match serde_json::from_slice(&bytes) {
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -81,11 +81,13 @@
         let (asked_at, full) = (self.core.now(), self.next.is_none());
         // The first answer of a reader shows whether it answers at all.
         let known = self.followed.take().is_some_and(|followed| followed == reader);
-        let may_wait = known && self.missing.is_empty();
-        let Some(answer) = feed::poll(&self.core, &reader, self.topic, self.next, may_wait).await
-        else {
-            return;
+        let wait = match (known, self.missing.is_empty()) {
+            (false, _) => Duration::ZERO,
+            (true, false) => MISSING_POLL_WAIT,
+            (true, true) => MAX_POLL_WAIT,
         };
+        let answer = feed::poll(&self.core, &reader, self.topic, self.next, wait).await;
+        let Some(answer) = answer else { return };
         let core = self.core.clone();
         let Answer { batch, rows, full: is_full, age, is_old } = answer;
         core.adapters.registry.observe_era(batch.next.era);
@@ -135,6 +137,7 @@
 
     /// Asks the registry for changes.
     async fn poll_registry(&mut self) {
+        self.followed = None;
         let asked_at = self.core.now();
         let registry = &self.core.adapters.registry;
         let full = self.next.is_none();
@@ -263,7 +266,9 @@
     fn apply(&mut self, item: Update, weights_confirmed: Time) {
         let core = self.core.clone();
         match item {
-            Update::Config(config, bytes) => core.apply_config(*config, bytes, "registry"),
+            Update::Config(config, bytes) => {
+                core.apply_config(*config, bytes, self.followed.as_deref().unwrap_or("registry"));
+            }
             Update::Weights { model, version } => {
                 // The version was announced at some time after `weights_confirmed`. Assuming that
                 // time is safe: older weights are retired rather too early than too late. After the
