Ask for headroom by what instances say of their requests alone

Cause: since loads are shared the headroom of an engine was reckoned with typical sizes for all requests in its report, so that a prompt which needs half of an engine's memory found none idle and waited until it was late. The cost of an engine goes on counting them. Test (failed before): twelve engines that report four requests each take a prompt of 45,000 tokens.

--- a/crates/place/src/choice.rs
+++ b/crates/place/src/choice.rs
@@ -285,13 +285,14 @@
     }
 
     /// Whether the replica has the required headroom.
+    /// Only what instances say of their requests counts: typical sizes would keep large prompts waiting.
     fn has_headroom(&self, member: &Member<'_>, request: &PlacementRequest<'_>, now: Time) -> bool {
         let (Some(engine), false) =
             (request.engine, request.headroom == Headroom::Any || request.is_short())
         else {
             return true;
         };
-        let taken = self.engine_load(member.entry, member.for_short, now).memory_tokens;
+        let taken = self.total_load(member.entry, now).memory_tokens;
         let suits = request.headroom == Headroom::Tight || !member.for_short;
         suits && request.headroom.fits(taken, request.load.memory_tokens, engine.capacity_tokens)
     }
--- a/crates/place/tests/replica_choice.rs
+++ b/crates/place/tests/replica_choice.rs
@@ -245,3 +245,19 @@
     }
     assert!(counts.iter().all(|c| (95..=105).contains(c)), "{counts:?}");
 }
+
+/// Guards against keeping the largest prompts waiting for engines whose reports show many requests,
+/// as if each were a long one.
+#[test]
+fn a_large_prompt_does_not_wait_for_sizes_that_are_guessed() {
+    let (mut pool, engine) = (pool(12), engine());
+    for n in 0..20 {
+        pool.set_peer_loads(&format!("i-{n}").into(), Vec::new(), NOW);
+    }
+    // Typical prompts of this instance are long.
+    (0..40).for_each(|_| pool.add_load("r-00", LONG));
+    (0..40).for_each(|_| pool.remove_load("r-00", LONG));
+    (0..12).for_each(|n| pool.record_report(&format!("r-{n:02}"), 4, NOW));
+    let large = Load { prefill_tokens: 45_000, memory_tokens: 45_100, requests: 1 };
+    assert!(pool.choose(&request(large, &engine, "ctx"), NOW).is_ok());
+}
