--- a/crates/place/tests/many_deciders.rs
+++ b/crates/place/tests/many_deciders.rs
@@ -2,11 +2,15 @@
 
 use std::{sync::Arc, time::Duration};
 
-use fleet::{Engine, Replica};
+use fleet::Engine;
 use ident::Time;
 use place::{Headroom, Load, LoadReport, PeerLoad, PlacementRequest, Pool};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
+mod common;
+
+use common::replica;
+
 const INSTANCES: usize = 120;
 const ENGINES: usize = 40;
 /// Requests that an engine runs at once, and how many may wait besides.
@@ -56,25 +60,11 @@
     }
 }
 
-fn replica(n: usize) -> Arc<Replica> {
-    Arc::new(Replica {
-        id: format!("r-{n:02}").into(),
-        target: "t".into(),
-        addr: format!("127.0.0.1:{}", 1000 + n).parse().expect("the address is valid"),
-        zone: "a".into(),
-        software: None,
-        slots: SLOTS,
-        leaving: false,
-        started_ms: 1,
-        models: vec![("m".into(), 1)],
-    })
-}
-
 /// Plays long prompts at a share of what the engines can read. Replicas' reports reach all instances
 /// if `shared`, otherwise only the one that got the answer.
 fn play(seed: u64, utilization: f64, shared: bool) -> Figures {
     let mut rng = SmallRng::seed_from_u64(seed);
-    let replicas: Vec<_> = (0..ENGINES).map(replica).collect();
+    let replicas: Vec<_> = (0..ENGINES).map(|n| replica(n, 1, SLOTS)).collect();
     let mut pools: Vec<Pool> = (0..INSTANCES).map(|_| Pool::default()).collect();
     pools.iter_mut().for_each(|pool| pool.sync(&replicas));
     let names: Vec<Arc<str>> = (0..INSTANCES).map(|n| format!("i-{n}").into()).collect();
--- a/crates/place/tests/replica_choice.rs
+++ b/crates/place/tests/replica_choice.rs
@@ -6,6 +6,12 @@
 use ident::Time;
 use place::{Choice, Headroom, Load, Outcome, PeerLoad, PlacementError, PlacementRequest, Pool};
 
+mod common;
+
+use common::replica;
+
+/// Requests that an engine runs at once.
+const SLOTS: u32 = 64;
 const NOW: Time = Time(10_000);
 const LONG: Load = Load { prefill_tokens: 17_000, memory_tokens: 17_100, requests: 1 };
 const SHORT: Load = Load { prefill_tokens: 380, memory_tokens: 400, requests: 1 };
@@ -13,7 +19,7 @@
 fn engine() -> Engine {
     let (capacity, bytes, link) = (74_000, 18_432, 88_000.0);
     Engine {
-        slots: 64,
+        slots: SLOTS,
         capacity_tokens: capacity,
         token_bytes: bytes,
         link_mbps: link,
@@ -21,23 +27,9 @@
     }
 }
 
-fn replica(n: usize, version: u64) -> Arc<Replica> {
-    Arc::new(Replica {
-        id: format!("r-{n:02}").into(),
-        target: "t".into(),
-        addr: format!("127.0.0.1:{}", 1000 + n).parse().expect("the address is valid"),
-        zone: "a".into(),
-        software: None,
-        slots: 64,
-        leaving: false,
-        started_ms: 1,
-        models: vec![("m".into(), version)],
-    })
-}
-
 fn pool(count: usize) -> Pool {
     let mut pool = Pool::default();
-    let replicas: Vec<_> = (0..count).map(|n| replica(n, 1)).collect();
+    let replicas: Vec<_> = (0..count).map(|n| replica(n, 1, SLOTS)).collect();
     pool.sync(&replicas);
     pool
 }
@@ -93,7 +85,7 @@
     let mut smaller = Pool::default();
     let gone = preferred_replicas(&pool, SHORT)[0].clone();
     let rest: Vec<_> = (0..12)
-        .map(|n| replica(n, 1))
+        .map(|n| replica(n, 1, SLOTS))
         .filter(|r| r.id != gone && Ok(&r.id) != preferred.as_ref())
         .collect();
     smaller.sync(&rest);
@@ -166,7 +158,7 @@
 fn the_preferred_replica_has_the_same_version() {
     let engine = engine();
     let mut pool = Pool::default();
-    let replicas: Vec<_> = (0..12).map(|n| replica(n, 1 + (n as u64 % 2))).collect();
+    let replicas: Vec<_> = (0..12).map(|n| replica(n, 1 + (n as u64 % 2), SLOTS)).collect();
     pool.sync(&replicas);
     for n in 0..50 {
         let context = format!("c-{n}");
@@ -215,7 +207,7 @@
     pool.add_load("r-00", LONG);
     pool.record_outcome("r-00", Outcome::NoAnswer, NOW);
     pool.record_outcome("r-00", Outcome::NoAnswer, NOW);
-    let restarted = Replica { started_ms: 2, ..(*replica(0, 1)).clone() };
+    let restarted = Replica { started_ms: 2, ..(*replica(0, 1, SLOTS)).clone() };
     pool.sync(&[Arc::new(restarted)]);
     let choice =
         pool.choose(&request(SHORT, &engine, "c"), NOW).expect("the replica is a new incarnation");
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -9,16 +9,15 @@
     time::Duration,
 };
 
-use ::feed::{Delta, Log};
 use blame::{Blame, EndId, SuspectKey};
 use bytes::Bytes;
-use fleet::{Config, Replica, Snapshot, Store, View};
+use fleet::{Config, Replica, Snapshot, View};
 use ident::{Clock, Time};
 use origin::{Latest, Origins};
 use parking_lot::Mutex;
-use place::{Catalog, Change, HeldPart, Limits, Peers, Pool, Refusals, RetryBudgets};
+use place::{Limits, Peers, Pool, Refusals, RetryBudgets};
 use reach::Reach;
-use table::{Table, Version};
+use table::Table;
 use tokio::{
     net::UdpSocket,
     sync::{Notify, Semaphore, watch},
@@ -29,7 +28,7 @@
     conns::ConnPool,
     dates::RegistryClock,
     feed::Feeds,
-    feed_wire, kept,
+    kept,
     metrics::Metrics,
     origins,
     peers::{HEARD_TTL, PEER_TTL},
@@ -38,6 +37,8 @@
     services::{Engines, Registry},
 };
 
+pub use crate::kept::StoreCatalog;
+
 /// The addresses that an instance listens on.
 #[derive(Debug, Clone, Copy)]
 pub struct Listen {
@@ -103,81 +104,6 @@
     pub table: Arc<dyn Table>,
 }
 
-/// A store of kept KV cache and the catalog of its parts.
-#[derive(Debug)]
-pub struct StoreCatalog {
-    /// Configuration of the store.
-    pub store: Arc<Store>,
-    /// Catalog of the parts that the store holds.
-    pub catalog: Catalog,
-    /// The same parts as the store reported them, for followers. The era of a position is the
-    /// store's epoch.
-    pub log: Log<HeldPart>,
-}
-
-impl StoreCatalog {
-    /// A store whose parts are not known.
-    pub(crate) fn new(store: Arc<Store>) -> Self {
-        Self { store, catalog: Catalog::default(), log: Log::default() }
-    }
-
-    /// Forgets the parts.
-    pub(crate) fn clear(&mut self) {
-        self.catalog.clear();
-        self.log.clear();
-    }
-
-    /// Replaces the parts by the store's list, which was requested at `asked`.
-    pub(crate) fn replace(
-        &mut self,
-        held: Vec<HeldPart>,
-        next: Version,
-        clock_ms: u64,
-        asked: Time,
-    ) {
-        let row = |h: &HeldPart| (feed_wire::part_key(&h.salt, &h.part), h.clone());
-        self.log.replace(held.iter().map(row).collect(), next);
-        self.catalog.replace(next.era, held);
-        self.catalog.apply(next.era, false, Vec::new(), clock_ms, asked);
-    }
-
-    /// Applies changes that follow the known ones. Returns false, and forgets the parts, if they
-    /// don't.
-    pub(crate) fn apply(
-        &mut self,
-        changes: Vec<Change>,
-        gap: bool,
-        next: Version,
-        clock_ms: u64,
-        asked: Time,
-    ) -> bool {
-        let row = |change: &Change| match change {
-            Change::Added(h) => (feed_wire::part_key(&h.salt, &h.part), Some(h.clone())),
-            Change::Removed { salt, part } => (feed_wire::part_key(salt, part), None),
-        };
-        let follows = !gap && self.log.apply(changes.iter().map(row).collect(), next);
-        let usable = follows && self.catalog.apply(next.era, gap, changes, clock_ms, asked);
-        if !usable {
-            self.clear();
-        }
-        usable
-    }
-
-    /// Applies what a reader sent.
-    pub(crate) fn apply_delta(&mut self, delta: Delta<HeldPart>, clock_ms: u64, asked: Time) {
-        let Delta { full, rows, removed, next } = delta;
-        let held = rows.into_iter().map(|(_, held)| held);
-        if full {
-            return self.replace(held.collect(), next, clock_ms, asked);
-        }
-        let gone = removed.iter().filter_map(|key| {
-            let (salt, part) = key.rsplit_once('\n')?;
-            Some(Change::Removed { salt: salt.into(), part: part.into() })
-        });
-        self.apply(held.map(Change::Added).chain(gone).collect(), false, next, clock_ms, asked);
-    }
-}
-
 /// Bytes of a request body that one permit stands for.
 pub const BODY_PERMIT_BYTES: usize = 1024;
 /// How long after its departure a replica is listed in datagrams to peers. During this time an
--- a/crates/relay/src/kept.rs
+++ b/crates/relay/src/kept.rs
@@ -2,14 +2,14 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use ::feed::{Delta, Log};
+use fleet::Store;
 use ident::Time;
+use place::{Catalog, Change, HeldPart};
 use table::Version;
 use tracing::{info, warn};
 
-use crate::{
-    core::{Core, StoreCatalog},
-    services::CallError,
-};
+use crate::{core::Core, feed_wire, services::CallError};
 
 /// How long a poll for events waits. The platform charges shorter polls as probes. During longer
 /// ones the catalog would get too old to be trusted.
@@ -22,6 +22,81 @@
 /// Interval at which an instance checks whether it is to read a store.
 const READ_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// A store of kept KV cache and the catalog of its parts.
+#[derive(Debug)]
+pub struct StoreCatalog {
+    /// Configuration of the store.
+    pub store: Arc<Store>,
+    /// Catalog of the parts that the store holds.
+    pub catalog: Catalog,
+    /// The same parts as the store reported them, for followers. The era of a position is the
+    /// store's epoch.
+    pub log: Log<HeldPart>,
+}
+
+impl StoreCatalog {
+    /// A store whose parts are not known.
+    pub(crate) fn new(store: Arc<Store>) -> Self {
+        Self { store, catalog: Catalog::default(), log: Log::default() }
+    }
+
+    /// Forgets the parts.
+    pub(crate) fn clear(&mut self) {
+        self.catalog.clear();
+        self.log.clear();
+    }
+
+    /// Replaces the parts by the store's list, which was requested at `asked`.
+    pub(crate) fn replace(
+        &mut self,
+        held: Vec<HeldPart>,
+        next: Version,
+        clock_ms: u64,
+        asked: Time,
+    ) {
+        let row = |h: &HeldPart| (feed_wire::part_key(&h.salt, &h.part), h.clone());
+        self.log.replace(held.iter().map(row).collect(), next);
+        self.catalog.replace(next.era, held);
+        self.catalog.apply(next.era, false, Vec::new(), clock_ms, asked);
+    }
+
+    /// Applies changes that follow the known ones. Returns false, and forgets the parts, if they
+    /// don't.
+    pub(crate) fn apply(
+        &mut self,
+        changes: Vec<Change>,
+        gap: bool,
+        next: Version,
+        clock_ms: u64,
+        asked: Time,
+    ) -> bool {
+        let row = |change: &Change| match change {
+            Change::Added(h) => (feed_wire::part_key(&h.salt, &h.part), Some(h.clone())),
+            Change::Removed { salt, part } => (feed_wire::part_key(salt, part), None),
+        };
+        let follows = !gap && self.log.apply(changes.iter().map(row).collect(), next);
+        let usable = follows && self.catalog.apply(next.era, gap, changes, clock_ms, asked);
+        if !usable {
+            self.clear();
+        }
+        usable
+    }
+
+    /// Applies what a reader sent.
+    pub(crate) fn apply_delta(&mut self, delta: Delta<HeldPart>, clock_ms: u64, asked: Time) {
+        let Delta { full, rows, removed, next } = delta;
+        let held = rows.into_iter().map(|(_, held)| held);
+        if full {
+            return self.replace(held.collect(), next, clock_ms, asked);
+        }
+        let gone = removed.iter().filter_map(|key| {
+            let (salt, part) = key.rsplit_once('\n')?;
+            Some(Change::Removed { salt: salt.into(), part: part.into() })
+        });
+        self.apply(held.map(Change::Added).chain(gone).collect(), false, next, clock_ms, asked);
+    }
+}
+
 /// Keeps one catalog for each managed store of the configuration, and starts to follow new stores.
 pub(crate) fn sync_catalogs(core: &Arc<Core>) {
     let snapshot = core.view.snapshot();
