Renew a reader's word when the first follower asks

While nobody follows an instance, its polls of the registry wait up to 2.4 s, and its word may be that old.

Now the first follower's poll ends the polls that wait for long, the registry is asked at once, and the answer is held back for up to 200 ms until the word is new. Polls that were only cut and then waited for a change again left the word old: that was the first try.

--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -48,6 +48,9 @@
 const MAX_AGE: Duration = Duration::from_millis(1400);
 /// The same for instances, for which readers ask every 2.9 s or more often.
 const MAX_INSTANCES_AGE: Duration = Duration::from_millis(4000);
+/// Time that an instance has to ask its sources again after the first follower's poll. Until then its
+/// own polls wait longer than a word may be old.
+const FIRST_ANSWER_DELAY: Duration = Duration::from_millis(200);
 /// Interval at which a follower asks for changes of the stores' catalogs.
 const PARTS_INTERVAL: Duration = Duration::from_millis(250);
 /// Age from which a replica's report of its load is not handed on.
@@ -79,8 +82,8 @@
     news: [watch::Sender<u64>; Topic::ALL.len()],
     readers: Mutex<Readers>,
     started: Time,
-    /// Set once a follower has asked.
-    has_followers: AtomicBool,
+    /// When the first follower asked; `None` until then.
+    followed_since: watch::Sender<Option<Time>>,
     /// Whether the source of each topic did not answer the last call.
     failing: [AtomicBool; Topic::ALL.len()],
 }
@@ -115,7 +118,7 @@
             news: [(); Topic::ALL.len()].map(|()| watch::Sender::new(0)),
             readers: Mutex::default(),
             started,
-            has_followers: AtomicBool::new(false),
+            followed_since: watch::Sender::new(None),
             failing: Default::default(),
         }
     }
@@ -172,7 +175,19 @@
 
     /// Whether other instances follow this one.
     pub(crate) fn has_followers(&self) -> bool {
-        self.has_followers.load(Ordering::Relaxed)
+        self.followed_since.borrow().is_some()
+    }
+
+    /// Completes when the first follower has asked.
+    pub(crate) async fn first_follower(&self) {
+        // An error means that the instance ends.
+        let _ = self.followed_since.subscribe().wait_for(Option::is_some).await;
+    }
+
+    /// Records a follower's poll. Returns when the first one came.
+    fn note_follower(&self, now: Time) -> Time {
+        self.followed_since.send_if_modified(|since| since.replace(since.unwrap_or(now)).is_none());
+        self.followed_since.borrow().unwrap_or(now)
     }
 
     /// Records that a reader did not answer.
@@ -243,7 +258,7 @@
     let name = path.strip_prefix(TOPIC_PATH)?;
     let topic = Topic::ALL.into_iter().find(|t| t.name() == name)?;
     let (position, wait) = feed_wire::parse_poll(query);
-    core.feeds.has_followers.store(true, Ordering::Relaxed);
+    let followed_since = core.feeds.note_follower(core.now());
     let end = core.now().after(wait.min(INSTANCES_WAIT));
     let mut news = core.feeds.news[topic as usize].subscribe();
     loop {
@@ -261,15 +276,19 @@
         let age_ms = known.to_registry(now).map_or(0, |at| at.saturating_sub(clock));
         let left = max_age(topic).saturating_sub(Duration::from_millis(age_ms));
         let failing = core.feeds.failing[topic as usize].load(Ordering::Relaxed);
+        let renewal = followed_since.after(FIRST_ANSWER_DELAY).since(now);
+        let is_renewed = left.is_zero() && !failing && !renewal.is_zero();
         let is_old = failing || left.is_zero();
-        if !delta.is_empty() || is_old || end.passed(now) || core.is_leaving() {
+        let is_due = !delta.is_empty() || is_old || end.passed(now) || core.is_leaving();
+        if is_due && !is_renewed {
             core.metrics.feed_answers.inc();
             let wire = TopicWire::new(delta, clock, age_ms, failing);
             let bytes = serde_json::to_vec(&wire).unwrap_or_default();
             return Some(Response::new(full_body(bytes.into())));
         }
         // An error means that the instance ends. A word that gets too old is told at once.
-        let _ = timeout(end.since(now).min(left), news.changed()).await;
+        let longest = if is_renewed { renewal } else { end.since(now).min(left) };
+        let _ = timeout(longest, news.changed()).await;
     }
 }
 
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -53,6 +53,8 @@
     next: Option<Version>,
     /// Number of failed polls in a row.
     failures: u32,
+    /// Whether the next poll of the registry must not wait: the first follower has asked.
+    is_urgent: bool,
     /// The reader that answered last; `None` where the registry was asked or the reader did not
     /// answer.
     followed: Option<Arc<str>>,
@@ -66,7 +68,8 @@
 impl Follower {
     fn new(core: Arc<Core>, topic: Topic) -> Self {
         let (missing, heard) = (Vec::new(), Vec::new());
-        Self { core, topic, next: None, failures: 0, followed: None, missing, heard }
+        let (next, failures, is_urgent, followed) = (None, 0, false, None);
+        Self { core, topic, next, failures, is_urgent, followed, missing, heard }
     }
 
     async fn poll(&mut self) {
@@ -153,7 +156,9 @@
                     Topic::Operator | Topic::Replicas if has_followers => READER_POLL_WAIT,
                     _ => MAX_POLL_WAIT,
                 };
+                let is_urgent = std::mem::take(&mut self.is_urgent);
                 let wait = match (self.failures, self.missing.is_empty()) {
+                    _ if is_urgent => Duration::ZERO,
                     (0, true) => longest.mul_f64(spread),
                     (0, false) => MISSING_POLL_WAIT,
                     // Polls without waiting show whether the registry is back.
@@ -161,8 +166,14 @@
                 };
                 let mut rises = self.core.returns.subscribe();
                 let rise = async { rises.wait_for(|era| *era > next.era).await.is_ok() };
+                let is_long = !has_followers && self.topic != Topic::Instances;
                 tokio::select! {
                     answer = registry.follow(self.topic, next, wait) => answer,
+                    // A poll that waits for long would let this reader's word get too old.
+                    () = self.core.feeds.first_follower(), if is_long => {
+                        self.is_urgent = true;
+                        return;
+                    }
                     // Another call was answered in a later era: this position is void.
                     true = rise => return self.restart().await,
                 }
