Take a reader's rows of a new era as a complete reading

Now such rows are taken, readers that answered late or out of an outage are asked again after a return, and readers read in the first 0.4 s of the second over which a return is spread, followers later.

--- a/crates/feed/src/readers.rs
+++ b/crates/feed/src/readers.rs
@@ -35,14 +35,23 @@
     Follower(Vec<Arc<str>>),
 }
 
+/// A reader that is not asked for some time.
+#[derive(Debug)]
+struct Bar {
+    name: Arc<str>,
+    until: Time,
+    /// Whether the reader answered, and its word was too old.
+    is_stale: bool,
+}
+
 /// The readers that an instance may follow.
 ///
 /// Invariant: `barred` has each name once.
 #[derive(Debug, Default)]
 pub struct Readers {
     order: Vec<Arc<str>>,
-    /// Readers that are not asked until the given time.
-    barred: Vec<(Arc<str>, Time)>,
+    /// Readers that are not asked.
+    barred: Vec<Bar>,
     /// Whether there are readers to follow; otherwise this instance reads.
     follows: bool,
 }
@@ -99,24 +108,28 @@
 
     /// The reader to ask now; `None` if this instance must ask the source itself.
     pub fn choose(&self, now: Time) -> Option<Arc<str>> {
-        let barred = |name: &Arc<str>| {
-            self.barred.iter().any(|(known, until)| known == name && !until.passed(now))
-        };
+        let barred =
+            |name: &Arc<str>| self.barred.iter().any(|b| b.name == *name && !b.until.passed(now));
         self.order.iter().find(|name| !barred(name)).cloned()
     }
 
     /// Records that a reader did not answer.
     pub fn failed(&mut self, name: &Arc<str>, now: Time) {
-        self.bar(name, now.after(FAILED_TTL), now);
+        self.bar(name, now.after(FAILED_TTL), false, now);
     }
 
     /// Records that a reader's word was too old.
     pub fn stale(&mut self, name: &Arc<str>, now: Time) {
-        self.bar(name, now.after(STALE_TTL), now);
+        self.bar(name, now.after(STALE_TTL), true, now);
+    }
+
+    /// Allows readers again whose word was too old: the source has returned.
+    pub fn source_returned(&mut self) {
+        self.barred.retain(|b| !b.is_stale);
     }
 
-    fn bar(&mut self, name: &Arc<str>, until: Time, now: Time) {
-        self.barred.retain(|(known, until)| known != name && !until.passed(now));
-        self.barred.push((name.clone(), until));
+    fn bar(&mut self, name: &Arc<str>, until: Time, is_stale: bool, now: Time) {
+        self.barred.retain(|b| b.name != *name && !b.until.passed(now));
+        self.barred.push(Bar { name: name.clone(), until, is_stale });
     }
 }
--- a/crates/feed/tests/reader_choice.rs
+++ b/crates/feed/tests/reader_choice.rs
@@ -214,3 +214,21 @@
     let later = now.after(Duration::from_secs(5));
     assert_eq!(readers.choose(later).as_ref(), order.first());
 }
+
+#[test]
+fn readers_that_were_only_late_are_followed_again_when_the_source_returns() {
+    let members = members(195, 5);
+    let at = roles(&members).iter().position(|r| *r != Role::Reader).expect("most follow");
+    let mut readers = Readers::default();
+    readers.set(roles(&members)[at].clone());
+    let now = Time(1_000);
+    let first = readers.choose(now).expect("it follows");
+    readers.stale(&first, now);
+    let second = readers.choose(now).expect("it follows");
+    readers.failed(&second, now);
+    assert!(readers.choose(now).is_some_and(|third| third != first && third != second));
+    readers.source_returned();
+    assert_eq!(readers.choose(now), Some(first.clone()));
+    readers.stale(&first, now);
+    assert!(readers.choose(now).is_some_and(|third| third != second), "it did not answer");
+}
--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -199,6 +199,11 @@
     pub(crate) fn stale(&self, reader: &Arc<str>, now: Time) {
         self.readers.lock().stale(reader, now);
     }
+
+    /// Follows readers again that were left while the registry was away.
+    pub(crate) fn registry_returned(&self) {
+        self.readers.lock().source_returned();
+    }
 }
 
 /// The instances among which readers are chosen.
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -98,10 +98,18 @@
             core.observe_era();
         }
         let era = core.adapters.registry.era();
-        if batch.next.era < era || self.next.is_some_and(|next| next.era < era) {
+        if batch.next.era < era {
             core.feeds.stale(&reader, core.now());
             return self.restart().await;
         }
+        if self.next.is_some_and(|next| next.era < era) {
+            // The reader knows the registry since its return. Its rows are taken as a complete reading.
+            self.missing.clear();
+            if !is_full {
+                self.next = None;
+                return;
+            }
+        }
         // All rows as of an earlier position than the known ones.
         let served = core.feeds.position(self.topic);
         if is_full && served.is_some_and(|at| at.era == batch.next.era && at > batch.next) {
@@ -223,8 +231,11 @@
         self.next = None;
         // Entries that are still missing are waited for from this rise.
         self.missing.clear();
-        let spread = rand::rng().random_range(0.0..1.0);
+        // Readers first, so that they have read when their followers ask.
+        let share = if self.core.feeds.follows() { 0.4..1.0 } else { 0.0..0.4 };
+        let spread = rand::rng().random_range(share);
         tokio::time::sleep(RETURN_SPREAD.mul_f64(spread)).await;
+        self.core.feeds.registry_returned();
     }
 
     async fn back_off(&mut self, error: CallError) {
