Order half of the replicas at once whose weights may no longer be used

Where the giver of orders was lost just after new weights were named, the replicas with older weights were no longer chosen before the next giver began, and stood idle until it had gone through all by quarters.

--- a/crates/lease/src/upgrade.rs
+++ b/crates/lease/src/upgrade.rs
@@ -13,6 +13,9 @@
 /// the replicas load. A quarter stays below that, because about half of an upgrade's time goes to
 /// finishing requests.
 const MAX_LOADING_DIVISOR: usize = 4;
+/// The same while some of the replicas to order have weights that may no longer be used. These serve
+/// nothing and have little to finish, so that loads may slow down.
+const MAX_UNUSABLE_DIVISOR: usize = 2;
 /// How long an order counts as in flight unless a reading shows it as done. Also the maximum age of
 /// a reading that shows a replica as busy.
 const IN_FLIGHT_TTL: Duration = Duration::from_millis(1500);
@@ -61,12 +64,13 @@
 }
 
 impl Upgrade {
-    /// Returns the next actions. `wanted` is the version to reach. `registered` holds the replicas
-    /// that take work, with the versions that they registered; `readings` holds later reports of
-    /// some of them.
+    /// Returns the next actions. `wanted` is the version to reach, `usable` the oldest one that may
+    /// be used now. `registered` holds the replicas that take work, with the versions that they
+    /// registered; `readings` holds later reports of some of them.
     pub fn step(
         &mut self,
         wanted: u64,
+        usable: u64,
         registered: &[(Arc<str>, u64)],
         readings: &[ReplicaReport],
         now: Time,
@@ -74,7 +78,6 @@
         let reading = |id: &str| readings.iter().find(|r| &*r.replica == id);
         let done = |id: &str| reading(id).is_some_and(|r| r.version >= wanted && !r.busy);
         self.in_flight.retain(|s| !s.expires.passed(now) && !done(&s.replica));
-        let max_loading = (registered.len() / MAX_LOADING_DIVISOR).max(1);
         let mut actions = UpgradeActions::default();
         for (id, _) in registered {
             let busy = reading(id).is_some_and(|r| r.busy && now.since(r.asked_at) < IN_FLIGHT_TTL);
@@ -89,8 +92,12 @@
             .collect();
         // The oldest version is the first that must no longer be used.
         outdated.sort_by_key(|(_, version)| *version);
-        for (id, _) in outdated.into_iter().take(max_loading.saturating_sub(actions.loading.len()))
-        {
+        for (chosen, (id, version)) in (actions.loading.len()..).zip(outdated) {
+            let divisor =
+                if *version < usable { MAX_UNUSABLE_DIVISOR } else { MAX_LOADING_DIVISOR };
+            if chosen >= (registered.len() / divisor).max(1) {
+                break;
+            }
             match reading(id).filter(|r| now.since(r.asked_at) < MAX_READING_AGE) {
                 Some(reading) => actions.order.push(reading.clone()),
                 None => actions.read.push(id.clone()),
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -11,7 +11,7 @@
 
 use blame::{Blame, EndId, SuspectKey};
 use bytes::Bytes;
-use fleet::{Config, Replica, Snapshot, View};
+use fleet::{Config, Replica, Snapshot, View, Weights};
 use ident::{Clock, Time};
 use origin::{Latest, Origins};
 use parking_lot::Mutex;
@@ -39,6 +39,10 @@
 
 pub use crate::kept::StoreCatalog;
 
+/// Older weights are no longer chosen after this share of the time for which they may be used. A
+/// request may wait at the replica before it runs.
+const RETIRE_SHARE: f64 = 0.75;
+
 /// The addresses that an instance listens on.
 #[derive(Debug, Clone, Copy)]
 pub struct Listen {
@@ -394,6 +398,11 @@
         found.is_ok_and(|at| now.since(heard[at].1) < HEARD_TTL)
     }
 
+    /// The oldest version of a model's weights that a request may use; 0 allows any.
+    pub(crate) fn min_version(&self, weights: &Weights, now: Time) -> u64 {
+        weights.min_version(self.settings.bounds.version.mul_f64(RETIRE_SHARE), now)
+    }
+
     /// Whether a ready peer was heard within [`PEER_TTL`].
     pub(crate) fn is_ready_peer(&self, name: &str) -> bool {
         let now = self.now();
--- a/crates/relay/src/duty/orders.rs
+++ b/crates/relay/src/duty/orders.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use fleet::{Replica, Snapshot};
+use fleet::{Replica, Snapshot, Weights};
 use futures_util::future::join_all;
 use ident::Time;
 use lease::{ReplicaReport, Upgrade, UpgradeActions};
@@ -60,7 +60,7 @@
         let mut busy = false;
         let mut loading = Vec::new();
         for weights in &snapshot.weights {
-            let actions = self.next_actions(&snapshot, &weights.model, weights.version);
+            let actions = self.next_actions(&snapshot, weights);
             busy |= actions != UpgradeActions::default();
             loading.extend(actions.loading.iter().cloned());
             self.apply_actions(&snapshot, &weights.model, weights.version, actions, &mut loading)
@@ -77,12 +77,8 @@
         busy
     }
 
-    fn next_actions(
-        &mut self,
-        snapshot: &Snapshot,
-        model: &Arc<str>,
-        wanted: u64,
-    ) -> UpgradeActions {
+    fn next_actions(&mut self, snapshot: &Snapshot, weights: &Weights) -> UpgradeActions {
+        let model = &weights.model;
         let serves_model = |r: &&Arc<Replica>| !r.leaving && r.version(model).is_some();
         let registered: Vec<(Arc<str>, u64)> = snapshot
             .replicas
@@ -99,7 +95,8 @@
                 at
             }
         };
-        self.upgrades[at].1.step(wanted, &registered, &self.states, now)
+        let usable = self.core.min_version(weights, now);
+        self.upgrades[at].1.step(weights.version, usable, &registered, &self.states, now)
     }
 
     async fn apply_actions(
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -113,9 +113,8 @@
 
     /// The oldest version of the model's weights that the request may use; 0 allows any.
     pub fn min_version(&self, core: &Core, snapshot: &Snapshot, now: Time) -> u64 {
-        let allowed = core.settings.bounds.version.mul_f64(RETIRE_SHARE);
         let wanted = self.prompt().and_then(|p| snapshot.announced(&p.model));
-        wanted.map_or(0, |w| w.min_version(allowed, now))
+        wanted.map_or(0, |w| core.min_version(w, now))
     }
 }
 
@@ -147,6 +146,3 @@
 const PRIORITIES: [(u64, u8); 3] = [(1_024, 2), (4_096, 4), (16_384, 5)];
 /// Priority of all longer prompts.
 const LONG_PROMPT_PRIORITY: u8 = 6;
-/// Older weights are no longer chosen after this share of the time for which they may be used. A
-/// request may wait at the replica before it runs.
-const RETIRE_SHARE: f64 = 0.75;
