Try to take the lease with instances that run

The three instances that try for the lease every 0.7 s were the first of all registered ones, so also those that were stopped or frozen. The others try seldom where there are many.

Now the three are the first of those that are heard and don't stop, and they try at the moment when the lease gets free by what they know of it.

--- a/crates/relay/src/duty.rs
+++ b/crates/relay/src/duty.rs
@@ -11,6 +11,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use fleet::Instance;
 use ident::{Fence, Name, Time};
 use lease::{HeldLease, LeaseError, Leases};
 use parking_lot::Mutex;
@@ -28,6 +29,8 @@
 const NOT_READY_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval at which one of the first [`MAX_CANDIDATES`] instances tries to acquire the lease.
 const CANDIDATE_INTERVAL: Duration = Duration::from_millis(700);
+/// Shortest pause between two attempts.
+const MIN_PAUSE: Duration = Duration::from_millis(20);
 /// Share of the lease duration after which the lease is renewed.
 const RENEW_SHARE: f64 = 0.4;
 /// Timeout of a renewal.
@@ -66,17 +69,22 @@
             tokio::time::sleep(NOT_READY_INTERVAL).await;
             continue;
         }
+        // When the lease is free, as far as is known.
+        let mut free_at = Time::NEVER;
         match leases.acquire(&name, core.settings.bounds.lease).await {
             Ok(held) => {
                 info!(fence = held.fence().0, until = %held.expires(), "duty lease acquired");
                 run_duties(&core, &leases, held).await;
             }
-            Err(LeaseError::Taken { .. }) => {}
+            Err(LeaseError::Taken { until, .. }) => free_at = until,
             Err(error) => warn!(%error, "duty lease could not be acquired"),
         }
         let jitter = rand::rng().random_range(0.8..1.2);
-        let pause = if is_candidate(&core) { CANDIDATE_INTERVAL } else { standby_interval(&core) };
-        tokio::time::sleep(pause.mul_f64(jitter)).await;
+        let pause = match is_candidate(&core) {
+            true => CANDIDATE_INTERVAL.mul_f64(jitter).min(free_at.since(core.now())),
+            false => standby_interval(&core).mul_f64(jitter),
+        };
+        tokio::time::sleep(pause.max(MIN_PAUSE)).await;
     }
 }
 
@@ -86,13 +94,16 @@
     STANDBY_INTERVAL.mul_f64((count as f64 / SMALL_DEPLOYMENT as f64).max(1.0))
 }
 
-/// Whether this instance is one of the [`MAX_CANDIDATES`] that use [`CANDIDATE_INTERVAL`]. So is an
-/// instance that is not listed.
+/// Whether this instance is one of the [`MAX_CANDIDATES`] that use [`CANDIDATE_INTERVAL`]: the first
+/// of those that are heard and don't stop. So is an instance that is not listed.
 fn is_candidate(core: &Core) -> bool {
     let snapshot = core.view.snapshot();
-    let order = ident::rendezvous_order(b"duties", &snapshot.instances, |i| &i.name);
-    let listed = snapshot.instances.iter().any(|i| i.name == core.settings.name);
-    !listed || order.iter().take(MAX_CANDIDATES).any(|i| i.name == core.settings.name)
+    let own = &core.settings.name;
+    let runs = |i: &&Arc<Instance>| i.name == *own || (!i.leaving && core.is_heard(&i.name));
+    let running: Vec<&Arc<Instance>> = snapshot.instances.iter().filter(runs).collect();
+    let order = ident::rendezvous_order(b"duties", &running, |i| &i.name);
+    let listed = running.iter().any(|i| i.name == *own);
+    !listed || order.iter().take(MAX_CANDIDATES).any(|i| i.name == *own)
 }
 
 /// Performs the duties until the lease ends.
