Hand on with a released lease when the next holder may act

Where replicas check no fencing numbers, a new holder waits for the lease's duration before its first order, also after a holder that never gave one.

A holder that stops says in the lease's row, on the registry's clock, when the next one may act: a lease's duration and 1 s after its own last order, or what it waited for itself. Rows of earlier builds don't have the field, and earlier builds skip it.

--- a/crates/lease/src/held.rs
+++ b/crates/lease/src/held.rs
@@ -48,6 +48,8 @@
     fence: Fence,
     /// When the lease expires, on this process's clock.
     until: Time,
+    /// What the holder before this one said when it released the lease; see [`Self::act_after`].
+    act_after: Option<u64>,
 }
 
 impl HeldLease {
@@ -61,7 +63,23 @@
         start: Time,
     ) -> Self {
         assert!(fence.0 > 0, "fencing numbers start at 1");
-        Self { table, sort, holder, version, duration, fence, until: start.after(duration) }
+        let until = start.after(duration);
+        Self { table, sort, holder, version, duration, fence, until, act_after: None }
+    }
+
+    pub(crate) fn after(self, act_after: Option<u64>) -> Self {
+        Self { act_after, ..self }
+    }
+
+    /// When this holder may act at the earliest, if the one before released the lease and said so, in
+    /// ms of a clock that all holders know.
+    pub fn act_after(&self) -> Option<u64> {
+        self.act_after
+    }
+
+    /// Sets what the next holder is told if the lease is released.
+    pub fn set_act_after(&mut self, at: Option<u64>) {
+        self.act_after = at;
     }
 
     /// Fencing number of this holder.
@@ -91,7 +109,8 @@
     }
 
     pub(crate) fn wire(&self, duration: Duration, released: bool) -> RowWire {
-        RowWire { holder: self.holder.clone(), fence: self.fence, duration, released }
+        let act_after = self.act_after.filter(|_| released);
+        RowWire { holder: self.holder.clone(), fence: self.fence, duration, released, act_after }
     }
 
     pub(crate) fn extend(&mut self, version: Version, duration: Duration, start: Time) {
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -140,14 +140,20 @@
                     (Expect::Version(row.version), row::next_fence(&wire, row.version)?)
                 }
             };
-            let wire = RowWire { holder: holder.clone(), fence, duration, released: false };
+            let previous = row.as_ref().and_then(|row| {
+                let wire = RowWire::read(row).ok()?;
+                wire.act_after.filter(|_| wire.released && wire.is_of_era(row.version))
+            });
+            let (holder_wire, act_after) = (holder.clone(), None);
+            let wire = RowWire { holder: holder_wire, fence, duration, released: false, act_after };
             let answer = self.table.commit(vec![wire.write(&sort, expect)]).await;
             match answer {
                 // Answered in a later era: nobody knows in which one it took effect.
                 Ok(()) if self.table.era() != era => {}
                 Ok(()) => {
                     let version = row.map_or(Version { era, number: 1 }, |r| r.version.next());
-                    return Ok(self.held(sort, holder, fence, version, duration, now));
+                    let held = self.held(sort, holder, fence, version, duration, now);
+                    return Ok(held.after(previous));
                 }
                 Err(TableError::Refused(text)) => return Err(TableError::Refused(text).into()),
                 Err(e) if !e.definite() => unknown_since = unknown_since.or(Some(now)),
--- a/crates/lease/src/row.rs
+++ b/crates/lease/src/row.rs
@@ -39,6 +39,10 @@
     #[serde(rename = "term")]
     pub(crate) duration: Duration,
     pub(crate) released: bool,
+    /// Where the lease was released: when the next holder may act, in ms of a clock that all holders
+    /// know; `None` if the holder did not say.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) act_after: Option<u64>,
 }
 
 impl RowWire {
--- a/crates/lease/tests/lease_terms.rs
+++ b/crates/lease/tests/lease_terms.rs
@@ -42,6 +42,24 @@
     assert_eq!(b.acquire(&name("x"), TERM).await.unwrap().fence(), Fence(2));
 }
 
+/// A holder that released the lease tells the next one when it may act; one that was lost does not.
+#[tokio::test]
+async fn what_is_said_at_a_release_reaches_the_next_holder_only() {
+    let t = Arc::new(Memory::new());
+    let c = ManualClock::at(1);
+    let (a, b) = (leases(&t, &c, "a"), leases(&t, &c, "b"));
+    let mut held = a.acquire(&name("x"), TERM).await.unwrap();
+    assert_eq!(held.act_after(), None);
+    held.set_act_after(Some(7));
+    a.renew(&mut held, TERM).await.unwrap();
+    assert!(b.acquire(&name("x"), TERM).await.is_err());
+    a.release(held).await.unwrap();
+    assert_eq!(b.acquire(&name("x"), TERM).await.unwrap().act_after(), Some(7));
+    assert!(a.acquire(&name("x"), TERM).await.is_err());
+    c.advance(TERM * 2);
+    assert_eq!(a.acquire(&name("x"), TERM).await.unwrap().act_after(), None, "it was not released");
+}
+
 #[tokio::test]
 async fn lost_answers_are_read_back() {
     let t = Arc::new(Memory::new());
--- a/crates/relay/src/duty.rs
+++ b/crates/relay/src/duty.rs
@@ -48,6 +48,10 @@
 /// while the lease is valid.
 const ACT_MARGIN: Duration = Duration::from_millis(700);
 
+/// An order arrives within this time, or not at all; also bears the error of two instances' readings
+/// of the registry's clock.
+const ORDER_FLIGHT: Duration = Duration::from_millis(1000);
+
 /// Acquires the lease whenever it is free, and performs the duties while it is held.
 pub(crate) async fn run(core: Arc<Core>) {
     let name = Name::new("duties").expect("the lease name is valid");
@@ -116,7 +120,9 @@
         // Polled first, so that no order is sent after the lease has ended.
         biased;
         released = renew_until_end(core, leases, held, &lease_state) => {
-            if let Some(held) = released {
+            if let Some(mut held) = released {
+                let at = lease_state.next_may_act();
+                held.set_act_after(core.registry_clock.lock().to_registry(at));
                 let _ = leases.release(held).await;
                 info!("duty lease released");
             }
@@ -180,6 +186,8 @@
     /// No order or free call is sent before this time: one of the previous holder may still be in
     /// flight.
     act_after: Mutex<Time>,
+    /// When an order or a free call was last allowed.
+    acted: Mutex<Option<Time>>,
 }
 
 impl LeaseState {
@@ -188,17 +196,36 @@
         // Fencing number 1 has no previous holder. Replicas that check fencing numbers refuse late
         // orders of a previous holder themselves.
         let must_wait = held.fence().0 > 1 && !bounds.fenced;
-        let act_after = if must_wait { now.after(bounds.lease) } else { now };
+        let clock = *core.registry_clock.lock();
+        let said = held.act_after().and_then(|at| clock.to_local(at));
+        let act_after = match said {
+            _ if !must_wait => now,
+            Some(at) => at.max(now).min(now.after(bounds.lease)),
+            None => now.after(bounds.lease),
+        };
         let (until, act_after) = (Mutex::new(held.expires()), Mutex::new(act_after));
-        Self { core, fence: held.fence(), era: held.era(), until, act_after }
+        let acted = Mutex::default();
+        Self { core, fence: held.fence(), era: held.era(), until, act_after, acted }
     }
 
     /// Whether an order or a free call may be sent now.
     fn may_act(&self) -> bool {
         let now = self.core.now();
-        self.core.adapters.table.era() == self.era
+        let may_act = self.core.adapters.table.era() == self.era
             && self.act_after.lock().passed(now)
-            && !self.until.lock().passed(now.after(ACT_MARGIN))
+            && !self.until.lock().passed(now.after(ACT_MARGIN));
+        if may_act {
+            *self.acted.lock() = Some(now);
+        }
+        may_act
+    }
+
+    /// When the next holder may act, if this one stops now. A holder that never acted leaves what it
+    /// waited for itself.
+    fn next_may_act(&self) -> Time {
+        let lease = self.core.settings.bounds.lease;
+        let acted = *self.acted.lock();
+        acted.map_or(*self.act_after.lock(), |at| at.after(lease).after(ORDER_FLIGHT))
     }
 
     /// Allows no further order or free call, because a newer holder sends them.
