Bear a clock of a peer that is near the end of its range

Adding an age to the clock of a reader's answer, or a span to a reading of the registry's clock, could overflow: a panic in debug builds, a clock that went back in release builds.

--- a/crates/relay/src/dates.rs
+++ b/crates/relay/src/dates.rs
@@ -106,7 +106,7 @@
     pub fn to_registry(&self, at: Time) -> Option<u64> {
         let (clock, now) = self.reading?;
         let ahead = at.since(now).as_millis() as u64;
-        Some((clock + ahead).saturating_sub(now.since(at).as_millis() as u64))
+        Some(clock.saturating_add(ahead).saturating_sub(now.since(at).as_millis() as u64))
     }
 
     /// The local time at `clock` on the registry's clock; `None` before the first reading.
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -125,7 +125,8 @@
         let made_at = {
             let mut clock = core.registry_clock.lock();
             // The reader's estimate of the registry's clock when it answered.
-            clock.observe(batch.next.era, batch.clock + age.as_millis() as u64, core.now());
+            let at_answer = batch.clock.saturating_add(age.as_millis() as u64);
+            clock.observe(batch.next.era, at_answer, core.now());
             clock.to_local(batch.clock).unwrap_or(asked_at.before(age))
         };
         self.followed = Some(reader);
