Save to a store only after the fetches of its former epoch

Ruled out as remedies: a shorter trust (a smaller window only), the engines' deadline of the fetch (later than the save).

Change: a store is saved to 2 s after the first known answer of its epoch, by the engines' clock in its answers. Each answer of the epoch before is older, and a fetch ends 1.8 s after the answer it rests on. A plan that saves is sent only while its catalog is fresh, which is checked as the request is written.

--- a/crates/place/src/catalog.rs
+++ b/crates/place/src/catalog.rs
@@ -4,12 +4,15 @@
 
 use ident::Time;
 
-/// How long a catalog counts as fresh after the store's last answer. A store needs longer than this
-/// to restart and then hold an incomplete copy of a part that the catalog lists as complete.
+/// How long a catalog counts as fresh after the store's last answer.
 const CATALOG_TTL: Duration = Duration::from_millis(1200);
 /// Time after a store's last answer within which a fetch from it must end. The deadline is given by
 /// the engines' clock.
 const FETCH_TIMEOUT_MS: u64 = 1800;
+/// Time from the first known answer of an epoch until parts are saved to the store, on the engines'
+/// clock. All fetches that were planned in the epoch before must have ended: the store gave its last
+/// answer in that epoch before the first one in this epoch. The store may have been away for any time.
+const SAVE_DELAY_MS: u64 = FETCH_TIMEOUT_MS + 200;
 
 /// A part that a store holds completely.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -50,6 +53,9 @@
     asked_at: Time,
     /// Time of the store's last answer by the engines' clock, in ms.
     clock_ms: u64,
+    /// Epoch of the store's last answer, and the time of the first answer that is known of it, by the
+    /// engines' clock, in ms. Stays while the contents are unknown.
+    epoch_start: Option<(u64, u64)>,
     /// Salt and identifier of each part that this instance recently asked an engine to save, and
     /// the time until which no other request saves it. Sorted.
     saving: Vec<(Arc<str>, Arc<str>, Time)>,
@@ -85,6 +91,9 @@
         }
         changes.into_iter().for_each(|c| self.change(c));
         (self.asked_at, self.clock_ms) = (asked, clock_ms);
+        if self.epoch_start.is_none_or(|(known, _)| known != epoch) {
+            self.epoch_start = Some((epoch, clock_ms));
+        }
         true
     }
 
@@ -105,7 +114,19 @@
 
     /// Whether the store's last answer is recent enough for the catalog to be used.
     pub fn is_fresh(&self, now: Time) -> bool {
-        self.epoch.is_some() && now.since(self.asked_at) < CATALOG_TTL
+        self.epoch.is_some() && !self.fresh_until().passed(now)
+    }
+
+    /// Whether parts may be saved to the store: the catalog is fresh, and no fetch that any instance
+    /// planned before the store's last restart is still under way.
+    pub fn allows_saves(&self, now: Time) -> bool {
+        let start = self.epoch_start.filter(|(epoch, _)| self.epoch == Some(*epoch));
+        self.is_fresh(now) && start.is_some_and(|(_, ms)| self.clock_ms >= ms + SAVE_DELAY_MS)
+    }
+
+    /// Time until which the catalog counts as fresh.
+    pub fn fresh_until(&self) -> Time {
+        self.asked_at.after(CATALOG_TTL)
     }
 
     /// Deadline of a fetch that is planned from this catalog, in ms of the engines' clock.
--- a/crates/place/src/plan.rs
+++ b/crates/place/src/plan.rs
@@ -82,6 +82,9 @@
     pub parts: Vec<Transfer>,
     /// Deadline of the fetches from stores, in ms of the engines' clock; `None` if there are none.
     pub deadline_ms: Option<u64>,
+    /// Deadline for sending the request, since the stores that it saves to may have restarted later;
+    /// `None` if it saves nothing.
+    pub send_by: Option<Time>,
 }
 
 impl Plan {
@@ -98,7 +101,7 @@
         now: Time,
     ) -> Self {
         let mut out =
-            Self { parts: vec![Transfer::default(); prompt.parts.len()], deadline_ms: None };
+            Self { parts: vec![Transfer::default(); prompt.parts.len()], ..Self::default() };
         let is_long = prompt.shared_tokens() >= MIN_SAVED_TOKENS;
         let stores = if is_long { stores } else { &mut [] };
         for (at, part) in prompt.shared().iter().enumerate() {
@@ -111,12 +114,14 @@
                 }
                 None => {
                     let fetch = preferred.map(|addr| Source { addr, tokens: None });
-                    let save = if replaced.is_none() {
-                        choose_store(part, salt, stores, now)
-                    } else {
-                        None
+                    let chosen = match replaced {
+                        None => choose_store(part, salt, stores, now),
+                        Some(_) => None,
                     };
-                    (fetch, save)
+                    if let Some((_, until)) = chosen {
+                        out.send_by = Some(out.send_by.map_or(until, |u| u.min(until)));
+                    }
+                    (fetch, chosen.map(|(addr, _)| addr))
                 }
             };
             out.parts[at] = Transfer { fetch, save };
@@ -124,6 +129,11 @@
         out
     }
 
+    /// Whether the request may still be sent with these transfers.
+    pub fn may_send(&self, now: Time) -> bool {
+        self.send_by.is_none_or(|at| !at.passed(now))
+    }
+
     /// Whether at least one part is fetched.
     pub fn fetches(&self) -> bool {
         self.parts.iter().any(|p| p.fetch.is_some())
@@ -149,24 +159,25 @@
     Some((Source { addr: store.addr, tokens }, catalog.fetch_deadline()))
 }
 
-/// Returns the address of the store to save the part to: the first with enough free capacity in the
-/// order of weighted rendezvous hashing. `None` if there is no such store, or if a request in
-/// flight saves the part already.
+/// Returns the address of the store to save the part to, and until when the request may be sent: the
+/// first with enough free capacity in the order of weighted rendezvous hashing. `None` if there is no
+/// such store, or if a request in flight saves the part already.
 fn choose_store(
     part: &Part,
     salt: &Arc<str>,
     stores: &mut [(Arc<Store>, &mut Catalog)],
     now: Time,
-) -> Option<SocketAddr> {
+) -> Option<(SocketAddr, Time)> {
     let mut order: Vec<(f64, usize)> =
         stores.iter().enumerate().map(|(at, (store, _))| (score(part, store), at)).collect();
     order.sort_by(|a, b| b.0.total_cmp(&a.0));
     for (_, at) in order {
         let (store, catalog) = &mut stores[at];
         let free = store.capacity_tokens as f64 * MAX_FILL_RATIO - catalog.total_tokens() as f64;
-        if catalog.is_fresh(now) && free >= part.tokens as f64 {
+        if catalog.allows_saves(now) && free >= part.tokens as f64 {
             let until = now.after(SAVE_CLAIM_TTL);
-            return catalog.claim_save(salt, &part.id, until, now).then_some(store.addr);
+            let claimed = catalog.claim_save(salt, &part.id, until, now);
+            return claimed.then(|| (store.addr, catalog.fresh_until()));
         }
     }
     None
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -91,16 +91,20 @@
 struct FlightGate<'f> {
     forwarder: &'f Forwarder,
     replica: &'f Arc<Replica>,
+    plan: Option<&'f Plan>,
     flight: &'f Mutex<Option<FlightGuard>>,
 }
 
 impl Gate for FlightGate<'_> {
     fn open(&self) -> bool {
         let Forwarder { core, suspects, .. } = self.forwarder;
-        // It may have turned others away while the request waited for a connection.
+        let now = core.now();
+        // It may have turned others away while the request waited for a connection, and this process
+        // may have been suspended since the transfers were planned.
         let may_send = self.forwarder.may_send()
+            && self.plan.is_none_or(|plan| plan.may_send(now))
             && !core.has_said_leaving(self.replica)
-            && !core.pool.lock().declines(&self.replica.id, core.now());
+            && !core.pool.lock().declines(&self.replica.id, now);
         let begin = || FlightGuard::new(core, self.replica, suspects.clone());
         *self.flight.lock() = may_send.then(begin);
         may_send
@@ -171,7 +175,8 @@
         self.log_attempt(&choice, plan.as_ref(), forward_headers.time_left, &snapshot);
         let max_conns = self.max_conns(&snapshot);
         let flight = Mutex::new(None);
-        let gate = FlightGate { forwarder: self, replica, flight: &flight };
+        let plan = plan.as_ref();
+        let gate = FlightGate { forwarder: self, replica, plan, flight: &flight };
         let sent = core.conns.send(&replica.id, replica.addr, max_conns, request, &gate, now);
         let latest = self.latest_start(&choice);
         let wait = latest
