Read a store anew where its address changes

Two stores that change places, or a store under the address of another, kept the catalog of their name while their address became the other's: engines were sent to fetch parts from a store that did not hold them, or was writing them (MIXED). Seen in a new test: a part of one store was fetched from the other, empty one, right after the configuration.

Cause: catalogs were kept as long as any store of the configuration had their address, and a changed entry only exchanged the store behind the catalog. Each such change also left a second task that read the same store.

Change: a catalog belongs to a name and an address and goes with either. Its reading task ends with it, and an answer is applied only to the entry that it was asked for. Numbers of events that fall count as a gap: they are those of another store. A list that is older than known changes of the same epoch is ignored; the catalog took it, and its log did not.

a_store_at_the_address_of_another_is_read_anew failed before and passes now. The last two points were found by reading and have no test of their own.

--- a/crates/relay/src/kept.rs
+++ b/crates/relay/src/kept.rs
@@ -7,6 +7,7 @@
 use ident::Time;
 use place::{Catalog, Change, HeldPart};
 use table::Version;
+use tokio::task::AbortHandle;
 use tracing::{info, warn};
 
 use crate::{core::Core, feed_wire, services::CallError};
@@ -23,6 +24,9 @@
 const READ_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// A store of kept KV cache and the catalog of its parts.
+///
+/// Invariant: `catalog` and `log` describe the store at the address of `store`, whose entry never
+/// changes its name or address.
 #[derive(Debug)]
 pub struct StoreCatalog {
     /// Configuration of the store.
@@ -32,12 +36,20 @@
     /// The same parts as the store reported them, for followers. The era of a position is the
     /// store's epoch.
     pub log: Log<HeldPart>,
+    /// The task that reads the store.
+    reader: AbortHandle,
+}
+
+impl Drop for StoreCatalog {
+    fn drop(&mut self) {
+        self.reader.abort();
+    }
 }
 
 impl StoreCatalog {
-    /// A store whose parts are not known.
-    pub(crate) fn new(store: Arc<Store>) -> Self {
-        Self { store, catalog: Catalog::default(), log: Log::default() }
+    /// A store whose parts are not known, and which `reader` reads.
+    fn new(store: Arc<Store>, reader: AbortHandle) -> Self {
+        Self { store, catalog: Catalog::default(), log: Log::default(), reader }
     }
 
     /// Forgets the parts.
@@ -46,7 +58,8 @@
         self.log.clear();
     }
 
-    /// Replaces the parts by the store's list, which was requested at `asked`.
+    /// Replaces the parts by the store's list, which was requested at `asked`. Ignored where later
+    /// changes of the same epoch are known.
     pub(crate) fn replace(
         &mut self,
         held: Vec<HeldPart>,
@@ -54,6 +67,10 @@
         clock_ms: u64,
         asked: Time,
     ) {
+        let known = self.log.position();
+        if known.is_some_and(|at| at.era == next.era && at.number > next.number) {
+            return;
+        }
         let row = |h: &HeldPart| (feed_wire::part_key(&h.salt, &h.part), h.clone());
         self.log.replace(held.iter().map(row).collect(), next);
         self.catalog.replace(next.era, held);
@@ -102,35 +119,39 @@
     let snapshot = core.view.snapshot();
     let Some(config) = &snapshot.config else { return };
     let mut catalogs = core.catalogs.lock();
-    catalogs.retain(|s| config.stores.iter().any(|n| n.addr == s.store.addr));
-    for store in config.stores.iter().filter(|s| s.managed) {
+    let managed = || config.stores.iter().filter(|s| s.managed);
+    // A name or an address may come to stand for another store.
+    let is_same = |a: &Store, b: &Store| a.name == b.name && a.addr == b.addr;
+    catalogs.retain(|s| managed().any(|n| is_same(n, &s.store)));
+    for store in managed().map(|s| Arc::new(s.clone())) {
         match catalogs.binary_search_by(|s| s.store.name.cmp(&store.name)) {
-            Ok(at) => catalogs[at].store = Arc::new(store.clone()),
+            Ok(at) if catalogs[at].store.addr == store.addr => catalogs[at].store = store,
+            Ok(_) => warn!(store = %store.name, "second address of a store ignored"),
             Err(at) => {
-                catalogs.insert(at, StoreCatalog::new(Arc::new(store.clone())));
-                tokio::spawn(follow(core.clone(), store.name.clone()));
+                let reader = tokio::spawn(follow(core.clone(), store.name.clone(), store.addr));
+                catalogs.insert(at, StoreCatalog::new(store, reader.abort_handle()));
             }
         }
     }
 }
 
-/// Calls `f` with the catalog of a store; `None` where the store is no longer configured.
-fn with_catalog<T, F>(core: &Core, name: &str, f: F) -> Option<T>
+/// Calls `f` with the catalog of the store `name` at `addr`; `None` where it is no longer configured.
+fn with_catalog<T, F>(core: &Core, name: &str, addr: SocketAddr, f: F) -> Option<T>
 where
     F: FnOnce(&mut StoreCatalog) -> T,
 {
     let mut catalogs = core.catalogs.lock();
     let at = catalogs.binary_search_by(|s| (*s.store.name).cmp(name)).ok()?;
-    Some(f(&mut catalogs[at]))
+    Some(&mut catalogs[at]).filter(|s| s.store.addr == addr).map(f)
 }
 
 /// Reads a store until it is no longer configured, while this instance is a reader.
-async fn follow(core: Arc<Core>, name: Arc<str>) {
+async fn follow(core: Arc<Core>, name: Arc<str>, addr: SocketAddr) {
     loop {
-        let known = with_catalog(&core, &name, |s| {
-            (s.store.addr, s.log.position().filter(|_| !s.catalog.needs_list()))
+        let known = with_catalog(&core, &name, addr, |s| {
+            s.log.position().filter(|_| !s.catalog.needs_list())
         });
-        let Some((addr, position)) = known else { return };
+        let Some(position) = known else { return };
         if core.feeds.follows() {
             tokio::time::sleep(READ_CHECK_INTERVAL).await;
             continue;
@@ -141,7 +162,7 @@
             Some(position) => read_events(&core, &name, addr, position, asked_at).await,
         };
         if let Err(error) = result {
-            let was_listed = with_catalog(&core, &name, |s| {
+            let was_listed = with_catalog(&core, &name, addr, |s| {
                 let was_listed = !s.catalog.needs_list();
                 s.clear();
                 was_listed
@@ -165,7 +186,7 @@
     let (epoch, parts) = (content.epoch, content.held.len());
     info!(store = %name, epoch, parts, "store content listed");
     let next = Version { era: epoch, number: content.next };
-    with_catalog(core, name, |s| s.replace(content.held, next, content.clock, asked_at));
+    with_catalog(core, name, addr, |s| s.replace(content.held, next, content.clock, asked_at));
     Ok(())
 }
 
@@ -179,9 +200,10 @@
 ) -> Result<(), CallError> {
     let wait = if core.feeds.has_followers() { READER_POLL_WAIT } else { POLL_WAIT };
     let events = core.adapters.engines.events(addr, position.number, wait).await?;
-    let (epoch, gap) = (events.epoch, events.gap);
+    // Numbers that fall are those of another store.
+    let (epoch, gap) = (events.epoch, events.gap || events.next < position.number);
     let next = Version { era: epoch, number: events.next };
-    with_catalog(core, name, |s| {
+    with_catalog(core, name, addr, |s| {
         // Another reader's answer may have come meanwhile.
         if s.log.position() != Some(position) {
             return;
