Give teams another cache salt when others become dedicated

Cause: the salt of teams that share held the model and the version only. Ruled out: freeing the parts (engines forget none on demand), a salt for each team (nothing would be shared), a digest of the teams that share (each new team would empty all caches), a counter (not known after a restart).

Change: the salt names the dedicated teams by a digest, so that a part is used only while the teams that shared when it was made still do. It follows from the configuration in force and is checked as the request is written. Parts that no team shares any more are freed after 10 s; stores are not used for 3 s after such a change, since a scope may return whose parts are being freed.

--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -2,6 +2,8 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use crate::Walls;
+
 /// The kind of a route's requests. It determines whether a request with unknown outcome may be
 /// retried.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -161,12 +163,14 @@
     pub keys: Vec<Key>,
     /// Whether requests need an API key, except on public routes.
     pub requires_key: bool,
+    /// The dedicated ones of `teams`. Set by [`Config::sorted`].
+    pub walls: Walls,
     /// Limits on what callers may send.
     pub limits: Limits,
 }
 
 impl Config {
-    /// Sorts the lists as the lookups require.
+    /// Sorts the lists as the lookups require, and sets what follows from them.
     #[must_use]
     pub fn sorted(mut self) -> Self {
         self.routes
@@ -174,6 +178,7 @@
         self.targets.sort_by(|a, b| a.name.cmp(&b.name));
         self.stores.sort_by(|a, b| a.name.cmp(&b.name));
         self.keys.sort_by(|a, b| a.secret.cmp(&b.secret));
+        self.walls = Walls::new(&self.teams);
         self
     }
 
--- a/crates/fleet/tests/view_rules.rs
+++ b/crates/fleet/tests/view_rules.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use fleet::{Announcement, Config, Limits, RequestKind, Route, RouteShare, View};
+use fleet::{Announcement, Config, Limits, RequestKind, Route, RouteShare, View, Walls};
 use ident::Time;
 
 fn route(name: &str, host: &str, prefix: &str) -> Route {
@@ -27,7 +27,8 @@
     let limits =
         Limits { head_bytes: 1, body_bytes: 1, head_timeout: second, idle_timeout: second };
     let (targets, stores, teams, keys) = (Vec::new(), Vec::new(), Vec::new(), Vec::new());
-    Config { rev, routes, targets, stores, teams, keys, requires_key: true, limits }.sorted()
+    let (requires_key, walls) = (true, Walls::default());
+    Config { rev, routes, targets, stores, teams, keys, requires_key, walls, limits }.sorted()
 }
 
 #[test]
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -14,15 +14,17 @@
 mod prompt;
 mod refusals;
 mod room;
+mod salt;
 
 pub use crate::{
     budget::{RetryBudget, RetryBudgets},
     catalog::{Catalog, Change, HeldPart},
     choice::{Choice, PlacementError, PlacementRequest},
     limits::{LimitReport, Limits, NamedLimit, Peers, Permit},
-    plan::{Plan, Source, Transfer, cache_salt, free_delay, old_part_grace, parse_salt},
+    plan::{Plan, Source, Transfer, free_delay, old_part_grace},
     pool::{Load, LoadReport, Outcome, PeerLoad, Pool},
     prompt::{Part, Prompt},
     refusals::{RefusalReport, Refusals},
     room::Headroom,
+    salt::{Salt, cache_salt},
 };
--- a/crates/place/src/plan.rs
+++ b/crates/place/src/plan.rs
@@ -27,23 +27,6 @@
 /// still running.
 const MAX_FILL_RATIO: f64 = 0.97;
 
-/// Returns the cache salt of a prompt. Parts are shared only within one version of a model's
-/// weights and, for a dedicated team, only within that team. The salt is plain text,
-/// unlike the keyed digest of crate `kv`.
-pub fn cache_salt(model: &str, version: u64, team: Option<&str>) -> Arc<str> {
-    match team {
-        Some(team) => format!("{model}/{version}/{team}").into(),
-        None => format!("{model}/{version}").into(),
-    }
-}
-
-/// Returns the model and weights version of a salt; `None` if the text is not a salt.
-pub fn parse_salt(salt: &str) -> Option<(&str, u64)> {
-    let mut words = salt.split('/');
-    let model = words.next()?;
-    Some((model, words.next()?.parse().ok()?))
-}
-
 /// How long a part of older weights is still fetched from stores after newer weights are announced.
 /// The time is derived from the part's id, so that all instances agree on it and the parts expire
 /// at different times.
--- a/crates/place/tests/store_restarts.rs
+++ b/crates/place/tests/store_restarts.rs
@@ -3,7 +3,7 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use fleet::Store;
+use fleet::{CacheScope, Store};
 use ident::Time;
 use place::{Catalog, Change, HeldPart, Part, Plan, Prompt, cache_salt};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -101,7 +101,11 @@
 }
 
 fn held(part: usize) -> HeldPart {
-    HeldPart { salt: cache_salt("m", 1, None), part: part_name(part).into(), tokens: TOKENS }
+    HeldPart {
+        salt: cache_salt("m", 1, CacheScope::Shared(None)),
+        part: part_name(part).into(),
+        tokens: TOKENS,
+    }
 }
 
 fn prompt(part: usize) -> Prompt {
@@ -235,7 +239,7 @@
             return;
         }
         let mut stores = [(self.store.clone(), &mut instance.catalog)];
-        let salt = cache_salt("m", 1, None);
+        let salt = cache_salt("m", 1, CacheScope::Shared(None));
         let plan = Plan::new(&prompt(part), &salt, None, None, &mut stores, Time(now));
         if plan.fetches() {
             let deadline = plan.deadline_ms.expect("a fetch from a store has a deadline");
@@ -307,7 +311,7 @@
 
 fn saves(catalog: &mut Catalog, now: Time) -> bool {
     let mut stores = [(store(), catalog)];
-    let salt = cache_salt("m", 1, None);
+    let salt = cache_salt("m", 1, CacheScope::Shared(None));
     let plan = Plan::new(&prompt(0), &salt, None, None, &mut stores, now);
     plan.parts[0].save.is_some()
 }
--- a/crates/place/tests/transfer_plans.rs
+++ b/crates/place/tests/transfer_plans.rs
@@ -2,14 +2,14 @@
 
 use std::sync::Arc;
 
-use fleet::Store;
+use fleet::{CacheScope, Store};
 use ident::Time;
 use place::{
-    Catalog, HeldPart, Part, Plan, Prompt, Source, cache_salt, free_delay, old_part_grace,
-    parse_salt,
+    Catalog, HeldPart, Part, Plan, Prompt, Salt, Source, cache_salt, free_delay, old_part_grace,
 };
 
 const NOW: Time = Time(100_000);
+const SHARED: CacheScope = CacheScope::Shared(None);
 /// The engines' clock at a store's last answer, in ms.
 const CLOCK_MS: u64 = 10_000;
 
@@ -53,7 +53,7 @@
     stores: &mut [(Arc<Store>, &mut Catalog)],
 ) -> Plan {
     let preferred = preferred.map(|port| ([127, 0, 0, 1], port).into());
-    Plan::new(prompt, &cache_salt("m", 1, None), preferred, None, stores, NOW)
+    Plan::new(prompt, &cache_salt("m", 1, SHARED), preferred, None, stores, NOW)
 }
 
 #[test]
@@ -94,16 +94,17 @@
 #[test]
 fn salts_differ_by_version_and_dedicated_team() {
     let all = [
-        cache_salt("m", 1, None),
-        cache_salt("m", 2, None),
-        cache_salt("m", 1, Some("t")),
-        cache_salt("n", 1, None),
+        cache_salt("m", 1, SHARED),
+        cache_salt("m", 2, SHARED),
+        cache_salt("m", 1, CacheScope::Team("t".into())),
+        cache_salt("n", 1, SHARED),
     ];
     for (at, one) in all.iter().enumerate() {
         assert!(all[at + 1..].iter().all(|other| one != other));
     }
-    assert_eq!(parse_salt("m/2/t"), Some(("m", 2)));
-    assert_eq!(parse_salt("somebody else's"), None);
+    let parsed = Salt { model: "m".into(), version: 2, scope: CacheScope::Team("t".into()) };
+    assert_eq!(Salt::parse("m/2/t"), Some(parsed));
+    assert_eq!(Salt::parse("somebody else's"), None);
 }
 
 /// A part must not be freed while an instance may still fetch it. An instance that
@@ -125,8 +126,14 @@
         let mut stores = [(store(1, 100_000), &mut stored)];
         let now = Time(NOW.0 + 100);
         let replaced = Some(now.before(std::time::Duration::from_millis(since_ms)));
-        let out =
-            Plan::new(&prompt(12_800), &cache_salt("m", 1, None), None, replaced, &mut stores, now);
+        let out = Plan::new(
+            &prompt(12_800),
+            &cache_salt("m", 1, SHARED),
+            None,
+            replaced,
+            &mut stores,
+            now,
+        );
         assert_eq!(out.parts[0].save, None, "nothing is saved for replaced weights");
         out.fetches()
     };
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -154,6 +154,10 @@
     pub budgets: Mutex<RetryBudgets>,
     /// Catalogs of the managed stores, sorted by the stores' names.
     pub catalogs: Mutex<Vec<StoreCatalog>>,
+    /// When other teams became dedicated than before, as far as this instance has seen.
+    pub(crate) walls_since: Mutex<Option<Time>>,
+    /// Whether no store is used, since `walls_since` is recent.
+    pub(crate) stores_paused: AtomicBool,
     /// Memory for request bodies, in permits of [`BODY_PERMIT_BYTES`].
     pub body_memory: Arc<Semaphore>,
     /// Connections to replicas.
@@ -239,6 +243,8 @@
             pool: Mutex::default(),
             budgets: Mutex::new(budgets),
             catalogs: Mutex::default(),
+            walls_since: Mutex::default(),
+            stores_paused: AtomicBool::new(false),
             body_memory,
             conns: ConnPool::default(),
             peer_conns,
@@ -294,7 +300,12 @@
     pub fn apply_config(self: &Arc<Self>, config: Config, bytes: Bytes, from: &str) {
         let (rev, routes) = (config.rev, config.routes.len());
         // How long a newer configuration may have been unknown here.
-        let known = self.now().since(self.view.snapshot().confirmed.config);
+        let snapshot = self.view.snapshot();
+        let known = self.now().since(snapshot.confirmed.config);
+        let old = snapshot.config.as_ref().filter(|old| old.rev < rev);
+        if old.is_some_and(|old| old.walls != config.walls) {
+            kept::change_walls(self);
+        }
         if self.view.offer_config(config) {
             *self.config_bytes.lock() = bytes;
             let known_ms = known.as_millis() as u64;
--- a/crates/relay/src/duty/frees.rs
+++ b/crates/relay/src/duty/frees.rs
@@ -2,15 +2,19 @@
 
 use std::time::Duration;
 
-use place::{HeldPart, free_delay, parse_salt};
+use place::{HeldPart, Salt, free_delay};
 use tracing::info;
 
 use super::LeaseState;
+use crate::kept::MAX_CONFIG_AGE;
 
 /// Interval between two runs.
 const RUN_INTERVAL: Duration = Duration::from_millis(500);
 /// Most parts freed by one call.
 const MAX_PARTS: usize = 200;
+/// How long after other teams became dedicated the parts that are no longer shared are freed. All
+/// instances in touch know of it long before, and their fetches have ended.
+const UNSHARED_DELAY: Duration = Duration::from_secs(10);
 /// How long a free call may be in flight, on the store's clock, in ms.
 const FREE_TIMEOUT_MS: u64 = 1500;
 
@@ -22,14 +26,20 @@
     }
 }
 
-/// Frees the parts that were made with older weights.
+/// Frees the parts that were made with older weights, and those that no team shares any more.
 async fn free_outdated(lease_state: &LeaseState) {
     let core = &lease_state.core;
     let (snapshot, now) = (core.view.snapshot(), core.now());
+    // This instance may have started right after the change.
+    let walls_since = core.walls_since.lock().unwrap_or(core.feeds.started());
+    let is_settled = now.since(walls_since) > UNSHARED_DELAY
+        && now.since(snapshot.confirmed.config) < MAX_CONFIG_AGE;
+    let config = snapshot.config.as_ref().filter(|_| is_settled);
     let is_outdated = |stored: &HeldPart| {
-        let Some((model, version)) = parse_salt(&stored.salt) else { return false };
-        let newer = snapshot.announced(model).filter(|w| version < w.version);
-        newer.is_some_and(|w| now.since(w.known_since) > free_delay(&stored.part))
+        let Some(salt) = Salt::parse(&stored.salt) else { return false };
+        let newer = snapshot.announced(&salt.model).filter(|w| salt.version < w.version);
+        config.is_some_and(|config| !config.walls.is_in_use(&salt.scope))
+            || newer.is_some_and(|w| now.since(w.known_since) > free_delay(&stored.part))
     };
     let batches: Vec<_> = core
         .catalogs
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -7,7 +7,7 @@
 
 use blame::{SuspectKey, Suspects};
 use bytes::Bytes;
-use fleet::{Route, Snapshot, Team};
+use fleet::{CacheScope, Route, Snapshot, Team, Walls};
 use hyper::{HeaderMap, Method, Uri};
 use ident::{Digest, Time};
 use place::Prompt;
@@ -85,6 +85,15 @@
         self.deadline.since(now)
     }
 
+    /// The requests with which this one shares KV cache, by the configuration in force now.
+    pub fn cache_scope(&self, snapshot: &Snapshot) -> CacheScope {
+        let team = self.team.as_ref();
+        snapshot
+            .config
+            .as_ref()
+            .map_or_else(|| Walls::default().scope(team), |config| config.walls.scope(team))
+    }
+
     /// The team's name if it shares its KV cache with no other team.
     pub fn dedicated_team(&self) -> Option<&str> {
         self.team.as_ref().filter(|t| t.dedicated).map(|t| &*t.name)
--- a/crates/relay/src/kept.rs
+++ b/crates/relay/src/kept.rs
@@ -1,6 +1,10 @@
 //! Follows the stores of kept KV cache and maintains their catalogs.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use ::feed::{Delta, Log};
 use fleet::Store;
@@ -20,6 +24,12 @@
 
 /// The same where other instances follow this one, which ages the catalog further.
 const READER_POLL_WAIT: Duration = Duration::from_millis(250);
+/// How long no store is used after other teams became dedicated. A scope may come into use again
+/// whose parts are being freed: the instance that frees has confirmed the configuration
+/// [`MAX_CONFIG_AGE`] before, and a free call is carried out within 1.5 s.
+const WALLS_PAUSE: Duration = Duration::from_millis(3000);
+/// Age of the configuration up to which parts are freed that it no longer shares.
+pub(crate) const MAX_CONFIG_AGE: Duration = Duration::from_millis(1200);
 /// Interval at which an instance checks whether it is to read a store.
 const READ_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -135,6 +145,23 @@
     }
 }
 
+/// Starts the pause in which no store is used, since other teams are dedicated than before. What was
+/// known of the stores is read anew at its end.
+pub(crate) fn change_walls(core: &Arc<Core>) {
+    let since = core.now();
+    *core.walls_since.lock() = Some(since);
+    core.stores_paused.store(true, Ordering::Relaxed);
+    info!("other teams are dedicated than before; stores are not used for a moment");
+    let core = core.clone();
+    tokio::spawn(async move {
+        tokio::time::sleep(WALLS_PAUSE).await;
+        if *core.walls_since.lock() == Some(since) {
+            core.catalogs.lock().iter_mut().for_each(StoreCatalog::clear);
+            core.stores_paused.store(false, Ordering::Relaxed);
+        }
+    });
+}
+
 /// Calls `f` with the catalog of the store `name` at `addr`; `None` where it is no longer configured.
 fn with_catalog<T, F>(core: &Core, name: &str, addr: SocketAddr, f: F) -> Option<T>
 where
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -1,8 +1,11 @@
 //! One attempt to have a replica answer a request, and the check of the answer's head.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
-use fleet::{Replica, Snapshot};
+use fleet::{CacheScope, Replica, Snapshot};
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming, header::CONTENT_ENCODING};
 use ident::Time;
@@ -92,6 +95,7 @@
     forwarder: &'f Forwarder,
     replica: &'f Arc<Replica>,
     plan: Option<&'f Plan>,
+    scope: &'f CacheScope,
     flight: &'f Mutex<Option<FlightGuard>>,
 }
 
@@ -103,6 +107,7 @@
         // may have been suspended since the transfers were planned.
         let may_send = self.forwarder.may_send()
             && self.plan.is_none_or(|plan| plan.may_send(now))
+            && self.forwarder.job.cache_scope(&core.view.snapshot()) == *self.scope
             && !core.has_said_leaving(self.replica)
             && !core.pool.lock().declines(&self.replica.id, now);
         let begin = || FlightGuard::new(core, self.replica, suspects.clone());
@@ -124,7 +129,8 @@
         let newer = wanted.filter(|w| choice.version < Some(w.version));
         // `Time(0)` where the announcement can't be dated: older parts may be freed at any moment.
         let older = newer.map(|w| if w.certain { w.announced_at() } else { Time(0) });
-        let stores_usable = now.since(snapshot.confirmed.weights) < MAX_WEIGHTS_AGE;
+        let stores_usable = now.since(snapshot.confirmed.weights) < MAX_WEIGHTS_AGE
+            && !self.core.stores_paused.load(Ordering::Relaxed);
         let mut catalogs = self.core.catalogs.lock();
         let usable = catalogs.iter_mut().filter(|_| stores_usable);
         let mut stores: Vec<_> = usable.map(|s| (s.store.clone(), &mut s.catalog)).collect();
@@ -150,7 +156,8 @@
         let now = core.now();
         let replica = &choice.replica;
         let model = job.prompt().map(|p| p.model.clone());
-        let salt = model.zip(choice.version).map(|(m, v)| cache_salt(&m, v, job.dedicated_team()));
+        let scope = job.cache_scope(&core.view.snapshot());
+        let salt = model.zip(choice.version).map(|(m, v)| cache_salt(&m, v, scope.clone()));
         let plan = salt.as_ref().and_then(|s| self.plan(&choice, s, now));
         let shared = job.prompt().map_or(0, |p| p.shared_tokens());
         let cached = choice.preferred.is_none() || plan.as_ref().is_some_and(Plan::fetches);
@@ -176,7 +183,7 @@
         let max_conns = self.max_conns(&snapshot);
         let flight = Mutex::new(None);
         let plan = plan.as_ref();
-        let gate = FlightGate { forwarder: self, replica, plan, flight: &flight };
+        let gate = FlightGate { forwarder: self, replica, plan, scope: &scope, flight: &flight };
         let sent = core.conns.send(&replica.id, replica.addr, max_conns, request, &gate, now);
         let latest = self.latest_start(&choice);
         let wait = latest
--- a/crates/trial/src/run.rs
+++ b/crates/trial/src/run.rs
@@ -2,7 +2,7 @@
 
 use std::{cmp::Reverse, collections::BinaryHeap, net::SocketAddr, sync::Arc, time::Duration};
 
-use fleet::{Engine as EngineSpec, Replica, Store};
+use fleet::{CacheScope, Engine as EngineSpec, Replica, Store};
 use ident::Time;
 use place::{
     Catalog, Change, Headroom, HeldPart, Load, Part, PlacementRequest, Plan, Pool, Prompt,
@@ -260,7 +260,7 @@
             return;
         };
         let engine = usize::from(choice.replica.addr.port() - 1);
-        let salt = cache_salt(MODEL.0, MODEL.1, None);
+        let salt = cache_salt(MODEL.0, MODEL.1, CacheScope::Shared(None));
         let mut stores = vec![(self.store.clone(), &mut self.catalog)];
         if self.options.policy == Policy::Unkept {
             stores.clear();
@@ -325,7 +325,7 @@
         let prefill = Load { prefill_tokens: started.request.input, memory_tokens: 0, requests: 0 };
         self.pool.remove_load(&self.replicas[engine].id, prefill);
         if save {
-            let salt = cache_salt(MODEL.0, MODEL.1, None);
+            let salt = cache_salt(MODEL.0, MODEL.1, CacheScope::Shared(None));
             let part = self.asked[started.request.id].prompt.parts[0].clone();
             let held = HeldPart { salt, part: part.id, tokens: part.tokens };
             self.catalog.apply(
