Continue a stream only with an event stream of status 200

Cause: any status of 2xx counted as the rest of the stream. Also, an answer without length or chunks that ended before its first event counted as whole once the stream had begun elsewhere.

Change: the rest is an event stream with status 200; anything else is a failed attempt, after which the next replica is asked. A rest that ends with its connection before an event is cut.

Heads cut at every byte became no answer before the change either; their tests stay.

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -478,7 +478,7 @@
 }
 
 /// Whether an answer is an event stream. Without a content type, the kind of its route decides.
-fn is_stream(route: &Route, headers: &HeaderMap) -> bool {
+pub(crate) fn is_stream(route: &Route, headers: &HeaderMap) -> bool {
     match headers.get(CONTENT_TYPE).and_then(|v| v.to_str().ok()) {
         Some(text) => {
             let essence = text.split(';').next().unwrap_or_default();
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -8,9 +8,9 @@
 use futures_util::FutureExt;
 use http_body_util::BodyExt;
 use hyper::{
-    Response,
+    Response, StatusCode,
     body::{Frame, Incoming},
-    header::CONTENT_LENGTH,
+    header::{CONTENT_LENGTH, CONTENT_TYPE},
 };
 use ident::Time;
 use outbound::{Framing, end_with_connection};
@@ -21,7 +21,7 @@
 use crate::{
     answer::{Body, Chunk, channel_body},
     events::{EventScanner, EventSplitter, StreamError},
-    forward::{Forwarder, Step},
+    forward::{Forwarder, Step, is_stream},
     permits,
     send::{AttemptOutcome, ReplicaAnswer},
 };
@@ -99,8 +99,17 @@
     if framing == Framing::Connection {
         end_with_connection(&mut out);
     }
-    let relay =
-        StreamRelay { forwarder, sender, splitter, scanner, framing, sent_bytes: 0, heard_at };
+    let relay = StreamRelay {
+        forwarder,
+        sender,
+        splitter,
+        scanner,
+        framing,
+        sent_bytes: 0,
+        read_bytes: read.len() as u64,
+        is_resumed: false,
+        heard_at,
+    };
     tokio::spawn(relay.run(answer, read));
     out
 }
@@ -117,6 +126,10 @@
     framing: Framing,
     /// Bytes passed to the caller so far.
     sent_bytes: u64,
+    /// Bytes of the answer of the replica that answers.
+    read_bytes: u64,
+    /// Whether that replica goes on with the stream of another one.
+    is_resumed: bool,
     /// When the replica's last bytes arrived.
     heard_at: Time,
 }
@@ -202,6 +215,7 @@
             };
             load.prefill_done();
             self.heard_at = core.now();
+            self.read_bytes += bytes.len() as u64;
             if let Some(scanner) = &mut self.scanner {
                 scanner.scan(&bytes);
             }
@@ -289,7 +303,7 @@
                 }
             };
             match self.forwarder.attempt(attempt, last).await {
-                AttemptOutcome::Answered(answer) if answer.status.is_success() => {
+                AttemptOutcome::Answered(answer) if self.is_rest(&answer) => {
                     self.log_silence(replica, "moved", "the replica does not respond");
                     return Some(Err(End::Replaced(answer)));
                 }
@@ -319,10 +333,12 @@
     }
 
     /// Whether a stream whose replica's answer has ended was cut: within an event, or, where only the
-    /// connection has ended, before its first one.
+    /// connection has ended, before its first one. A caller that asks for what follows an event may
+    /// have had all.
     fn is_cut(&self) -> bool {
         let Some(scanner) = &self.scanner else { return false };
-        let begun = self.sent_bytes > 0 || self.forwarder.job.meta.last_event.is_some();
+        let taken_up = !self.is_resumed && self.forwarder.job.meta.last_event.is_some();
+        let begun = self.read_bytes > 0 || taken_up;
         scanner.is_inside() || (self.framing == Framing::Connection && !begun)
     }
 
@@ -359,7 +375,7 @@
         let splitter = self.splitter.as_mut().expect("only resumable streams are continued");
         splitter.discard();
         self.scanner = Some(EventScanner::default());
-        self.heard_at = core.now();
+        (self.heard_at, self.read_bytes, self.is_resumed) = (core.now(), 0, true);
         core.metrics.resumed.inc();
         info!(
             request = &*self.forwarder.job.meta.id,
@@ -391,15 +407,38 @@
         matches!(timeout(left, self.sender.send(Chunk::Data(bytes))).await, Ok(Ok(())))
     }
 
+    /// Whether an answer to a request for the rest of the stream is that rest: an event stream with
+    /// status 200. Anything else, such as an error's text, is a failed attempt.
+    fn is_rest(&self, answer: &ReplicaAnswer) -> bool {
+        let Forwarder { core, job, .. } = &self.forwarder;
+        let is_rest = answer.status == StatusCode::OK && is_stream(&job.route, &answer.headers);
+        if !is_rest {
+            core.pool.lock().record_outcome(&answer.replica.id, Outcome::Failed, core.now());
+            core.metrics.attempts.with_label_values(&["no_rest"]).inc();
+            info!(
+                request = &*job.meta.id,
+                replica = &*answer.replica.id,
+                status = answer.status.as_u16(),
+                kind = answer.headers.get(CONTENT_TYPE).and_then(|v| v.to_str().ok()),
+                "answer is not the rest of the stream"
+            );
+        }
+        is_rest
+    }
+
     /// Requests the rest of the stream from another replica. Returns `None` where the stream can't
     /// be resumed.
     async fn resume(&mut self) -> Option<ReplicaAnswer> {
         let last = self.splitter.as_ref()?.last();
         let sender = self.sender.clone();
-        let answer = tokio::select! {
-            answer = self.forwarder.send_until_answered(last) => answer.ok()?,
-            () = sender.closed() => return None,
-        };
-        answer.status.is_success().then_some(answer)
+        loop {
+            let answer = tokio::select! {
+                answer = self.forwarder.send_until_answered(last) => answer.ok()?,
+                () = sender.closed() => return None,
+            };
+            if self.is_rest(&answer) {
+                return Some(answer);
+            }
+        }
     }
 }
