Take up an unnamed stream only where no other version can have begun it

Shown here: (200, v1 v1 v1 v1) after two events of v2. At the end of a release the same happened without any fault, once the last replica of the version had left.

Cause: a take-up that names no stream went on if all replicas that the instance knew at that moment had one version. Ruled out: the age of what is known (ordinary polling pauses for 500 ms), refusing all such take-ups.

Change: the registry is asked as the take-up arrives, once for all that wait; versions that have left are remembered for as long as streams last, also those in peers' words and in the rows that instances write during a release.

an_instance_out_of_step_takes_up_no_stream_of_unknown_origin and a_version_that_has_just_left_may_have_begun_a_stream failed before and pass now.

--- a/crates/origin/src/lib.rs
+++ b/crates/origin/src/lib.rs
@@ -5,6 +5,8 @@
 //! takes the stream up asks them. The code does no I/O and reads neither a clock nor a random
 //! source.
 
+mod versions;
+
 use std::{
     collections::{HashMap, VecDeque},
     sync::Arc,
@@ -14,13 +16,15 @@
 use ident::{Digest, Time, rendezvous_order};
 use serde::{Deserialize, Serialize};
 
+pub use crate::versions::Versions;
+
 /// Number of instances that are told where a stream began.
 pub const HOMES: usize = 3;
 /// Number of instances that are asked: more than [`HOMES`], since not all instances list the same
 /// ones, and the instance that recorded the stream may be the only one left that knows.
 pub const ASKED: usize = 8;
 /// A record is kept at least this long, and at most twice as long.
-const RECORD_TTL: Duration = Duration::from_secs(30);
+pub const RECORD_TTL: Duration = Duration::from_secs(30);
 /// Most records in one generation. Older ones are forgotten sooner if there are more.
 const MAX_RECORDS: usize = 4096;
 
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use fleet::{Config, Replica, Snapshot, View, Weights};
 use ident::{Clock, Time};
-use origin::{Latest, Origins};
+use origin::{Latest, Origins, Versions};
 use parking_lot::Mutex;
 use place::{Limits, Peers, Pool, Refusals, RetryBudgets};
 use reach::Reach;
@@ -35,6 +35,7 @@
     protocol::Protocol,
     returns::{RETURN_SPAN, Returns},
     services::{Engines, Registry},
+    versions::Listed,
 };
 
 pub use crate::kept::StoreCatalog;
@@ -210,6 +211,10 @@
     pub origins: Mutex<Origins>,
     /// Where the latest streams of this instance began.
     pub(crate) latest_origins: Mutex<Latest>,
+    /// Versions of their software that replicas had lately.
+    pub(crate) versions: Mutex<Versions>,
+    /// The replicas as the registry listed them for take-ups of streams.
+    pub(crate) listed: tokio::sync::Mutex<Option<Listed>>,
     /// Questions to peers that wait for answers.
     pub(crate) inquiries: Mutex<Vec<origins::Waiting>>,
     /// Socket for datagrams to peers, once it is open.
@@ -270,6 +275,8 @@
             blame: Mutex::new(Blame::new(now)),
             origins: Mutex::default(),
             latest_origins: Mutex::default(),
+            versions: Mutex::default(),
+            listed: tokio::sync::Mutex::default(),
             inquiries: Mutex::default(),
             peer_socket: OnceLock::new(),
             next_trial: Mutex::new(Time(0)),
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -14,6 +14,7 @@
     feed::{self, Answer},
     feed_wire,
     services::{Batch, CallError, Topic, Update},
+    versions,
 };
 
 /// Longest wait of a poll for a change. Each answer also confirms that there is nothing newer.
@@ -338,6 +339,9 @@
             core.forget_departure(&id);
         }
         self.note_ended(&replica);
+        if let Some(previous) = previous.as_ref().filter(|k| k.software != replica.software) {
+            versions::note_gone(core, previous);
+        }
         let same = previous.as_ref().filter(|k| k.started_ms == replica.started_ms);
         if same.is_some_and(|k| k.software != replica.software) {
             // One incarnation has one version; which of the two is not known.
@@ -392,6 +396,7 @@
         let Some(replica) = snapshot.replica(&id) else { return };
         if self.core.view.remove_replica(&id) {
             self.core.record_removal(&id, replica.started_ms);
+            versions::note_gone(&self.core, replica);
             info!(replica = %id, "replica removed");
             // It may have ended without a word on its connections.
             ends::check_replica(&self.core, replica);
@@ -421,6 +426,9 @@
         self.missing = rest;
         let expired: Vec<(Arc<str>, Time)> = expired;
         for (id, _) in &expired {
+            if let Some(replica) = self.core.view.snapshot().replica(id) {
+                versions::note_gone(&self.core, replica);
+            }
             if self.core.view.remove_replica(id) {
                 // The replica may live and register again.
                 self.core.record_removal(id, 0);
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -18,7 +18,7 @@
     job::Job,
     origins, permits, relay,
     send::{AttemptOutcome, ReplicaAnswer},
-    verdicts,
+    verdicts, versions,
     whole::{MAX_BUFFERED_BYTES, Start, content_length, read_start, whole_answer},
 };
 
@@ -174,7 +174,8 @@
     async fn pin_to_origin(&mut self) -> Result<(), Refusal> {
         let refuse = |why| Err(Refusal::NotRun { why, retry_delay: NO_REPLICA_RETRY_DELAY });
         let Some(first) = self.job.meta.resumes.clone() else {
-            self.pin = self.only_software().map_or(Pin::Nowhere, Pin::Software);
+            let only = versions::only_version(&self.core, &self.job, &self.target).await;
+            self.pin = only.map_or(Pin::Nowhere, Pin::Software);
             return match self.pin {
                 Pin::Nowhere => refuse("it names no stream that it takes up; begin it anew"),
                 _ => Ok(()),
@@ -194,14 +195,6 @@
         }
     }
 
-    /// The version of the software of all replicas of the target; `None` if there are several.
-    fn only_software(&self) -> Option<Arc<str>> {
-        let snapshot = self.core.view.snapshot();
-        let mut replicas = snapshot.replicas.iter().filter(|r| r.target == self.target);
-        let software = replicas.next()?.software.clone()?;
-        replicas.all(|r| r.software.as_ref() == Some(&software)).then_some(software)
-    }
-
     /// Pins the request's stream to the software of the replica that wrote its first event, unless it
     /// is pinned, and tells peers.
     pub(crate) fn pin_to(&mut self, replica: &Replica) {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -37,6 +37,7 @@
 mod serve;
 pub mod services;
 mod verdicts;
+mod versions;
 mod whole;
 
 pub use crate::{
--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use fleet::Snapshot;
-use origin::{ASKED, HOMES, Inquiry, Origin, Record, StreamKey, order};
+use origin::{ASKED, HOMES, Inquiry, Origin, RECORD_TTL, Record, StreamKey, order};
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, sync::mpsc, time::timeout};
 use tracing::{info, warn};
@@ -214,9 +214,14 @@
             if let Some(found) = own.iter_mut().find(|(_, sort)| *sort == row.sort) {
                 found.0 = wire.written;
             }
-            if Duration::from_millis(clock.saturating_sub(wire.written)) >= ROW_TTL {
+            let now = core.now();
+            let age = Duration::from_millis(clock.saturating_sub(wire.written));
+            if age >= ROW_TTL {
                 continue;
             }
+            for Origin { target, software } in &wire.origins {
+                core.versions.lock().note(target, Some(software), now.before(age), now);
+            }
             for (key, place) in wire.streams {
                 let Some(origin) = wire.origins.get(place) else { continue };
                 let record = Record::Begun(origin.clone());
@@ -227,6 +232,8 @@
         if streams > 0 {
             info!(streams, rows = rows.len(), "read where streams began");
         }
+        // Rows are written while replicas of several versions serve, and for that long after.
+        core.versions.lock().set_complete(core.now().before(RECORD_TTL));
         own.sort();
         return own.swap_remove(0).1;
     }
@@ -235,7 +242,13 @@
 /// Applies a datagram, whose first byte was [`FORMAT`].
 pub(crate) async fn receive(core: &Core, socket: &UdpSocket, bytes: &[u8], from: SocketAddr) {
     match postcard::from_bytes(bytes) {
-        Ok(Message::Begun(key, record)) => core.origins.lock().add(key, record, core.now()),
+        Ok(Message::Begun(key, record)) => {
+            let now = core.now();
+            if let Record::Begun(Origin { target, software }) = &record {
+                core.versions.lock().note(target, Some(software), now, now);
+            }
+            core.origins.lock().add(key, record, now);
+        }
         Ok(Message::Ask(key)) => {
             let record = core.origins.lock().find(key, core.now());
             let name = core.settings.name.to_string();
