Free unshared parts only where no earlier build uses them

An earlier build has teams share under a salt that doesn't name the dedicated ones. While such instances are replaced one after the other, a new one that holds the lease would free the parts that they fetch (MIXED), in a deployment with a dedicated team.

Change: datagrams end with the release of their sender, as docs/design/upgrades.md foresaw; a sender that says none has 0. Parts that no team shares any more are freed once all registered instances have said 1. The check of the scope as a request is written is left out where a request has no prompt.

--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -26,6 +26,7 @@
 
 use crate::{
     conns::ConnPool,
+    datagram::RELEASE,
     dates::RegistryClock,
     feed::Feeds,
     kept,
@@ -182,6 +183,8 @@
     pub last_heard: Mutex<Vec<(Arc<str>, Time)>>,
     /// Names of peers that have run for less than a window of the retry budget. Sorted.
     pub(crate) young_peers: Mutex<Vec<Arc<str>>>,
+    /// Peers that are registered, with their release as they last said. Sorted by name.
+    pub(crate) releases: Mutex<Vec<(Arc<str>, u32)>>,
     /// Bytes of the configuration in force, served to peers that can't reach the registry.
     pub config_bytes: Mutex<Bytes>,
     /// Peers with the time of the last datagram, ready or not, kept as long as in `last_heard`.
@@ -261,6 +264,7 @@
             live_instances: AtomicU32::new(1),
             last_heard: Mutex::default(),
             young_peers: Mutex::default(),
+            releases: Mutex::default(),
             config_bytes: Mutex::default(),
             last_datagrams: Mutex::default(),
             departed: Mutex::default(),
@@ -419,6 +423,31 @@
         found.is_ok_and(|at| now.since(heard[at].1) < HEARD_TTL)
     }
 
+    /// Records the release that a peer said it has.
+    pub(crate) fn note_release(&self, name: &Arc<str>, release: u32) {
+        let mut releases = self.releases.lock();
+        match releases.binary_search_by(|(n, _)| n.cmp(name)) {
+            Ok(at) => releases[at].1 = release,
+            Err(at) => releases.insert(at, (name.clone(), release)),
+        }
+        let snapshot = self.view.snapshot();
+        let registered =
+            |name: &Arc<str>| snapshot.instances.binary_search_by(|i| i.name.cmp(name)).is_ok();
+        releases.retain(|(name, _)| registered(name));
+    }
+
+    /// The lowest release of all registered instances; 0 while one of them has not said its.
+    pub(crate) fn lowest_release(&self) -> u32 {
+        let releases = self.releases.lock();
+        let release = |name: &Arc<str>| {
+            let found = releases.binary_search_by(|(n, _)| n.cmp(name));
+            found.map_or(0, |at| releases[at].1)
+        };
+        let snapshot = self.view.snapshot();
+        let peers = snapshot.instances.iter().filter(|i| i.name != self.settings.name);
+        peers.map(|i| release(&i.name)).min().unwrap_or(RELEASE)
+    }
+
     /// The oldest version of a model's weights that a request may use; 0 allows any.
     pub(crate) fn min_version(&self, weights: &Weights, now: Time) -> u64 {
         weights.min_version(self.settings.bounds.version.mul_f64(RETIRE_SHARE), now)
--- a/crates/relay/src/datagram.rs
+++ b/crates/relay/src/datagram.rs
@@ -9,6 +9,10 @@
 /// Layout version of a datagram; datagrams of other versions are dropped.
 pub(crate) const FORMAT: u8 = 2;
 
+/// Release of what an instance shares with its peers; 0 is that of instances that don't say.
+/// From 1 on, the salts of teams that share name the dedicated teams.
+pub(crate) const RELEASE: u32 = 1;
+
 /// A datagram. The order of its fields is part of the format.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Datagram {
@@ -74,6 +78,8 @@
     pub(crate) said: Vec<bool>,
     /// Time until the sender has run for a window of the retry budget, in ms; 0 once it has.
     pub(crate) young_ms: u64,
+    /// The sender's [`RELEASE`].
+    pub(crate) release: u32,
 }
 
 /// A [`LimitReport`].
@@ -164,6 +170,7 @@
     take(&mut trailer.full, &mut rest)?;
     take(&mut trailer.said, &mut rest)?;
     take(&mut trailer.young_ms, &mut rest)?;
+    take(&mut trailer.release, &mut rest)?;
     Ok((datagram, trailer))
 }
 
--- a/crates/relay/src/duty/frees.rs
+++ b/crates/relay/src/duty/frees.rs
@@ -15,6 +15,8 @@
 /// How long after other teams became dedicated the parts that are no longer shared are freed. All
 /// instances in touch know of it long before, and their fetches have ended.
 const UNSHARED_DELAY: Duration = Duration::from_secs(10);
+/// The first release whose salts name the dedicated teams. Earlier ones go on using a salt without.
+const FIRST_RELEASE: u32 = 1;
 /// How long a free call may be in flight, on the store's clock, in ms.
 const FREE_TIMEOUT_MS: u64 = 1500;
 
@@ -32,7 +34,8 @@
     let (snapshot, now) = (core.view.snapshot(), core.now());
     // This instance may have started right after the change.
     let walls_since = core.walls_since.lock().unwrap_or(core.feeds.started());
-    let is_settled = now.since(walls_since) > UNSHARED_DELAY
+    let is_settled = core.lowest_release() >= FIRST_RELEASE
+        && now.since(walls_since) > UNSHARED_DELAY
         && now.since(snapshot.confirmed.config) < MAX_CONFIG_AGE;
     let config = snapshot.config.as_ref().filter(|_| is_settled);
     let is_outdated = |stored: &HeldPart| {
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -20,7 +20,9 @@
 use crate::{
     conns::fetch_from_peer,
     core::{Core, Departed},
-    datagram::{AnnouncedVersion, Datagram, FORMAT, LimitWire, RefusalWire, Trailer, parse},
+    datagram::{
+        AnnouncedVersion, Datagram, FORMAT, LimitWire, RELEASE, RefusalWire, Trailer, parse,
+    },
     dates::RegistryClock,
     ends, links, origins,
 };
@@ -88,7 +90,8 @@
         confirmed: clock.to_registry(snapshot.confirmed.weights).unwrap_or(0),
     };
     let young_ms = core.young_for().as_millis() as u64;
-    (datagram, Trailer { era: clock.era(), started, said, young_ms, ..Trailer::default() })
+    let (era, release) = (clock.era(), RELEASE);
+    (datagram, Trailer { era, started, said, young_ms, release, ..Trailer::default() })
 }
 
 /// Encodes the datagram for peers, with as much of the evidence as fits. The loads of
@@ -304,6 +307,7 @@
             Err(error) => warn!(%error, peer = %name, "peer reported a malformed refusal"),
         }
     }
+    core.note_release(&name, trailer.release);
     fetch_config(core, &name, datagram.rev);
     note_peer(core, name, datagram.ready, trailer.young_ms > 0, now);
 }
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -95,7 +95,8 @@
     forwarder: &'f Forwarder,
     replica: &'f Arc<Replica>,
     plan: Option<&'f Plan>,
-    scope: &'f CacheScope,
+    /// Scope of the request's KV cache; `None` without a prompt.
+    scope: Option<&'f CacheScope>,
     flight: &'f Mutex<Option<FlightGuard>>,
 }
 
@@ -107,7 +108,9 @@
         // may have been suspended since the transfers were planned.
         let may_send = self.forwarder.may_send()
             && self.plan.is_none_or(|plan| plan.may_send(now))
-            && self.forwarder.job.cache_scope(&core.view.snapshot()) == *self.scope
+            && self.scope.is_none_or(|scope| {
+                self.forwarder.job.cache_scope(&core.view.snapshot()) == *scope
+            })
             && !core.has_said_leaving(self.replica)
             && !core.pool.lock().declines(&self.replica.id, now);
         let begin = || FlightGuard::new(core, self.replica, suspects.clone());
@@ -183,7 +186,8 @@
         let max_conns = self.max_conns(&snapshot);
         let flight = Mutex::new(None);
         let plan = plan.as_ref();
-        let gate = FlightGate { forwarder: self, replica, plan, scope: &scope, flight: &flight };
+        let scope = salt.as_ref().map(|_| &scope);
+        let gate = FlightGate { forwarder: self, replica, plan, scope, flight: &flight };
         let sent = core.conns.send(&replica.id, replica.addr, max_conns, request, &gate, now);
         let latest = self.latest_start(&choice);
         let wait = latest
