Wait for what was there before the start instead of refusing a take-up

Change: such a take-up waits, for a second at most. Peers' releases are also looked through only when a new peer is heard, instead of with each datagram: that grows with the square of the instances.

--- a/crates/origin/src/versions.rs
+++ b/crates/origin/src/versions.rs
@@ -35,6 +35,11 @@
         self.complete = Some(self.complete.map_or(since, |known| known.min(since)));
     }
 
+    /// Whether what was there before this instance started has been read.
+    pub fn is_complete(&self) -> bool {
+        self.complete.is_some()
+    }
+
     /// The only version of a target that was in service at any time after `since`, if that is known.
     /// `current` are the versions of its replicas.
     pub fn only<'v, I>(&'v self, target: &str, current: I, since: Time) -> Option<Arc<str>>
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -183,7 +183,7 @@
     pub last_heard: Mutex<Vec<(Arc<str>, Time)>>,
     /// Names of peers that have run for less than a window of the retry budget. Sorted.
     pub(crate) young_peers: Mutex<Vec<Arc<str>>>,
-    /// Peers that are registered, with their release as they last said. Sorted by name.
+    /// Peers with their release as they last said, registered ones among them. Sorted by name.
     pub(crate) releases: Mutex<Vec<(Arc<str>, u32)>>,
     /// Bytes of the configuration in force, served to peers that can't reach the registry.
     pub config_bytes: Mutex<Bytes>,
@@ -426,14 +426,16 @@
     /// Records the release that a peer said it has.
     pub(crate) fn note_release(&self, name: &Arc<str>, release: u32) {
         let mut releases = self.releases.lock();
-        match releases.binary_search_by(|(n, _)| n.cmp(name)) {
-            Ok(at) => releases[at].1 = release,
-            Err(at) => releases.insert(at, (name.clone(), release)),
+        if let Ok(at) = releases.binary_search_by(|(n, _)| n.cmp(name)) {
+            releases[at].1 = release;
+            return;
         }
         let snapshot = self.view.snapshot();
         let registered =
-            |name: &Arc<str>| snapshot.instances.binary_search_by(|i| i.name.cmp(name)).is_ok();
-        releases.retain(|(name, _)| registered(name));
+            |n: &Arc<str>| snapshot.instances.binary_search_by(|i| i.name.cmp(n)).is_ok();
+        releases.retain(|(n, _)| registered(n));
+        let at = releases.partition_point(|(n, _)| n < name);
+        releases.insert(at, (name.clone(), release));
     }
 
     /// The lowest release of all registered instances; 0 while one of them has not said its.
--- a/crates/relay/src/versions.rs
+++ b/crates/relay/src/versions.rs
@@ -18,6 +18,10 @@
 const READ_TIMEOUT: Duration = Duration::from_millis(300);
 /// Shortest interval between two such reads.
 const READ_INTERVAL: Duration = Duration::from_millis(50);
+/// Longest wait of a take-up at an instance that has just started for what was there before.
+const LOAD_TIMEOUT: Duration = Duration::from_secs(1);
+/// Interval at which it checks whether that has been read.
+const LOAD_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// How long after its route's timeout a stream may be taken up.
 const TAKE_UP_SLACK: Duration = Duration::from_secs(2);
 /// Time without an answer of the registry to any instance from which it counts as away for all: an
@@ -43,6 +47,10 @@
 /// streams to replicas that have joined. So the registry is asked.
 pub(crate) async fn only_version(core: &Core, job: &Job, target: &str) -> Option<Arc<str>> {
     let since = core.now().before(job.route.timeout).before(TAKE_UP_SLACK);
+    let give_up = core.now().after(LOAD_TIMEOUT.min(job.time_left(core.now())));
+    while !core.versions.lock().is_complete() && !give_up.passed(core.now()) {
+        tokio::time::sleep(LOAD_CHECK_INTERVAL).await;
+    }
     let listed = list(core).await;
     if listed.is_none() && !is_away_for_all(core) {
         info!(request = &*job.meta.id, "registry does not answer; versions may have joined");
