--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -26,14 +26,14 @@
 
 use crate::{
     conns::ConnPool,
-    datagram::RELEASE,
     dates::RegistryClock,
     feed::Feeds,
-    kept,
+    kept::{self, WallsChange},
     metrics::Metrics,
     origins,
     peers::{HEARD_TTL, PEER_TTL},
     protocol::Protocol,
+    releases::Releases,
     returns::{RETURN_SPAN, Returns},
     services::{Engines, Registry},
     versions::Listed,
@@ -156,10 +156,8 @@
     pub budgets: Mutex<RetryBudgets>,
     /// Catalogs of the managed stores, sorted by the stores' names.
     pub catalogs: Mutex<Vec<StoreCatalog>>,
-    /// When other teams became dedicated than before, as far as this instance has seen.
-    pub(crate) walls_since: Mutex<Option<Time>>,
-    /// Whether no store is used, since `walls_since` is recent.
-    pub(crate) stores_paused: AtomicBool,
+    /// The last change of which teams are dedicated.
+    pub(crate) walls_change: Mutex<WallsChange>,
     /// Memory for request bodies, in permits of [`BODY_PERMIT_BYTES`].
     pub body_memory: Arc<Semaphore>,
     /// Connections to replicas.
@@ -183,8 +181,8 @@
     pub last_heard: Mutex<Vec<(Arc<str>, Time)>>,
     /// Names of peers that have run for less than a window of the retry budget. Sorted.
     pub(crate) young_peers: Mutex<Vec<Arc<str>>>,
-    /// Peers with their release as they last said, registered ones among them. Sorted by name.
-    pub(crate) releases: Mutex<Vec<(Arc<str>, u32)>>,
+    /// Releases of peers.
+    pub(crate) releases: Mutex<Releases>,
     /// Bytes of the configuration in force, served to peers that can't reach the registry.
     pub config_bytes: Mutex<Bytes>,
     /// Peers with the time of the last datagram, ready or not, kept as long as in `last_heard`.
@@ -251,8 +249,7 @@
             pool: Mutex::default(),
             budgets: Mutex::new(budgets),
             catalogs: Mutex::default(),
-            walls_since: Mutex::default(),
-            stores_paused: AtomicBool::new(false),
+            walls_change: Mutex::default(),
             body_memory,
             conns: ConnPool::default(),
             peer_conns,
@@ -423,33 +420,6 @@
         found.is_ok_and(|at| now.since(heard[at].1) < HEARD_TTL)
     }
 
-    /// Records the release that a peer said it has.
-    pub(crate) fn note_release(&self, name: &Arc<str>, release: u32) {
-        let mut releases = self.releases.lock();
-        if let Ok(at) = releases.binary_search_by(|(n, _)| n.cmp(name)) {
-            releases[at].1 = release;
-            return;
-        }
-        let snapshot = self.view.snapshot();
-        let registered =
-            |n: &Arc<str>| snapshot.instances.binary_search_by(|i| i.name.cmp(n)).is_ok();
-        releases.retain(|(n, _)| registered(n));
-        let at = releases.partition_point(|(n, _)| n < name);
-        releases.insert(at, (name.clone(), release));
-    }
-
-    /// The lowest release of all registered instances; 0 while one of them has not said its.
-    pub(crate) fn lowest_release(&self) -> u32 {
-        let releases = self.releases.lock();
-        let release = |name: &Arc<str>| {
-            let found = releases.binary_search_by(|(n, _)| n.cmp(name));
-            found.map_or(0, |at| releases[at].1)
-        };
-        let snapshot = self.view.snapshot();
-        let peers = snapshot.instances.iter().filter(|i| i.name != self.settings.name);
-        peers.map(|i| release(&i.name)).min().unwrap_or(RELEASE)
-    }
-
     /// The oldest version of a model's weights that a request may use; 0 allows any.
     pub(crate) fn min_version(&self, weights: &Weights, now: Time) -> u64 {
         weights.min_version(self.settings.bounds.version.mul_f64(RETIRE_SHARE), now)
--- a/crates/relay/src/duty/frees.rs
+++ b/crates/relay/src/duty/frees.rs
@@ -16,7 +16,7 @@
 /// instances in touch know of it long before, and their fetches have ended.
 const UNSHARED_DELAY: Duration = Duration::from_secs(10);
 /// The first release whose salts name the dedicated teams. Earlier ones go on using a salt without.
-const FIRST_RELEASE: u32 = 1;
+const SCOPED_SALTS_RELEASE: u32 = 1;
 /// How long a free call may be in flight, on the store's clock, in ms.
 const FREE_TIMEOUT_MS: u64 = 1500;
 
@@ -33,8 +33,9 @@
     let core = &lease_state.core;
     let (snapshot, now) = (core.view.snapshot(), core.now());
     // This instance may have started right after the change.
-    let walls_since = core.walls_since.lock().unwrap_or(core.feeds.started());
-    let is_settled = core.lowest_release() >= FIRST_RELEASE
+    let walls_since = core.walls_change.lock().at.unwrap_or(core.feeds.started());
+    let lowest = core.releases.lock().lowest(&core.settings.name, &snapshot.instances);
+    let is_settled = lowest >= SCOPED_SALTS_RELEASE
         && now.since(walls_since) > UNSHARED_DELAY
         && now.since(snapshot.confirmed.config) < MAX_CONFIG_AGE;
     let config = snapshot.config.as_ref().filter(|_| is_settled);
--- a/crates/relay/src/kept.rs
+++ b/crates/relay/src/kept.rs
@@ -1,10 +1,6 @@
 //! Follows the stores of kept KV cache and maintains their catalogs.
 
-use std::{
-    net::SocketAddr,
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use ::feed::{Delta, Log};
 use fleet::Store;
@@ -33,6 +29,15 @@
 /// Interval at which an instance checks whether it is to read a store.
 const READ_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// The last change of which teams are dedicated, as far as this instance has seen.
+#[derive(Debug, Default)]
+pub(crate) struct WallsChange {
+    /// When it was applied; `None` without one.
+    pub(crate) at: Option<Time>,
+    /// Whether no store is used, since it is recent.
+    pub(crate) pauses_stores: bool,
+}
+
 /// A store of kept KV cache and the catalog of its parts.
 ///
 /// Invariant: `catalog` and `log` describe the store at the address of `store`, whose entry never
@@ -148,16 +153,15 @@
 /// Starts the pause in which no store is used, since other teams are dedicated than before. What was
 /// known of the stores is read anew at its end.
 pub(crate) fn change_walls(core: &Arc<Core>) {
-    let since = core.now();
-    *core.walls_since.lock() = Some(since);
-    core.stores_paused.store(true, Ordering::Relaxed);
+    let at = core.now();
+    *core.walls_change.lock() = WallsChange { at: Some(at), pauses_stores: true };
     info!("other teams are dedicated than before; stores are not used for a moment");
     let core = core.clone();
     tokio::spawn(async move {
         tokio::time::sleep(WALLS_PAUSE).await;
-        if *core.walls_since.lock() == Some(since) {
+        if core.walls_change.lock().at == Some(at) {
             core.catalogs.lock().iter_mut().for_each(StoreCatalog::clear);
-            core.stores_paused.store(false, Ordering::Relaxed);
+            core.walls_change.lock().pauses_stores = false;
         }
     });
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -31,6 +31,7 @@
 mod permits;
 pub mod protocol;
 mod relay;
+mod releases;
 pub mod returns;
 mod rows;
 mod send;
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -307,7 +307,7 @@
             Err(error) => warn!(%error, peer = %name, "peer reported a malformed refusal"),
         }
     }
-    core.note_release(&name, trailer.release);
+    core.releases.lock().note(&name, trailer.release, &core.view.snapshot().instances);
     fetch_config(core, &name, datagram.rev);
     note_peer(core, name, datagram.ready, trailer.young_ms > 0, now);
 }
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -1,9 +1,6 @@
 //! One attempt to have a replica answer a request, and the check of the answer's head.
 
-use std::{
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use fleet::{CacheScope, Replica, Snapshot};
 use http_body_util::Full;
@@ -133,7 +130,7 @@
         // `Time(0)` where the announcement can't be dated: older parts may be freed at any moment.
         let older = newer.map(|w| if w.certain { w.announced_at() } else { Time(0) });
         let stores_usable = now.since(snapshot.confirmed.weights) < MAX_WEIGHTS_AGE
-            && !self.core.stores_paused.load(Ordering::Relaxed);
+            && !self.core.walls_change.lock().pauses_stores;
         let mut catalogs = self.core.catalogs.lock();
         let usable = catalogs.iter_mut().filter(|_| stores_usable);
         let mut stores: Vec<_> = usable.map(|s| (s.store.clone(), &mut s.catalog)).collect();
