Count an instance as ready once it knows the replicas

Callers that came to an instance in its first moments were refused ("the target has no replica", after 0 ms): it said that it was ready as soon as it had a configuration, and reads the replicas beside it.

Change: ready means a configuration and the replicas, or a second after the first configuration where they can't be read.

an_instance_is_ready_once_it_knows_the_replicas got 503 before and 200 now.

--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -121,6 +121,10 @@
 /// How long after it was heard a peer or the registry shows that this instance's links work.
 const CONTACT_TTL: Duration = Duration::from_millis(1000);
 
+/// Time after the first configuration within which an instance that does not know the replicas yet
+/// is not ready.
+const REPLICAS_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// A replica that began to leave or disappeared.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Departed {
@@ -148,6 +152,8 @@
     /// The instance's clock. It never goes back and counts the time that the instance was
     /// suspended.
     pub clock: Arc<dyn Clock>,
+    /// When the first configuration was applied.
+    configured_at: OnceLock<Time>,
     /// Configuration, replicas, weights and instances as last observed.
     pub view: View,
     /// Load and health of the replicas.
@@ -245,6 +251,7 @@
             settings,
             adapters,
             clock,
+            configured_at: OnceLock::new(),
             view: View::default(),
             pool: Mutex::default(),
             budgets: Mutex::new(budgets),
@@ -298,9 +305,14 @@
         self.leaving.load(Ordering::Relaxed)
     }
 
-    /// Whether the instance takes requests: it has a configuration and is not stopping.
+    /// Whether the instance takes requests: it has a configuration, knows the replicas and is not
+    /// stopping. Where the replicas can't be read, requests are refused or go through peers after a
+    /// moment.
     pub fn is_ready(&self) -> bool {
-        !self.is_leaving() && self.view.snapshot().config.is_some()
+        let knows_replicas = || self.view.snapshot().confirmed.replicas > Time(0);
+        let Some(since) = self.configured_at.get() else { return false };
+        let waited = || self.now().since(*since) >= REPLICAS_TIMEOUT;
+        !self.is_leaving() && (knows_replicas() || waited())
     }
 
     /// Applies a configuration if its revision is newer. `bytes` is its encoded form; `from` names
@@ -315,6 +327,8 @@
             kept::change_walls(self);
         }
         if self.view.offer_config(config) {
+            // An error means that it is not the first one.
+            let _ = self.configured_at.set(self.now());
             *self.config_bytes.lock() = bytes;
             let known_ms = known.as_millis() as u64;
             info!(rev, routes, known_ms, from, "configuration applied");
