Count a connection as open by a guard

Cause: the pool counted a connection before it awaited the handshake and took it off only where the handshake failed. A request that was dropped meanwhile stayed counted, until the instance refused all requests to the replica ("all connections to the replica are in use").

Change: a guard holds the count from before the connection is opened and counts down when it is dropped. The pools to replicas and to peers share the code. The module is public so that tests can use a pool alone.

Result: dropped_connects drops a request after each number of polls at both pools.

--- a/crates/relay/src/conns.rs
+++ b/crates/relay/src/conns.rs
@@ -83,7 +83,7 @@
 pub struct Conn {
     sender: http1::SendRequest<Full<Bytes>>,
     task: AbortHandle,
-    replica: Arc<ReplicaConns>,
+    open: OpenGuard,
     /// When the connection expires if it stays unused.
     expires: Time,
     /// Whether an earlier request was answered on it.
@@ -101,7 +101,25 @@
 impl Drop for Conn {
     fn drop(&mut self) {
         self.task.abort();
-        self.replica.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Counts a connection as open until the guard is dropped. It exists before the connection does, so
+/// that a request that is dropped while its connection opens is not counted any more.
+struct OpenGuard(Arc<ReplicaConns>);
+
+impl OpenGuard {
+    /// Counts one more connection. `None` if `max_conns` are open.
+    fn new(replica: Arc<ReplicaConns>, max_conns: u32) -> Option<Self> {
+        let before = replica.open.fetch_add(1, Ordering::Relaxed);
+        let guard = Self(replica);
+        (before < max_conns).then_some(guard)
+    }
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -109,6 +127,7 @@
 struct ReplicaConns {
     id: Arc<str>,
     addr: SocketAddr,
+    /// Number of [`OpenGuard`]s.
     open: AtomicU32,
     idle: Mutex<Vec<Conn>>,
 }
@@ -191,10 +210,15 @@
         }
         conn.expires = now.after(idle_timeout);
         conn.is_kept = true;
-        let replica = conn.replica.clone();
+        let replica = conn.open.0.clone();
         replica.idle.lock().push(conn);
     }
 
+    /// Number of connections that are open or being opened, kept ones included.
+    pub fn open_conns(&self) -> u32 {
+        self.replicas.lock().iter().map(|r| r.open.load(Ordering::Relaxed)).sum()
+    }
+
     /// Closes expired connections, and those to replicas for which `known` returns false.
     pub fn sweep<F>(&self, known: F, now: Time)
     where
@@ -253,18 +277,10 @@
     max_conns: u32,
     source: Option<IpAddr>,
 ) -> Result<Conn, SendError> {
-    if replica.open.fetch_add(1, Ordering::Relaxed) >= max_conns {
-        replica.open.fetch_sub(1, Ordering::Relaxed);
-        return Err(SendError::NoFreeConn);
-    }
-    match handshake(replica.addr, source).await {
-        // The expiry is set when the connection becomes idle.
-        Ok((sender, task)) => Ok(Conn { sender, task, replica, expires: Time(0), is_kept: false }),
-        Err(e) => {
-            replica.open.fetch_sub(1, Ordering::Relaxed);
-            Err(e)
-        }
-    }
+    let open = OpenGuard::new(replica, max_conns).ok_or(SendError::NoFreeConn)?;
+    let (sender, task) = handshake(open.0.addr, source).await?;
+    // The expiry is set when the connection becomes idle.
+    Ok(Conn { sender, task, open, expires: Time(0), is_kept: false })
 }
 
 type Handshake = (http1::SendRequest<Full<Bytes>>, AbortHandle);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -8,7 +8,7 @@
 mod accept;
 mod answer;
 mod caller_conn;
-mod conns;
+pub mod conns;
 pub mod core;
 mod datagram;
 mod dates;
