End questions to peers with their requests

Cause: find removed its inquiry at its end, which a dropped request does not reach, so the inquiry stayed until the next one ended. The marks of replicas that are checked and of a configuration that is fetched were removed at the end of a task, which a panic would not have reached.

Change: guards remove all three. The new gauges lentil_held show by kind what is held for requests; holdings gives the same to tests.

--- a/crates/blame/src/flights.rs
+++ b/crates/blame/src/flights.rs
@@ -86,6 +86,11 @@
         self.entries.iter().filter(near).map(Entry::to_sent).collect()
     }
 
+    /// Number of requests that are at replicas, without those that were lost.
+    pub(crate) fn count(&self) -> usize {
+        self.entries.iter().filter(|e| e.lost.is_none()).count()
+    }
+
     /// The replica of a request and when it was sent.
     pub(crate) fn sent(&self, flight: Flight) -> Option<(EndId, Time)> {
         let entry = &self.entries[self.find(flight)?];
--- a/crates/blame/src/lib.rs
+++ b/crates/blame/src/lib.rs
@@ -110,6 +110,11 @@
         !self.flights.at(replica, now).is_empty()
     }
 
+    /// Number of requests that are at replicas.
+    pub fn flight_count(&self) -> usize {
+        self.flights.count()
+    }
+
     /// Whether a replica is known to have ended.
     pub fn has_ended(&self, replica: EndId) -> bool {
         self.evidence.has_ended(replica)
--- a/crates/relay/src/ends.rs
+++ b/crates/relay/src/ends.rs
@@ -140,23 +140,41 @@
     });
 }
 
+/// Marks an incarnation of a replica as being checked until the guard is dropped.
+struct CheckGuard {
+    core: Arc<Core>,
+    end: EndId,
+}
+
+impl CheckGuard {
+    /// `None` if it is being checked.
+    fn new(core: &Arc<Core>, end: EndId) -> Option<Self> {
+        let mut checked = core.checked.lock();
+        if checked.contains(&end) {
+            return None;
+        }
+        checked.push(end);
+        Some(Self { core: core.clone(), end })
+    }
+}
+
+impl Drop for CheckGuard {
+    fn drop(&mut self) {
+        self.core.checked.lock().retain(|e| *e != self.end);
+    }
+}
+
 /// Runs the check of a replica, unless one of this incarnation is running.
 fn spawn_check<C, F>(core: &Arc<Core>, replica: &Arc<Replica>, check: C)
 where
     C: FnOnce(Arc<Core>, Arc<Replica>) -> F,
     F: Future<Output = ()> + Send + 'static,
 {
-    let end = end_id(replica);
-    let mut checked = core.checked.lock();
-    if checked.contains(&end) {
-        return;
-    }
-    checked.push(end);
-    drop(checked);
-    let (core, check) = (core.clone(), check(core.clone(), replica.clone()));
+    let Some(guard) = CheckGuard::new(core, end_id(replica)) else { return };
+    let check = check(core.clone(), replica.clone());
     tokio::spawn(async move {
         check.await;
-        core.checked.lock().retain(|e| *e != end);
+        drop(guard);
     });
 }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -21,6 +21,7 @@
 mod feed_wire;
 mod follow;
 mod forward;
+pub mod holdings;
 mod job;
 mod kept;
 mod links;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -1,8 +1,8 @@
 //! Counters and latency histograms.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 /// Upper bounds of the latency histograms' buckets, in seconds.
@@ -70,6 +70,9 @@
     pub feed_answers: IntCounter,
     /// Whether this instance follows readers, 1, or reads the sources itself, 0.
     pub follows: IntGauge,
+    /// What is held for requests, checks and questions to peers; see
+    /// [`holdings`](crate::holdings::holdings).
+    pub held: IntGaugeVec,
     /// Seconds from the request to the head of a replica's answer, before its body is read.
     pub first_byte: Histogram,
     /// Seconds from the request to the end of a relayed answer.
@@ -92,6 +95,9 @@
         );
         let ended = ended.expect("metric names and labels are valid");
         registry.register(Box::new(ended.clone())).expect("metric names are unique");
+        let held = IntGaugeVec::new(Opts::new("lentil_held", "What is held by kind"), &["kind"]);
+        let held = held.expect("metric names and labels are valid");
+        registry.register(Box::new(held.clone())).expect("metric names are unique");
         let seconds = |name: &str, help: &str| {
             let opts = HistogramOpts::new(name, help).buckets(BUCKETS.to_vec());
             let out = Histogram::with_opts(opts).expect("bucket bounds are in ascending order");
@@ -172,6 +178,7 @@
             feed_answers: counter("lentil_feed_answers_total", "Answers to followers' polls"),
             follows: gauge("lentil_follows_readers", "Whether this instance follows readers"),
             ended,
+            held,
             registry,
         }
     }
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     core::Core,
-    duty, feed, follow, links, origins, peers,
+    duty, feed, follow, holdings, links, origins, peers,
     serve::{ListenerKind, listen},
     services::Topic,
     verdicts,
@@ -256,5 +256,6 @@
         core.conns.sweep(|id| snapshot.replica(id).is_some(), now);
         core.peer_conns.sweep(|name| snapshot.instances.iter().any(|i| *i.name == *name), now);
         core.budgets.lock().record_instances(core.instance_count(&snapshot), now);
+        holdings::record(&core);
     }
 }
--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -47,6 +47,27 @@
 /// An inquiry that waits for answers: the name of the instance, and what it knows.
 pub(crate) type Waiting = (StreamKey, mpsc::UnboundedSender<(String, Option<Record>)>);
 
+/// The answers of peers to an inquiry, which is waited for until this is dropped.
+struct Answers<'c> {
+    core: &'c Core,
+    answers: mpsc::UnboundedReceiver<(String, Option<Record>)>,
+}
+
+impl<'c> Answers<'c> {
+    fn new(core: &'c Core, key: StreamKey) -> Self {
+        let (sender, answers) = mpsc::unbounded_channel();
+        core.inquiries.lock().push((key, sender));
+        Self { core, answers }
+    }
+}
+
+impl Drop for Answers<'_> {
+    fn drop(&mut self) {
+        self.answers.close();
+        self.core.inquiries.lock().retain(|(_, sender)| !sender.is_closed());
+    }
+}
+
 async fn send(socket: &UdpSocket, message: &Message, addr: SocketAddr) {
     let bytes = postcard::to_stdvec(&(FORMAT, message)).expect("the message can be encoded");
     // A repeated datagram makes up for a lost one.
@@ -97,25 +118,25 @@
     let socket = core.peer_socket.get()?.clone();
     let peers = peers(core, key, ASKED);
     let mut inquiry = Inquiry::new(peers.iter().map(|(name, _)| name.clone()).collect());
-    let (sender, mut answers) = mpsc::unbounded_channel();
-    core.inquiries.lock().push((key, sender));
+    let mut waiting = Answers::new(core, key);
     for round in ROUNDS {
         if inquiry.is_over() {
             break;
         }
-        let waiting = peers.iter().filter(|(name, _)| inquiry.waiting().contains(name));
-        for (_, addr) in waiting {
+        let missing = peers.iter().filter(|(name, _)| inquiry.waiting().contains(name));
+        for (_, addr) in missing {
             send(&socket, &Message::Ask(key), *addr).await;
         }
         let end = core.now().after(round);
         while !inquiry.is_over() {
             let left = end.since(core.now());
-            let Ok(Some((name, record))) = timeout(left, answers.recv()).await else { break };
+            let Ok(Some((name, record))) = timeout(left, waiting.answers.recv()).await else {
+                break;
+            };
             inquiry.answer(&name, record);
         }
     }
-    drop(answers);
-    core.inquiries.lock().retain(|(_, sender)| !sender.is_closed());
+    drop(waiting);
     let missing = inquiry.waiting().len();
     let record = inquiry.into_record();
     info!(
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -204,6 +204,23 @@
     }
 }
 
+/// Marks the configuration as being fetched from a peer until the guard is dropped.
+struct FetchGuard(Arc<Core>);
+
+impl FetchGuard {
+    /// `None` if it is being fetched.
+    fn new(core: &Arc<Core>) -> Option<Self> {
+        let is_fetching = core.fetching_config.swap(true, Ordering::Relaxed);
+        (!is_fetching).then(|| Self(core.clone()))
+    }
+}
+
+impl Drop for FetchGuard {
+    fn drop(&mut self) {
+        self.0.fetching_config.store(false, Ordering::Relaxed);
+    }
+}
+
 /// Fetches a peer's configuration if its revision is newer: this instance may be unable to reach
 /// the registry.
 fn fetch_config(core: &Arc<Core>, name: &str, rev: u64) {
@@ -211,9 +228,7 @@
     let own_rev = snapshot.config.as_ref().map_or(0, |s| s.rev);
     let peer = snapshot.instances.iter().find(|i| &*i.name == name).map(|i| i.peer);
     let (Some(addr), true) = (peer, rev > own_rev) else { return };
-    if core.fetching_config.swap(true, Ordering::Relaxed) {
-        return;
-    }
+    let Some(guard) = FetchGuard::new(core) else { return };
     let (core, name) = (core.clone(), name.to_owned());
     tokio::spawn(async move {
         match fetch_from_peer(addr, CONFIG_PATH, CONFIG_TIMEOUT).await {
@@ -227,7 +242,7 @@
                 info!(peer = %name, %error, "configuration could not be fetched from peer");
             }
         }
-        core.fetching_config.store(false, Ordering::Relaxed);
+        drop(guard);
     });
 }
 
