Close the connections to a replica's former address

Cause: kept connections own the entry of their address, which owns the list that they are in. An entry that the pool replaced, since the replica had another address, kept itself: its connections stayed open until the other end closed them, and its memory for good.

Change: an entry that the pool drops closes its kept connections and takes none back that are still in use.

--- a/crates/relay/src/conns.rs
+++ b/crates/relay/src/conns.rs
@@ -129,7 +129,9 @@
     addr: SocketAddr,
     /// Number of [`OpenGuard`]s.
     open: AtomicU32,
-    idle: Mutex<Vec<Conn>>,
+    /// `None` once the pool has dropped this entry. A connection in the list owns the entry, so one
+    /// that is added later would keep itself open.
+    idle: Mutex<Option<Vec<Conn>>>,
 }
 
 /// Connections of an instance to all replicas.
@@ -211,7 +213,9 @@
         conn.expires = now.after(idle_timeout);
         conn.is_kept = true;
         let replica = conn.open.0.clone();
-        replica.idle.lock().push(conn);
+        if let Some(idle) = replica.idle.lock().as_mut() {
+            idle.push(conn);
+        }
     }
 
     /// Number of connections that are open or being opened, kept ones included.
@@ -231,16 +235,22 @@
             // lock of `replicas`.
             let unusable: Vec<Conn> = {
                 let mut idle = replica.idle.lock();
-                let all = std::mem::take(&mut *idle);
+                let all = idle.take().unwrap_or_default();
                 let (usable, unusable) = all
                     .into_iter()
                     .partition(|c| keep && !c.expires.passed(now) && !c.sender.is_closed());
-                *idle = usable;
+                *idle = Some(usable);
                 unusable
             };
             drop(unusable);
         }
-        replicas.retain(|p| known(&p.id) || p.open.load(Ordering::Relaxed) > 0);
+        replicas.retain(|p| {
+            let keep = known(&p.id) || p.open.load(Ordering::Relaxed) > 0;
+            if !keep {
+                p.close_idle();
+            }
+            keep
+        });
     }
 
     fn conns_of(&self, id: &Arc<str>, addr: SocketAddr) -> Arc<ReplicaConns> {
@@ -248,10 +258,11 @@
         match replicas.binary_search_by(|p| p.id.cmp(id)) {
             Ok(at) if replicas[at].addr == addr => replicas[at].clone(),
             found => {
-                let (id, open, idle) = (id.clone(), AtomicU32::new(0), Mutex::default());
+                let (id, open) = (id.clone(), AtomicU32::new(0));
+                let idle = Mutex::new(Some(Vec::new()));
                 let replica = Arc::new(ReplicaConns { id, addr, open, idle });
                 match found {
-                    Ok(at) => replicas[at] = replica.clone(),
+                    Ok(at) => std::mem::replace(&mut replicas[at], replica.clone()).close_idle(),
                     Err(at) => replicas.insert(at, replica.clone()),
                 }
                 replica
@@ -264,12 +275,18 @@
     /// Takes the connection that was used last, if it is still usable.
     fn take_idle(&self, now: Time) -> Option<Conn> {
         loop {
-            let conn = self.idle.lock().pop()?;
+            let conn = self.idle.lock().as_mut()?.pop()?;
             if !conn.expires.passed(now) && conn.sender.is_ready() {
                 return Some(conn);
             }
         }
     }
+
+    /// Closes the kept connections, and keeps none from now on.
+    fn close_idle(&self) {
+        let idle = self.idle.lock().take();
+        drop(idle);
+    }
 }
 
 async fn connect(
