Limit requests to cold replicas

Cause: a replica that has just come back takes a fixed number of requests per second from all instances together (cold_per_s of its target) and crashes well above that. Instances ignored cold_ms of its entry and the target's limit, and nearly all violations fall into the first two seconds, in which no entry says yet that the replica is cold.

Change: place::ColdReplicas decides which replicas count as cold: those whose entry says so, and until a later entry says otherwise or cold_s has passed, new incarnations, replicas that were removed or lost and come back, and young ones at the start of an instance. The rate is divided among the first instances of the rendezvous order. The division and the bucket of place::Limits are moved to share.rs, and both use them. The instances are the registered ones, not those that are heard: the share of a silent one is lost. A share that grows with a change of the list grows six seconds later. One list of instances uses at most half of the bound, so that two groups that don't know each other keep it. A request gets its permit when the replica is chosen; it is checked again when the request is written. Permit::Cold makes such a replica cost 100 ms more than a warm one. The rate doubles every 500 ms for two seconds after the end of the cold time.

Targets without cold_per_s have no entry and the same code path as before.

--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -81,6 +81,15 @@
     pub models: Vec<Arc<str>>,
 }
 
+/// The requests that a cold replica of a target takes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdLimit {
+    /// How long a replica is cold after it starts during traffic; above zero.
+    pub span: Duration,
+    /// Requests per second that a cold replica takes from all instances together; above 0.
+    pub rate: f64,
+}
+
 /// A service that requests are routed to.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Target {
@@ -90,6 +99,8 @@
     pub max_conns: u32,
     /// Properties of the engines; `None` if the replicas are not model engines.
     pub engine: Option<Engine>,
+    /// What a cold replica takes; `None` for no limit.
+    pub cold: Option<ColdLimit>,
 }
 
 /// A store for KV cache.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,7 +8,9 @@
 mod walls;
 
 pub use crate::{
-    config::{Config, Engine, Key, Limits, RequestKind, Route, RouteShare, Store, Target, Team},
+    config::{
+        ColdLimit, Config, Engine, Key, Limits, RequestKind, Route, RouteShare, Store, Target, Team,
+    },
     view::{Announcement, Confirmed, Instance, Replica, Snapshot, View, Weights},
     walls::{CacheScope, Walls},
 };
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -31,6 +31,8 @@
     pub started_ms: u64,
     /// Models that the replica has, each with its weights version. Sorted by model.
     pub models: Vec<(Arc<str>, u64)>,
+    /// For how long the replica is still cold, as of its entry; zero if it is warm.
+    pub cold: Duration,
 }
 
 impl Replica {
--- a/crates/place/src/choice.rs
+++ b/crates/place/src/choice.rs
@@ -43,6 +43,8 @@
 /// Engines of a target among which one is chosen besides the preferred one, where there are many
 /// peers.
 const SAMPLE_SIZE: usize = 2;
+/// Cost of a cold replica, in ms: that of a replica whose slots are all in use.
+const COLD_COST_MS: f64 = 100.0;
 /// Delay after which a caller finds another instance, where this one sends to none of the limited
 /// replicas.
 const LIMITED_DELAY: Duration = Duration::from_secs(1);
@@ -262,7 +264,7 @@
     ) -> Option<Time> {
         let limited = members.iter().filter(|m| self.sound(m.entry, request, now));
         let until = limited.filter_map(|m| match request.permit(m.entry)? {
-            Permit::Now => None,
+            Permit::Now | Permit::Cold => None,
             Permit::At(at) => Some(at),
             Permit::Elsewhere => Some(now.after(LIMITED_DELAY)),
         });
@@ -298,7 +300,8 @@
     }
 
     fn usable(&self, entry: &Entry, request: &PlacementRequest<'_>, now: Time) -> bool {
-        let permitted = matches!(request.permit(entry), None | Some(Permit::Now));
+        let permit = request.permit(entry);
+        let permitted = permit.is_none_or(|p| matches!(p, Permit::Now | Permit::Cold));
         permitted && self.sound(entry, request, now)
     }
 
@@ -326,18 +329,20 @@
             None => self.total_load(entry, now),
         };
         let zone = if &*entry.replica.zone == request.zone { 0.0 } else { CROSS_ZONE_COST_MS };
+        let cold = if request.permit(entry) == Some(Permit::Cold) { COLD_COST_MS } else { 0.0 };
         let noise =
             (request.tie_breaker.wrapping_mul(entry.replica.addr.port().into()) % 64) as f64 / 64.0;
         let Some(engine) = request.engine else {
             let load = f64::from(self.requests(entry, now)) + 1.0;
             return load / f64::from(entry.replica.slots.max(1)) * FULL_SLOTS_COST_MS
                 + zone
+                + cold
                 + noise;
         };
         let is_preferred = preferred.is_some_and(|p| p.replica.id == entry.replica.id);
         // A limited replica gets few requests; those that are permitted should be used.
         let fallback = match is_preferred || request.shared_tokens == 0 {
-            false if request.permit(entry).is_none() => FALLBACK_COST_MS,
+            false if request.permit(entry) != Some(Permit::Now) => FALLBACK_COST_MS,
             _ => 0.0,
         };
         let transfer = request.shared_tokens as f64 * engine.token_bytes as f64 * 8.0
@@ -361,6 +366,6 @@
             _ => 0.0,
         };
         let load = prefill + transfer + queued + running * RUNNING_COST_MS + over * MEMORY_COST_MS;
-        load + fallback + zone + noise + old + mismatch
+        load + fallback + zone + cold + noise + old + mismatch
     }
 }
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -8,18 +8,22 @@
 mod budget;
 mod catalog;
 mod choice;
+mod cold;
 mod limits;
 mod plan;
 mod pool;
 mod prompt;
 mod refusals;
 mod room;
+mod roster;
 mod salt;
+mod share;
 
 pub use crate::{
     budget::{RetryBudget, RetryBudgets},
     catalog::{Catalog, Change, HeldPart},
     choice::{Choice, PlacementError, PlacementRequest},
+    cold::{ColdBound, ColdReplicas},
     limits::{LimitReport, Limits, NamedLimit, Peers, Permit},
     plan::{Plan, Source, Transfer, free_delay, old_part_grace},
     pool::{Load, LoadReport, Outcome, PeerLoad, Pool},
--- a/crates/place/src/limits.rs
+++ b/crates/place/src/limits.rs
@@ -5,6 +5,8 @@
 use fleet::Replica;
 use ident::{Time, rendezvous_order};
 
+use crate::share::{Bucket, Division};
+
 /// Most senders of a replica.
 const MAX_SENDERS: usize = 16;
 /// Highest position in a rendezvous order that matters; above [`MAX_SENDERS`].
@@ -47,6 +49,8 @@
 pub enum Permit {
     /// This instance may send one request now.
     Now,
+    /// It may, but the replica is cold, or was until lately: others are preferred.
+    Cold,
     /// This instance may send its next request at that time.
     At(Time),
     /// Other instances send to the replica.
@@ -82,10 +86,8 @@
     changed: Time,
     /// Position of this instance in the rendezvous order for the replica.
     rank: usize,
-    /// Requests that this instance may send; at most [`burst`].
-    tokens: f64,
-    /// When `tokens` was computed.
-    refilled: Time,
+    /// Requests that this instance may send.
+    bucket: Bucket,
 }
 
 /// The instances that may send to limited replicas.
@@ -126,17 +128,13 @@
     count.min(registered.max(1))
 }
 
-/// Most requests that one sender may send at once.
-fn burst(rate: f64) -> f64 {
-    (rate / 8.0).clamp(1.0, 2.0)
+/// How a limit of `rate` requests per second is divided.
+fn division(rate: f64, registered: usize) -> Division {
+    let senders = sender_count(rate, registered);
+    Division { senders, rate: rate / senders as f64, burst: (rate / 8.0).clamp(1.0, 2.0) }
 }
 
 impl Entry {
-    fn refill(&mut self, share: f64, max: f64, now: Time) {
-        let gained = share * now.since(self.refilled).as_secs_f64();
-        (self.tokens, self.refilled) = ((self.tokens + gained).min(max), now);
-    }
-
     /// Whether the replica has a limit, as far as is known.
     fn is_limited(&self, now: Time) -> bool {
         let ttl = SILENT_TTL + SILENT_STEP * self.rank.min(MAX_RANK) as u32;
@@ -145,16 +143,7 @@
 
     fn permit(&mut self, registered: usize, now: Time) -> Permit {
         let rate = self.rate.unwrap_or_default().max(MIN_RATE);
-        let senders = sender_count(rate, registered);
-        let share = rate / senders as f64;
-        self.refill(share, burst(rate), now);
-        if self.rank >= senders {
-            Permit::Elsewhere
-        } else if self.tokens >= 1.0 {
-            Permit::Now
-        } else {
-            Permit::At(now.after(Duration::from_secs_f64((1.0 - self.tokens) / share)))
-        }
+        self.bucket.permit(self.rank, &division(rate, registered), now)
     }
 
     /// Applies an observation. Returns whether the limit changed.
@@ -164,7 +153,7 @@
             self.changed = now;
         }
         if self.rate.is_none() && rate.is_some() {
-            (self.tokens, self.refilled) = (0.0, now);
+            self.bucket = Bucket::empty(now);
         }
         (self.rate, self.observed, self.own) = (rate, observed, own);
         changed
@@ -231,7 +220,7 @@
         }
         let free = entry.permit(self.peers.registered, now) == Permit::Now;
         if free {
-            entry.tokens -= 1.0;
+            entry.bucket.take();
         }
         free
     }
@@ -268,8 +257,7 @@
             own,
             changed: now,
             rank,
-            tokens: 0.0,
-            refilled: now,
+            bucket: Bucket::empty(now),
         };
         match self.find(replica) {
             Ok(at) if self.entries[at].started_ms == started_ms => {
--- a/crates/place/tests/brittle_replicas.rs
+++ b/crates/place/tests/brittle_replicas.rs
@@ -95,6 +95,7 @@
         leaving: false,
         started_ms,
         models: Vec::new(),
+        cold: Duration::ZERO,
     }
 }
 
--- a/crates/place/tests/common/mod.rs
+++ b/crates/place/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! An engine for the tests of placement.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use fleet::Replica;
 
@@ -15,5 +15,6 @@
         leaving: false,
         started_ms: 1,
         models: vec![("m".into(), version)],
+        cold: Duration::ZERO,
     })
 }
--- a/crates/place/tests/limit_senders.rs
+++ b/crates/place/tests/limit_senders.rs
@@ -57,6 +57,7 @@
         leaving: false,
         started_ms: 1,
         models: Vec::new(),
+        cold: Duration::ZERO,
     }
 }
 
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -15,7 +15,7 @@
 use ident::{Clock, Time};
 use origin::{Latest, Origins, Versions};
 use parking_lot::Mutex;
-use place::{Limits, Peers, Pool, Refusals, RetryBudgets};
+use place::{ColdBound, ColdReplicas, Limits, Pool, Refusals, RetryBudgets};
 use reach::Reach;
 use table::Table;
 use tokio::{
@@ -37,6 +37,7 @@
     returns::{RETURN_SPAN, Returns},
     services::{Engines, Registry},
     versions::Listed,
+    zones,
 };
 
 pub use crate::kept::StoreCatalog;
@@ -79,6 +80,10 @@
     pub ttl: Duration,
     /// Whether replicas check fencing numbers.
     pub fenced: bool,
+    /// Time after which no request reaches a replica of an evacuated zone.
+    pub evacuation: Duration,
+    /// Most requests that a cold replica gets in a second.
+    pub cold: ColdBound,
     /// Memory for request bodies, in bytes.
     pub bodies: usize,
     /// Most connections that each listener serves at a time.
@@ -212,6 +217,8 @@
     pub limits: Mutex<Limits>,
     /// How many refusals replicas bear.
     pub refusals: Mutex<Refusals>,
+    /// Cold replicas.
+    pub cold: Mutex<ColdReplicas>,
     /// Parts of prompts, and requests, under which replicas end.
     pub blame: Mutex<Blame>,
     /// Where streams began.
@@ -246,6 +253,7 @@
         let now = clock.now();
         // Peers know this instance by the address.
         let peer_conns = ConnPool::from_source(settings.listen.peer.ip());
+        let cold = ColdReplicas::new(settings.bounds.cold);
         let budgets = RetryBudgets::new(ratio, window, extra, now);
         Arc::new(Self {
             settings,
@@ -280,6 +288,7 @@
             notify_peers: Notify::new(),
             limits: Mutex::default(),
             refusals: Mutex::default(),
+            cold: Mutex::new(cold),
             blame: Mutex::new(Blame::new(now)),
             origins: Mutex::default(),
             latest_origins: Mutex::default(),
@@ -333,6 +342,7 @@
             let known_ms = known.as_millis() as u64;
             info!(rev, routes, known_ms, from, "configuration applied");
             kept::sync_catalogs(self);
+            zones::note_config(self);
         }
     }
 
@@ -457,21 +467,6 @@
         alone || heard || now.since(snapshot.confirmed.registry) < CONTACT_TTL
     }
 
-    /// The instances among which the limits of replicas are shared.
-    pub(crate) fn limit_peers(&self) -> Peers {
-        let snapshot = self.view.snapshot();
-        let own = &self.settings.name;
-        let heard = self.last_heard.lock();
-        let is_alive =
-            |name: &Arc<str>| name == own || heard.binary_search_by(|(n, _)| n.cmp(name)).is_ok();
-        let names = snapshot.instances.iter().filter(|i| !i.leaving).map(|i| &i.name);
-        let mut alive: Vec<Arc<str>> = names.filter(|n| is_alive(n)).cloned().collect();
-        alive.push(own.clone());
-        alive.sort();
-        alive.dedup();
-        Peers { own: own.clone(), alive, registered: snapshot.instances.len() }
-    }
-
     /// Records the era of the registry's newest answer.
     pub(crate) fn observe_era(&self) {
         let confirmed = self.view.snapshot().confirmed.registry;
--- a/crates/relay/src/ends.rs
+++ b/crates/relay/src/ends.rs
@@ -14,7 +14,7 @@
     core::Core,
     links, permits,
     services::CallError,
-    verdicts,
+    verdicts, zones,
 };
 
 /// Timeout for a connection to a replica that is being checked.
@@ -118,6 +118,7 @@
         let mut blame = core.blame.lock();
         (blame.has_ended(end), blame.replica_ended(end, planned, core.now()))
     };
+    zones::note_lost(core, replica);
     if !known {
         core.metrics.replica_ends.inc();
         info!(replica = &*replica.id, planned, evidence = news, "replica ended");
--- a/crates/relay/src/feed_wire.rs
+++ b/crates/relay/src/feed_wire.rs
@@ -97,6 +97,13 @@
     started_ms: u64,
     #[serde(default)]
     models: Vec<(String, u64)>,
+    /// Remaining cold time, in ms; 0 for a warm replica.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    cold_ms: u64,
+}
+
+fn is_zero(ms: &u64) -> bool {
+    *ms == 0
 }
 
 impl From<&Replica> for ReplicaWire {
@@ -111,6 +118,7 @@
             leaving: from.leaving,
             started_ms: from.started_ms,
             models: from.models.iter().map(|(m, v)| (m.to_string(), *v)).collect(),
+            cold_ms: from.cold.as_millis().try_into().unwrap_or(u64::MAX),
         }
     }
 }
@@ -130,6 +138,7 @@
             leaving: wire.leaving,
             started_ms: wire.started_ms,
             models,
+            cold: Duration::from_millis(wire.cold_ms),
         }
     }
 }
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -14,7 +14,7 @@
     feed::{self, Answer},
     feed_wire,
     services::{Batch, CallError, Topic, Update},
-    versions,
+    versions, zones,
 };
 
 /// Longest wait of a poll for a change. Each answer also confirms that there is nothing newer.
@@ -280,6 +280,9 @@
                 tokio::spawn(dates::load_announced(self.core.clone(), weights.model.clone()));
             }
         }
+        if full && self.topic == Topic::Replicas {
+            self.core.cold.lock().set_read();
+        }
         if replicas || full {
             self.core.pool.lock().sync(&self.core.view.snapshot().replicas);
         }
@@ -339,6 +342,7 @@
             core.forget_departure(&id);
         }
         self.note_ended(&replica);
+        zones::note_replica(core, &replica);
         if let Some(previous) = previous.as_ref().filter(|k| k.software != replica.software) {
             versions::note_gone(core, previous);
         }
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -16,7 +16,9 @@
     core::Core,
     detour, ends,
     job::Job,
-    origins, permits, relay,
+    origins,
+    permits::{self, ColdPermit},
+    relay,
     send::{AttemptOutcome, ReplicaAnswer},
     verdicts, versions,
     whole::{MAX_BUFFERED_BYTES, Start, content_length, read_start, whole_answer},
@@ -47,6 +49,8 @@
 pub(crate) struct Attempt {
     pub(crate) snapshot: Arc<Snapshot>,
     pub(crate) choice: Choice,
+    /// The permit for the request if the replica is cold.
+    pub(crate) cold: Option<ColdPermit>,
 }
 
 /// What can be done next for a request without an answer.
@@ -332,15 +336,15 @@
             self.tried.push(choice.replica.id.clone());
             return Step::Wait(Duration::ZERO);
         }
-        if !permits::take(&self.core, &choice.replica.id, now) {
+        let Some(cold) = permits::take(&self.core, &choice.replica.id, now) else {
             // Another request has taken it since the choice.
             return Step::Wait(Duration::ZERO);
-        }
+        };
         if !self.within_budget(&snapshot, now) {
             return stop("the budget of repeats is used up", BUSY_RETRY_DELAY);
         }
         self.tried.push(choice.replica.id.clone());
-        Step::Send(Attempt { snapshot, choice })
+        Step::Send(Attempt { snapshot, choice, cold })
     }
 
     /// Sends the request on to a peer.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -40,6 +40,7 @@
 mod verdicts;
 mod versions;
 mod whole;
+mod zones;
 
 pub use crate::{
     dates::RegistryClock,
--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -56,6 +56,7 @@
 
 /// Records that a replica was reached.
 pub(crate) fn note_reached(core: &Core, replica: &Replica) {
+    core.cold.lock().reached(&replica.id, core.now());
     if core.reach.lock().reached(&replica.id) {
         core.pool.lock().mark_reachable(&replica.id);
     }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -57,6 +57,10 @@
     pub limited_replicas: IntGauge,
     /// Replicas that say how many refusals they bear.
     pub brittle_replicas: IntGauge,
+    /// Replicas that count as cold, of targets with a limit for cold replicas.
+    pub cold_replicas: IntGauge,
+    /// Zones to which no requests are sent.
+    pub evacuated_zones: IntGauge,
     /// Answers in which a replica named a time for which it wants no requests.
     pub retry_after: IntCounter,
     /// Replicas that said in an answer that they are leaving.
@@ -156,6 +160,8 @@
                 "lentil_brittle_replicas",
                 "Replicas that say how many refusals they bear",
             ),
+            cold_replicas: gauge("lentil_cold_replicas", "Replicas that count as cold"),
+            evacuated_zones: gauge("lentil_evacuated_zones", "Zones to which no requests are sent"),
             retry_after: counter(
                 "lentil_replica_retry_after_total",
                 "Answers in which a replica named a time for which it wants no requests",
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -21,7 +21,7 @@
     duty, feed, follow, links, origins, peers,
     serve::{ListenerKind, listen},
     services::Topic,
-    verdicts,
+    verdicts, zones,
 };
 
 /// Length of a listener's queue of pending connections.
@@ -241,6 +241,7 @@
         let peers = core.limit_peers();
         core.limits.lock().set_peers(peers.clone());
         core.refusals.lock().set_peers(peers);
+        zones::sweep(&core);
         tokio::time::sleep(SWEEP_INTERVAL).await;
         let snapshot = core.view.snapshot();
         let now = core.now();
--- a/crates/relay/src/permits.rs
+++ b/crates/relay/src/permits.rs
@@ -1,10 +1,10 @@
 //! What replicas say of how much they take, and whether this instance may send to them.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use fleet::Replica;
 use ident::Time;
-use place::{NamedLimit, Permit};
+use place::{NamedLimit, Peers, Permit};
 use tracing::{info, warn};
 
 use crate::{
@@ -13,28 +13,59 @@
     services::{CallError, Report},
 };
 
+/// How long a request with a permit for a cold replica may wait for a connection. With the time on
+/// the network it stays within the second of the bound on cold replicas.
+const COLD_PERMIT_TTL: Duration = Duration::from_millis(100);
+
 /// The replicas that restrict what they take, and whether this instance may send to them. Sorted by
 /// replica.
 pub(crate) fn permits(core: &Core, now: Time) -> Vec<(Arc<str>, Permit)> {
     let mut out = core.limits.lock().permits(now);
+    merge(&mut out, core.cold.lock().permits(now));
     let mut refusals = core.refusals.lock();
     if refusals.is_empty() {
         return out;
     }
     let pool = core.pool.lock();
-    for (replica, permit) in refusals.permits(|id| pool.own_requests(id), now) {
+    merge(&mut out, refusals.permits(|id| pool.own_requests(id), now));
+    out
+}
+
+/// Adds permits, of which the stricter one counts for each replica.
+fn merge(out: &mut Vec<(Arc<str>, Permit)>, permits: Vec<(Arc<str>, Permit)>) {
+    for (replica, permit) in permits {
         match out.binary_search_by(|(id, _)| id.cmp(&replica)) {
             Ok(at) => out[at].1 = out[at].1.max(permit),
             Err(at) => out.insert(at, (replica, permit)),
         }
     }
-    out
 }
 
-/// Takes the permit for one request to a replica. Returns false if there is none.
-pub(crate) fn take(core: &Core, replica: &str, now: Time) -> bool {
+/// Takes the permit for one request to a replica. Returns `None` if there is none, else the permit
+/// for a cold replica, unless the replica is warm.
+pub(crate) fn take(core: &Core, replica: &str, now: Time) -> Option<Option<ColdPermit>> {
     let requests = core.pool.lock().own_requests(replica);
-    core.refusals.lock().take(replica, requests, now) && core.limits.lock().take(replica, now)
+    // Only the last of them is lost if another request has taken one since the choice.
+    if !core.refusals.lock().take(replica, requests, now) || !core.limits.lock().take(replica, now)
+    {
+        return None;
+    }
+    let is_cold = core.cold.lock().take(replica, now)?;
+    Some(is_cold.then_some(ColdPermit { taken: now }))
+}
+
+/// A permit for one request to a cold replica.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ColdPermit {
+    taken: Time,
+}
+
+/// Whether a request may be written to a replica that may be cold. The permit that it got when the
+/// replica was chosen counts for [`COLD_PERMIT_TTL`]: requests that wait for a connection would
+/// otherwise arrive together, and the replica may have become cold meanwhile.
+pub(crate) fn may_write(core: &Core, replica: &str, permit: Option<ColdPermit>, now: Time) -> bool {
+    let is_valid = permit.is_some_and(|p| now.since(p.taken) < COLD_PERMIT_TTL);
+    is_valid || core.cold.lock().take(replica, now).is_some()
 }
 
 /// Records what the head of a replica's answer says of how much it takes, and logs a change.
@@ -128,3 +159,20 @@
         core.notify_peers.notify_one();
     }
 }
+
+impl Core {
+    /// The instances among which the limits of replicas are shared.
+    pub(crate) fn limit_peers(&self) -> Peers {
+        let snapshot = self.view.snapshot();
+        let own = &self.settings.name;
+        let heard = self.last_heard.lock();
+        let is_alive =
+            |name: &Arc<str>| name == own || heard.binary_search_by(|(n, _)| n.cmp(name)).is_ok();
+        let names = snapshot.instances.iter().filter(|i| !i.leaving).map(|i| &i.name);
+        let mut alive: Vec<Arc<str>> = names.filter(|n| is_alive(n)).cloned().collect();
+        alive.push(own.clone());
+        alive.sort();
+        alive.dedup();
+        Peers { own: own.clone(), alive, registered: snapshot.instances.len() }
+    }
+}
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -17,8 +17,10 @@
     detour,
     ends::{self, FlightGuard},
     forward::{Attempt, Forwarder},
-    links, permits,
+    links,
+    permits::{self, ColdPermit},
     protocol::{ForwardHeaders, ResponseMeta},
+    zones,
 };
 
 /// Stores are used only while the newest weights were confirmed less than this long ago. Parts of
@@ -94,6 +96,8 @@
     plan: Option<&'f Plan>,
     /// Scope of the request's KV cache; `None` without a prompt.
     scope: Option<&'f CacheScope>,
+    /// The permit for a cold replica.
+    cold: Option<ColdPermit>,
     flight: &'f Mutex<Option<FlightGuard>>,
 }
 
@@ -109,7 +113,8 @@
                 self.forwarder.job.cache_scope(&core.view.snapshot()) == *scope
             })
             && !core.has_said_leaving(self.replica)
-            && !core.pool.lock().declines(&self.replica.id, now);
+            && !core.pool.lock().declines(&self.replica.id, now)
+            && permits::may_write(core, &self.replica.id, self.cold, now);
         let begin = || FlightGuard::new(core, self.replica, suspects.clone());
         *self.flight.lock() = may_send.then(begin);
         may_send
@@ -152,7 +157,7 @@
     /// Makes one attempt. `last` is the event after which a stream is resumed.
     pub(crate) async fn send(&self, attempt: Attempt, last: Option<u64>) -> AttemptOutcome {
         let (core, job) = (&self.core, &self.job);
-        let Attempt { snapshot, choice } = attempt;
+        let Attempt { snapshot, choice, cold } = attempt;
         let now = core.now();
         let replica = &choice.replica;
         let model = job.prompt().map(|p| p.model.clone());
@@ -184,7 +189,7 @@
         let flight = Mutex::new(None);
         let plan = plan.as_ref();
         let scope = salt.as_ref().map(|_| &scope);
-        let gate = FlightGate { forwarder: self, replica, plan, scope, flight: &flight };
+        let gate = FlightGate { forwarder: self, replica, plan, scope, cold, flight: &flight };
         let sent = core.conns.send(&replica.id, replica.addr, max_conns, request, &gate, now);
         let latest = self.latest_start(&choice);
         let wait = latest
@@ -205,6 +210,7 @@
             Ok(Err(SendError::Refused(why))) => {
                 core.reach.lock().failed(&replica.id, core.now());
                 ends::note_refused(core, replica);
+                zones::note_lost(core, replica);
                 core.pool.lock().mark_unreachable(&replica.id, core.now());
                 self.log_outcome("unreachable", &choice, &why);
                 AttemptOutcome::Unsent
@@ -212,6 +218,7 @@
             Ok(Err(SendError::Connect(why))) => {
                 core.reach.lock().failed(&replica.id, core.now());
                 ends::check_replica(core, replica);
+                zones::note_lost(core, replica);
                 core.pool.lock().mark_unreachable(&replica.id, core.now());
                 self.log_outcome("unreachable", &choice, &why);
                 AttemptOutcome::Unsent
@@ -230,6 +237,7 @@
                     flight.lost();
                 }
                 let (checking, checked) = (core.clone(), replica.clone());
+                zones::note_broken(core, replica);
                 tokio::spawn(async move { links::check(&checking, &checked).await });
                 core.pool.lock().record_outcome(&replica.id, Outcome::NoAnswer, core.now());
                 self.log_outcome("broken", &choice, &why);
@@ -270,6 +278,7 @@
             let check = core.pool.lock().take_check(&replica.id, since, core.now());
             if check && !links::check(core, replica).await {
                 core.pool.lock().mark_unreachable(&replica.id, core.now());
+                zones::note_lost(core, replica);
                 self.log_silence(replica);
             }
         }
--- a/crates/trial/src/run.rs
+++ b/crates/trial/src/run.rs
@@ -396,6 +396,7 @@
         leaving: false,
         started_ms: 1,
         models: vec![(MODEL.0.into(), MODEL.1)],
+        cold: Duration::ZERO,
     })
 }
 
