Divide engines between short and long prompts by demand

Cause: short prompts were placed on a fixed quarter of an engine target's replicas. In a burst they waited and were rejected there, while the other engines had free slots.

Change: each instance derives the number of engines for short prompts from the slots that replicas' reports show as busy, split by the kinds of its own requests, and smoothed. The number is a quarter or more, and the engines are the first of one rendezvous order, so that instances differ only at the margin. Where both kinds need more than there is, each gets its share. A short prompt whose expected delay exceeds its goal is also compared with two engines of the other part that have free slots. A request for a placement names its goal.

--- a/crates/place/src/choice.rs
+++ b/crates/place/src/choice.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     Headroom, Load, Permit, Pool,
+    partition::first_engines,
     pool::{Entry, FAILURE_THRESHOLD, FULL_COOLDOWN, is_short},
 };
 
@@ -32,16 +33,12 @@
 const MEMORY_COST_THRESHOLD: f64 = 0.85;
 /// Cost of a replica whose weights are not the newest, in ms.
 const OLD_WEIGHTS_COST_MS: f64 = 150.0;
-/// One in this many replicas of an engine target is preferred for short prompts, the others for
-/// long prompts. Long prompts evict the parts of short ones from a replica's memory within seconds,
-/// and each prefill chunk of a long prompt delays all short prompts at the same replica.
-const SHORT_REPLICA_DIVISOR: usize = 4;
 /// Cost of a short prompt at a replica for long prompts, in ms.
 const SHORT_FALLBACK_COST_MS: f64 = 40.0;
 /// Cost of a long prompt at a replica for short prompts, in ms.
 const LONG_FALLBACK_COST_MS: f64 = 400.0;
-/// Engines of a target among which one is chosen besides the preferred one, where there are many
-/// peers.
+/// Engines of each part of a target among which one is chosen besides the preferred one, where
+/// there are many peers.
 const SAMPLE_SIZE: usize = 2;
 /// Delay after which a caller finds another instance, where this one sends to none of the limited
 /// replicas.
@@ -75,6 +72,8 @@
     pub permits: &'a [(Arc<str>, Permit)],
     /// Description of the target's engines; `None` if its replicas are not engines.
     pub engine: Option<&'a Engine>,
+    /// Time within which the answer is on time.
+    pub goal: Duration,
     /// Random tie-breaker; any number.
     pub tie_breaker: u64,
 }
@@ -171,6 +170,42 @@
     out
 }
 
+/// The engines of the part to which the prompt belongs.
+fn own_part<'m, 'e>(
+    members: &'m [Member<'e>],
+    request: &PlacementRequest<'_>,
+) -> Vec<&'m Member<'e>> {
+    members.iter().filter(|m| m.for_short == request.is_short()).collect()
+}
+
+/// A random sample of some engines.
+fn sample<'m, 'e>(
+    engines: Vec<&'m Member<'e>>,
+    request: &PlacementRequest<'_>,
+) -> Vec<&'m Member<'e>> {
+    let seed = request.tie_breaker.to_le_bytes();
+    let order = rendezvous_order(&seed, &engines, |m| &m.entry.replica.id);
+    order.into_iter().take(SAMPLE_SIZE).copied().collect()
+}
+
+/// The member with the least cost.
+fn least<'e, F>(members: &[&Member<'e>], cost: F) -> Option<(f64, &'e Entry)>
+where
+    F: Fn(&&Member<'e>) -> f64,
+{
+    let costs = members.iter().map(|m| (cost(m), m.entry));
+    costs.min_by(|(a, _), (b, _)| a.total_cmp(b))
+}
+
+fn contains(sampled: &[&Member<'_>], member: &Member<'_>) -> bool {
+    sampled.iter().any(|m| m.entry.replica.id == member.entry.replica.id)
+}
+
+/// Whether the best replica of a sample would answer later than the goal, or there is none.
+fn is_late(best: Option<(f64, &Entry)>, request: &PlacementRequest<'_>) -> bool {
+    best.is_none_or(|(delay_ms, _)| delay_ms > request.goal.as_secs_f64() * 1000.0)
+}
+
 impl Pool {
     /// Chooses the replica with the least expected delay.
     ///
@@ -196,21 +231,25 @@
         let usable = members.iter().filter(|m| self.usable(m.entry, request, now));
         let fitting = usable.clone().filter(|m| self.has_headroom(m, request, now));
         let any_usable = usable.count() > 0;
-        let sampled = self.sample(&members, request);
-        let is_sampled = |m: &&Member<'_>| {
-            let is_preferred =
-                preferred_for(m.entry).is_some_and(|p| p.replica.id == m.entry.replica.id);
-            is_preferred || sampled.contains(&&*m.entry.replica.id)
+        let is_preferred = |m: &Member<'_>| {
+            preferred_for(m.entry).is_some_and(|p| p.replica.id == m.entry.replica.id)
         };
-        let some: Vec<&Member<'_>> = match sampled.is_empty() {
-            true => Vec::new(),
-            false => fitting.clone().filter(is_sampled).collect(),
+        let fitting: Vec<&Member<'_>> = fitting.collect();
+        let cost = |m: &&Member<'_>| self.cost(m, preferred_for(m.entry), request, now);
+        let best = match self.needs_sample(request) {
+            false => least(&fitting, cost),
+            true => {
+                let sampled = sample(own_part(&members, request), request);
+                let own = fitting.iter().filter(|m| is_preferred(m) || contains(&sampled, m));
+                let own = least(&own.copied().collect::<Vec<_>>(), cost);
+                let free = match is_late(own, request) {
+                    true => sample(self.free_engines(&fitting, request, now), request),
+                    false => Vec::new(),
+                };
+                let best = own.into_iter().chain(least(&free, cost));
+                best.min_by(|(a, _), (b, _)| a.total_cmp(b)).or_else(|| least(&fitting, cost))
+            }
         };
-        let best = if some.is_empty() { fitting.collect() } else { some };
-        let best = best
-            .into_iter()
-            .map(|m| (self.cost(m, preferred_for(m.entry), request, now), m.entry))
-            .min_by(|(a, _), (b, _)| a.total_cmp(b));
         let Some((delay_ms, entry)) = best else {
             if any_usable {
                 return Err(PlacementError::Overloaded);
@@ -238,18 +277,25 @@
         Ok(Choice { replica: entry.replica.clone(), preferred, version, delay_ms, load, requests })
     }
 
-    /// The replicas among which an engine is chosen besides the preferred one; empty for all. Many
-    /// instances that choose the least loaded of all, by the same word of its load, would all send
-    /// there.
-    fn sample<'m>(&self, members: &[Member<'m>], request: &PlacementRequest<'_>) -> Vec<&'m str> {
-        if !self.has_many_peers() || request.engine.is_none() || request.software.is_some() {
-            return Vec::new();
-        }
-        let suitable = members.iter().filter(|m| m.for_short == request.is_short());
-        let seed = request.tie_breaker.to_le_bytes();
-        let suitable: Vec<&Member<'m>> = suitable.collect();
-        let order = rendezvous_order(&seed, &suitable, |m| &m.entry.replica.id);
-        order.into_iter().take(SAMPLE_SIZE).map(|m| &*m.entry.replica.id).collect()
+    /// Whether an engine is chosen among a sample. Many instances that choose the least loaded of all
+    /// engines, by the same report of its load, would all send there.
+    fn needs_sample(&self, request: &PlacementRequest<'_>) -> bool {
+        self.has_many_peers() && request.engine.is_some() && request.software.is_none()
+    }
+
+    /// The engines with free slots in the part to which a short prompt does not belong; none for a
+    /// long prompt.
+    fn free_engines<'m, 'e>(
+        &self,
+        fitting: &[&'m Member<'e>],
+        request: &PlacementRequest<'_>,
+        now: Time,
+    ) -> Vec<&'m Member<'e>> {
+        let is_free = |m: &Member<'e>| {
+            let slots = request.engine.map_or(0, |engine| engine.slots);
+            request.is_short() && !m.for_short && self.requests(m.entry, now) < slots
+        };
+        fitting.iter().copied().filter(|m| is_free(m)).collect()
     }
 
     /// When this instance may next send to a replica that only its limit excludes; `None` if there is
@@ -269,18 +315,18 @@
         until.min()
     }
 
-    /// Returns the target's replicas that accept requests. Which replicas of an engine target are
-    /// preferred for short prompts depends on their ids only, so that all instances agree.
+    /// Returns the target's replicas that accept requests. The order in which engines are preferred
+    /// for short prompts depends on their ids only: instances that count a few more or fewer agree
+    /// about all others.
     fn members(&self, request: &PlacementRequest<'_>) -> Vec<Member<'_>> {
         let accepts = |e: &&Entry| &*e.replica.target == request.target && !e.replica.leaving;
         let entries: Vec<&Entry> = self.entries.iter().filter(accepts).collect();
         if request.engine.is_none() {
             return entries.into_iter().map(|entry| Member { entry, for_short: false }).collect();
         }
-        let count = entries.len() / SHORT_REPLICA_DIVISOR;
-        let order = rendezvous_order(request.target.as_bytes(), &entries, |e| &e.replica.id);
-        let short: Vec<&str> = order.iter().take(count).map(|e| &*e.replica.id).collect();
-        let is_short = |e: &Entry| short.contains(&&*e.replica.id);
+        let count = self.short_count(request.target, request.engine, entries.len());
+        let short = first_engines(request.target, &entries, count);
+        let is_short = |e: &Entry| short.binary_search(&&*e.replica.id).is_ok();
         entries.into_iter().map(|entry| Member { entry, for_short: is_short(entry) }).collect()
     }
 
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -9,6 +9,7 @@
 mod catalog;
 mod choice;
 mod limits;
+mod partition;
 mod plan;
 mod pool;
 mod prompt;
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -5,6 +5,8 @@
 use fleet::Replica;
 use ident::Time;
 
+use crate::partition::Demand;
+
 /// How long a replica is excluded after [`FAILURE_THRESHOLD`] attempts in a row without an answer.
 /// Each further one doubles the time.
 const FAILURE_COOLDOWN: Duration = Duration::from_millis(600);
@@ -48,6 +50,12 @@
     tokens < SHORT_PROMPT_TOKENS
 }
 
+/// Number of the requests of a load if they are long prompts. The memory that a prompt needs does
+/// not shrink while it is in flight.
+fn long_requests(load: Load) -> u32 {
+    if is_short(load.memory_tokens) { 0 } else { load.requests }
+}
+
 impl Load {
     fn add(&mut self, other: Self) {
         self.prefill_tokens = self.prefill_tokens.saturating_add(other.prefill_tokens);
@@ -88,7 +96,9 @@
 pub(crate) struct Entry {
     pub(crate) replica: Arc<Replica>,
     /// Load of this instance's own requests at the replica.
-    own: Load,
+    pub(crate) own: Load,
+    /// Number of those that are long prompts.
+    pub(crate) own_long: u32,
     /// Running and queued requests that the replica last reported, and when the report arrived, at
     /// this instance or a peer.
     reported: Option<(u32, Time)>,
@@ -139,9 +149,11 @@
     /// Sorted by name.
     peers: Vec<Peer>,
     /// Typical prefill and memory tokens of this instance's short and long prompts.
-    typical: [Option<(f64, f64)>; 2],
+    pub(crate) typical: [Option<(f64, f64)>; 2],
     /// Number of reports that were recorded.
     reports: u64,
+    /// Demand at the engines of each target. Sorted by target.
+    pub(crate) demands: Vec<Demand>,
 }
 
 /// A replica's report of its running and queued requests, as peers share it.
@@ -172,6 +184,7 @@
                 _ => Entry {
                     replica: replica.clone(),
                     own: Load::default(),
+                    own_long: 0,
                     reported: None,
                     is_own_report: false,
                     report_rev: 0,
@@ -184,6 +197,7 @@
                 },
             });
         }
+        self.sync_demands();
     }
 
     /// Replaces the load that a peer has in flight. `loads` must be sorted by replica.
@@ -193,6 +207,7 @@
             Ok(at) => self.peers[at] = peer,
             Err(at) => self.peers.insert(at, peer),
         }
+        self.observe_demand(now);
     }
 
     /// Returns the load that this instance has in flight, sorted by replica.
@@ -212,6 +227,7 @@
         self.learn_typical(load);
         if let Some(entry) = self.find(id) {
             entry.own.add(load);
+            entry.own_long = entry.own_long.saturating_add(long_requests(load));
         }
     }
 
@@ -219,6 +235,7 @@
     pub fn remove_load(&mut self, id: &str, load: Load) {
         if let Some(entry) = self.find(id) {
             entry.own.sub(load);
+            entry.own_long = entry.own_long.saturating_sub(long_requests(load));
         }
     }
 
@@ -297,6 +314,7 @@
     /// Records a replica's own report of its running and queued requests.
     pub fn record_report(&mut self, id: &str, requests: u32, now: Time) {
         self.set_report(id, requests, now, true);
+        self.observe_demand(now);
     }
 
     /// Records a report that arrived at a peer, unless a later one is known.
--- a/crates/place/tests/many_deciders.rs
+++ b/crates/place/tests/many_deciders.rs
@@ -130,6 +130,7 @@
                 tried: &[],
                 permits: &[],
                 engine: Some(&engine),
+                goal: Duration::from_millis(AIM),
                 tie_breaker: rng.random(),
             };
             figures.sent += 1;
--- a/crates/place/tests/replica_choice.rs
+++ b/crates/place/tests/replica_choice.rs
@@ -1,6 +1,6 @@
 //! Which replica is chosen for a request, and when none is.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use fleet::{Engine, Replica};
 use ident::Time;
@@ -48,6 +48,7 @@
         tried: &[],
         permits: &[],
         engine: Some(engine),
+        goal: Duration::from_millis(500),
         tie_breaker: 0,
     }
 }
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -414,6 +414,7 @@
             tried: &self.tried,
             permits: &permits,
             engine,
+            goal: self.job.route.goal,
             tie_breaker: rand::random(),
         };
         self.core.pool.lock().choose(&request, now)
--- a/crates/trial/src/run.rs
+++ b/crates/trial/src/run.rs
@@ -253,6 +253,7 @@
             tried: &[],
             permits: &[],
             engine: Some(&self.engine_spec),
+            goal: class.goal,
             tie_breaker: self.rng.random(),
         };
         let Ok(choice) = self.pool.choose(&request, now) else {
