--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -10,6 +10,7 @@
 mod choice;
 mod cold;
 mod limits;
+mod partition;
 mod plan;
 mod pool;
 mod prompt;
