Compute the age of replicas by Unix time

Cause: the instance's clock starts at the machine's boot, while replicas state when they started as Unix time. The age was always 0, so that a restarted instance took all replicas of a limited target for cold. Change: the Unix time at the clock's zero is set at the start.

--- a/crates/place/src/cold.rs
+++ b/crates/place/src/cold.rs
@@ -80,6 +80,8 @@
     roster: Roster,
     /// Whether the registered replicas were read completely: one that appears later is new.
     is_read: bool,
+    /// Unix time at `Time(0)`, in ms.
+    origin_ms: u64,
 }
 
 /// How a cold replica's `rate` is divided among `count` instances.
@@ -161,7 +163,12 @@
 impl ColdReplicas {
     /// Knows no replica.
     pub fn new(bound: ColdBound) -> Self {
-        Self { bound, entries: Vec::new(), roster: Roster::default(), is_read: false }
+        Self { bound, entries: Vec::new(), roster: Roster::default(), is_read: false, origin_ms: 0 }
+    }
+
+    /// Sets the Unix time at `Time(0)`, in ms, by which the ages of replicas are computed.
+    pub fn set_origin(&mut self, origin_ms: u64) {
+        self.origin_ms = origin_ms;
     }
 
     /// Sets the registered instances, this one included, among which the rates are divided. `names`
@@ -222,7 +229,7 @@
             place: Place { rank: usize::MAX, count: 0 },
             bucket: Bucket::empty(now),
         };
-        let age = now.since(Time(replica.started_ms));
+        let age = now.since(Time(replica.started_ms.saturating_sub(self.origin_ms)));
         let young = limit.span.saturating_sub(age);
         let is_doubted = is_new || !young.is_zero();
         entry.cold_until = match replica.cold {
--- a/crates/place/tests/cold_replicas.rs
+++ b/crates/place/tests/cold_replicas.rs
@@ -235,3 +235,19 @@
     assert_eq!((cold.count(Time(START)), cold.permits(Time(START))), (0, Vec::new()));
     assert_eq!(cold.take("r", Time(START)), Some(false));
 }
+
+/// Guards against ages that mix the clock of the instance with Unix time: all replicas then counted as
+/// cold after a restart of the instance.
+#[test]
+fn ages_are_by_unix_time() {
+    const UNIX_MS: u64 = 1_700_000_000_000;
+    let mut cold = ColdReplicas::new(BOUND);
+    cold.set_origin(UNIX_MS);
+    let now = Time(5_000);
+    cold.note(&replica(UNIX_MS - 60_000, 0), Some(LIMIT), false, now);
+    assert_eq!(cold.count(now), 0);
+    let mut cold = ColdReplicas::new(BOUND);
+    cold.set_origin(UNIX_MS);
+    cold.note(&replica(UNIX_MS + 4_900, 0), Some(LIMIT), false, now);
+    assert_eq!(cold.count(now), 1);
+}
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -6,7 +6,7 @@
         Arc, OnceLock,
         atomic::{AtomicBool, AtomicU32, Ordering},
     },
-    time::Duration,
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use blame::{Blame, EndId, SuspectKey};
@@ -253,7 +253,10 @@
         let now = clock.now();
         // Peers know this instance by the address.
         let peer_conns = ConnPool::from_source(settings.listen.peer.ip());
-        let cold = ColdReplicas::new(settings.bounds.cold);
+        let mut cold = ColdReplicas::new(settings.bounds.cold);
+        // An error means a time before 1970, by which replicas count as young.
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        cold.set_origin((unix.as_millis() as u64).saturating_sub(now.0));
         let budgets = RetryBudgets::new(ratio, window, extra, now);
         Arc::new(Self {
             settings,
