Send nothing to replicas in evacuated zones

Cause: operators ask with the row op/evacuate/ZONE that no request be sent to replicas in a zone. Instances ignored the row.

Change: the registry's updates name the change of an evacuation. Pool::choose leaves the zones' replicas out, also as preferred ones, and tells a target whose zones are all evacuated from one without replicas; callers get 503 at once. The gate before a request is written checks the zone again, so that a request that waited for a connection or was chosen before is not sent. Replicas of these zones no longer count for detours. Replicas of a zone that returns count as cold before requests go there again.

An instance that reads the registry itself, as all do where there are few, asked nobody while the registry did not answer it. It now asks a random peer for the operators' rows after each failed poll. The poll says that it comes from no follower, so that the peer does not ask the registry more often.

--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -160,11 +160,18 @@
     pub weights: Vec<Weights>,
     /// All instances, sorted by name.
     pub instances: Vec<Arc<Instance>>,
+    /// Zones to whose replicas no requests are sent. Sorted.
+    pub evacuated: Vec<Arc<str>>,
     /// Times at which the parts of the view were last confirmed.
     pub confirmed: Confirmed,
 }
 
 impl Snapshot {
+    /// Whether no requests are sent to replicas in this zone.
+    pub fn is_evacuated(&self, zone: &str) -> bool {
+        self.evacuated.binary_search_by(|z| (**z).cmp(zone)).is_ok()
+    }
+
     /// Returns the announced weights of `model`; `None` if there are none.
     pub fn announced(&self, model: &str) -> Option<&Weights> {
         let at = self.weights.binary_search_by(|w| (*w.model).cmp(model)).ok()?;
@@ -294,6 +301,15 @@
         })
     }
 
+    /// Sets the evacuated zones, which must be sorted. Returns false if nothing changed.
+    pub fn set_evacuated(&self, zones: Vec<Arc<str>>) -> bool {
+        self.update(|state| {
+            let changed = state.evacuated != zones;
+            state.evacuated = zones;
+            changed
+        })
+    }
+
     /// Records that the configuration and the announced weights were current at `at`.
     pub fn confirm_config(&self, at: Time) {
         self.update_times(|times| times.config = times.config.max(at));
--- a/crates/place/src/choice.rs
+++ b/crates/place/src/choice.rs
@@ -105,6 +105,9 @@
     /// The target has no replica that accepts new requests and has the software.
     #[error("the target has no replica that takes work")]
     NoReplica,
+    /// All replicas that accept new requests and have the software are in evacuated zones.
+    #[error("all replicas are in evacuated zones")]
+    Evacuated,
     /// No usable replica has the required headroom.
     #[error("all replicas are full")]
     Overloaded,
@@ -176,19 +179,28 @@
 impl Pool {
     /// Chooses the replica with the least expected delay.
     ///
-    /// Returns an error if the target has no replica, if all are excluded or tried already, or if
+    /// Returns an error if the target has no replica outside of evacuated zones, if all are excluded or tried already, or if
     /// none has the required headroom.
     pub fn choose(
         &self,
         request: &PlacementRequest<'_>,
         now: Time,
     ) -> Result<Choice, PlacementError> {
+        let has_software =
+            |r: &Replica| request.software.is_none_or(|s| r.software.as_deref() == Some(s));
         let mut members = self.members(request);
-        if let Some(software) = request.software {
-            members.retain(|m| m.entry.replica.software.as_deref() == Some(software));
-        }
+        members.retain(|m| has_software(&m.entry.replica));
         if members.is_empty() {
-            return Err(PlacementError::NoReplica);
+            let evacuated = self.entries.iter().map(|e| &e.replica).any(|r| {
+                &*r.target == request.target
+                    && !r.leaving
+                    && self.is_evacuated(r)
+                    && has_software(r)
+            });
+            return Err(match evacuated {
+                true => PlacementError::Evacuated,
+                false => PlacementError::NoReplica,
+            });
         }
         let preferred = preferred_replicas(&members, request, now);
         let preferred_for = |entry: &Entry| {
@@ -271,10 +283,13 @@
         until.min()
     }
 
-    /// Returns the target's replicas that accept requests. Which replicas of an engine target are
+    /// Returns the target's replicas that accept requests, outside of evacuated zones. Which replicas of an engine target are
     /// preferred for short prompts depends on their ids only, so that all instances agree.
     fn members(&self, request: &PlacementRequest<'_>) -> Vec<Member<'_>> {
-        let accepts = |e: &&Entry| &*e.replica.target == request.target && !e.replica.leaving;
+        let accepts = |e: &&Entry| {
+            let r = &e.replica;
+            &*r.target == request.target && !r.leaving && !self.is_evacuated(r)
+        };
         let entries: Vec<&Entry> = self.entries.iter().filter(accepts).collect();
         if request.engine.is_none() {
             return entries.into_iter().map(|entry| Member { entry, for_short: false }).collect();
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -138,6 +138,8 @@
     pub(crate) entries: Vec<Entry>,
     /// Sorted by name.
     peers: Vec<Peer>,
+    /// Zones whose replicas are not chosen. Sorted.
+    evacuated: Vec<Arc<str>>,
     /// Typical prefill and memory tokens of this instance's short and long prompts.
     typical: [Option<(f64, f64)>; 2],
     /// Number of reports that were recorded.
@@ -186,6 +188,16 @@
         }
     }
 
+    /// Sets the zones whose replicas are not chosen, which must be sorted.
+    pub fn set_evacuated(&mut self, zones: &[Arc<str>]) {
+        self.evacuated = zones.to_vec();
+    }
+
+    /// Whether a replica is not chosen because of its zone.
+    pub(crate) fn is_evacuated(&self, replica: &Replica) -> bool {
+        self.evacuated.binary_search(&replica.zone).is_ok()
+    }
+
     /// Replaces the load that a peer has in flight. `loads` must be sorted by replica.
     pub fn set_peer_loads(&mut self, name: &Arc<str>, loads: Vec<PeerLoad>, now: Time) {
         let peer = Peer { name: name.clone(), loads, received: now };
--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -29,7 +29,7 @@
     conns::SendError,
     core::{Core, StoreCatalog},
     detour::Open,
-    feed_wire::{self, LoadWire, PartsPoll, PartsWire, TopicWire},
+    feed_wire::{self, LoadWire, PartsPoll, PartsWire, TopicWire, max_age},
     services::{Batch, Topic, Update},
 };
 
@@ -43,11 +43,6 @@
 const INSTANCES_WAIT: Duration = Duration::from_millis(2000);
 /// Timeout of a poll, in addition to its wait.
 const FEED_TIMEOUT: Duration = Duration::from_millis(500);
-/// Age of a reader's word from which it is left for another reader. Readers with followers ask for
-/// changes every 1.2 s or more often.
-const MAX_AGE: Duration = Duration::from_millis(1400);
-/// The same for instances, for which readers ask every 2.9 s or more often.
-const MAX_INSTANCES_AGE: Duration = Duration::from_millis(4000);
 /// Time that an instance has to ask its sources again after the first follower's poll. Until then its
 /// own polls wait longer than a word may be old.
 const FIRST_ANSWER_DELAY: Duration = Duration::from_millis(200);
@@ -88,14 +83,6 @@
     failing: [AtomicBool; Topic::ALL.len()],
 }
 
-/// Age of a reader's word on a topic from which it is left for another reader.
-fn max_age(topic: Topic) -> Duration {
-    match topic {
-        Topic::Operator | Topic::Replicas => MAX_AGE,
-        Topic::Instances => MAX_INSTANCES_AGE,
-    }
-}
-
 /// An answer of a reader.
 #[derive(Debug)]
 pub(crate) struct Answer {
@@ -189,8 +176,12 @@
         let _ = self.followed_since.subscribe().wait_for(Option::is_some).await;
     }
 
-    /// Records a follower's poll. Returns when the first one came.
-    fn note_follower(&self, now: Time) -> Time {
+    /// Records a follower's poll. Returns when the first one came. An instance that asks once, since
+    /// the registry does not answer it, is no follower.
+    fn note_follower(&self, query: &str, now: Time) -> Time {
+        if feed_wire::is_single(query) {
+            return self.followed_since.borrow().unwrap_or(now);
+        }
         self.followed_since.send_if_modified(|since| since.replace(since.unwrap_or(now)).is_none());
         self.followed_since.borrow().unwrap_or(now)
     }
@@ -268,7 +259,7 @@
     let name = path.strip_prefix(TOPIC_PATH)?;
     let topic = Topic::ALL.into_iter().find(|t| t.name() == name)?;
     let (position, wait) = feed_wire::parse_poll(query);
-    let followed_since = core.feeds.note_follower(core.now());
+    let followed_since = core.feeds.note_follower(query, core.now());
     let end = core.now().after(wait.min(INSTANCES_WAIT));
     let mut news = core.feeds.news[topic as usize].subscribe();
     loop {
@@ -303,19 +294,22 @@
 }
 
 /// Asks a reader for what follows `position` of a topic, and waits up to `longest` for a change.
+/// `single` says that this instance does not follow it.
 pub(crate) async fn poll(
     core: &Core,
     reader: &Arc<str>,
     topic: Topic,
     position: Option<Version>,
     longest: Duration,
+    single: bool,
 ) -> Option<Answer> {
     let wait = match topic {
         Topic::Instances => INSTANCES_WAIT,
         Topic::Operator | Topic::Replicas => FEED_WAIT,
     };
     let wait = wait.min(longest);
-    let path = format!("{TOPIC_PATH}{}?{}", topic.name(), feed_wire::poll_query(position, wait));
+    let query = feed_wire::poll_query(position, wait, single);
+    let path = format!("{TOPIC_PATH}{}?{query}", topic.name());
     let bytes = fetch(core, reader, &path, wait + FEED_TIMEOUT).await?;
     let wire: TopicWire = match serde_json::from_slice(&bytes) {
         Ok(wire) => wire,
--- a/crates/relay/src/feed_wire.rs
+++ b/crates/relay/src/feed_wire.rs
@@ -18,9 +18,25 @@
 const FORMAT: u32 = 1;
 /// Key of the configuration's row.
 const CONFIG_KEY: &str = "config";
+/// Key of the row of the evacuated zones.
+const EVACUATED_KEY: &str = "evacuated";
 /// Start of the keys of weights' rows.
 const WEIGHTS_KEY: &str = "weights/";
 
+/// Age of a reader's word from which it is left for another reader. Readers with followers ask for
+/// changes every 1.2 s or more often.
+const MAX_AGE: Duration = Duration::from_millis(1400);
+/// The same for instances, for which readers ask every 2.9 s or more often.
+const MAX_INSTANCES_AGE: Duration = Duration::from_millis(4000);
+
+/// Age of a reader's word on a topic from which it is left for another reader.
+pub(crate) fn max_age(topic: Topic) -> Duration {
+    match topic {
+        Topic::Operator | Topic::Replicas => MAX_AGE,
+        Topic::Instances => MAX_INSTANCES_AGE,
+    }
+}
+
 /// What changed in a topic.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
@@ -77,6 +93,9 @@
         model: String,
         version: u64,
     },
+    /// All evacuated zones. Written with each complete reading, so that a follower tells a reader
+    /// that knows none from one of an earlier release, which reads no evacuations.
+    Evacuated(Vec<String>),
     Replica(ReplicaWire),
     Instance(InstanceWire),
 }
@@ -189,6 +208,12 @@
             let row = RowWire::Weights { model: model.to_string(), version: *version };
             (format!("{WEIGHTS_KEY}{model}").into(), row)
         }
+        // Handed on as part of `Update::Evacuated`.
+        Update::Evacuation { .. } => return (EVACUATED_KEY.into(), None),
+        Update::Evacuated(zones) => {
+            let zones = zones.iter().map(|z| z.to_string()).collect();
+            (EVACUATED_KEY.into(), RowWire::Evacuated(zones))
+        }
         Update::Replica(replica) => (replica.id.clone(), RowWire::Replica(replica.into())),
         Update::Instance(instance) => (instance.name.clone(), RowWire::Instance(instance.into())),
         Update::ReplicaRemoved(key) | Update::InstanceRemoved(key) => return (key.clone(), None),
@@ -206,6 +231,12 @@
             Update::Config(Box::new(config), bytes.into())
         }
         RowWire::Weights { model, version } => Update::Weights { model: model.into(), version },
+        RowWire::Evacuated(zones) => {
+            let mut zones: Vec<Arc<str>> = zones.into_iter().map(Into::into).collect();
+            zones.sort();
+            zones.dedup();
+            Update::Evacuated(zones)
+        }
         RowWire::Replica(wire) => Update::Replica(wire.into()),
         RowWire::Instance(wire) => Update::Instance(wire.into()),
     })
@@ -220,13 +251,17 @@
     }
 }
 
-/// The query of a poll.
-pub(crate) fn poll_query(position: Option<Version>, wait: Duration) -> String {
-    let wait = wait.as_millis();
-    match position {
-        Some(at) => format!("format={FORMAT}&wait={wait}&after={}.{}", at.era, at.number),
-        None => format!("format={FORMAT}&wait={wait}"),
-    }
+/// The query of a poll. `single` says that the sender does not follow the reader.
+pub(crate) fn poll_query(position: Option<Version>, wait: Duration, single: bool) -> String {
+    let after = position.map_or(String::new(), |at| format!("&after={}.{}", at.era, at.number));
+    let single = if single { "&single=1" } else { "" };
+    format!("format={FORMAT}&wait={}{after}{single}", wait.as_millis())
+}
+
+/// Whether the sender of a poll does not follow this instance. Earlier releases take it for one that
+/// does, and ask the registry more often.
+pub(crate) fn is_single(query: &str) -> bool {
+    query.split('&').any(|word| word == "single=1")
 }
 
 /// Position and wait of a poll. What can't be read counts as missing.
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -75,22 +75,23 @@
 
     async fn poll(&mut self) {
         match self.core.feeds.reader(self.core.now()) {
-            Some(reader) => self.poll_reader(reader).await,
+            Some(reader) => self.poll_reader(reader, false).await,
             None => self.poll_registry().await,
         }
     }
 
-    /// Asks a reader for changes.
-    async fn poll_reader(&mut self, reader: Arc<str>) {
+    /// Asks a reader for changes; `single` if this instance does not follow it.
+    async fn poll_reader(&mut self, reader: Arc<str>, single: bool) {
         let (asked_at, full) = (self.core.now(), self.next.is_none());
         // The first answer of a reader shows whether it answers at all.
         let known = self.followed.take().is_some_and(|followed| followed == reader);
         let wait = match (known, self.missing.is_empty()) {
+            _ if single => Duration::ZERO,
             (false, _) => Duration::ZERO,
             (true, false) => MISSING_POLL_WAIT,
             (true, true) => MAX_POLL_WAIT,
         };
-        let answer = feed::poll(&self.core, &reader, self.topic, self.next, wait).await;
+        let answer = feed::poll(&self.core, &reader, self.topic, self.next, wait, single).await;
         let Some(answer) = answer else { return };
         let core = self.core.clone();
         let Answer { batch, rows, full: is_full, age, is_old } = answer;
@@ -117,7 +118,7 @@
             core.feeds.stale(&reader, core.now());
             return;
         }
-        if is_old {
+        if is_old && !single {
             let age_ms = age.as_millis() as u64;
             info!(reader = &*reader, topic = ?self.topic, age_ms, "reader left, its word is old");
             core.metrics.feed_polls.with_label_values(&["stale"]).inc();
@@ -203,7 +204,8 @@
             return self.restart().await;
         }
         match answer {
-            Ok(batch) => {
+            Ok(mut batch) => {
+                batch.updates = zones::join(&self.core, self.topic, batch.updates, full);
                 if self.failures > 0 {
                     let steady_since = self.core.view.snapshot().confirmed.steady_since;
                     let steady_ms = self.core.now().since(steady_since).as_millis() as u64;
@@ -224,7 +226,14 @@
                     tokio::time::sleep(CHANGE_POLL_INTERVAL).await;
                 }
             }
-            Err(e) => self.back_off(e).await,
+            Err(e) => {
+                // What operators order must reach an instance that is a reader itself too.
+                let peer = zones::choose_peer(&self.core).filter(|_| is_failing);
+                if let (Topic::Operator, Some(peer)) = (self.topic, peer) {
+                    self.poll_reader(peer, true).await;
+                }
+                self.back_off(e).await;
+            }
         }
     }
 
@@ -308,6 +317,12 @@
                     info!(%model, version, named = %at, "new weights version announced");
                 }
             }
+            // Joined into the next one before the updates are applied.
+            Update::Evacuation { .. } => {}
+            Update::Evacuated(zones) => {
+                let from = self.followed.as_deref().unwrap_or("registry");
+                zones::evacuate(&core, zones, from);
+            }
             Update::Replica(replica) => {
                 self.missing.retain(|(id, _)| *id != replica.id);
                 self.put_replica(replica);
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -45,6 +45,9 @@
 /// Delay after which callers should retry where a target has no replica.
 const NO_REPLICA_RETRY_DELAY: Duration = Duration::from_millis(800);
 
+/// The same where all its replicas are in evacuated zones. Their return has no set time.
+const EVACUATED_RETRY_DELAY: Duration = Duration::from_secs(2);
+
 /// An attempt that may be made: its replica, and the state on which the choice is based.
 pub(crate) struct Attempt {
     pub(crate) snapshot: Arc<Snapshot>,
@@ -322,6 +325,9 @@
                 };
                 return stop(why, NO_REPLICA_RETRY_DELAY);
             }
+            Err(PlacementError::Evacuated) => {
+                return stop("all replicas are in evacuated zones", EVACUATED_RETRY_DELAY);
+            }
             Err(PlacementError::Overloaded) => return Step::Wait(CAPACITY_CHECK_INTERVAL),
             Err(PlacementError::Excluded { until }) => {
                 let wait = until.since(now);
--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -29,10 +29,10 @@
     core.reach.lock().cut_off(&members)
 }
 
-/// The replicas that take new requests.
+/// The replicas that take new requests: one in an evacuated zone shows no way to its target.
 fn members(core: &Core) -> Vec<Member> {
     let snapshot = core.view.snapshot();
-    let taking = snapshot.replicas.iter().filter(|r| !r.leaving);
+    let taking = snapshot.replicas.iter().filter(|r| !r.leaving && !snapshot.is_evacuated(&r.zone));
     taking.map(|r| Member { replica: r.id.clone(), target: r.target.clone() }).collect()
 }
 
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -113,6 +113,7 @@
                 self.forwarder.job.cache_scope(&core.view.snapshot()) == *scope
             })
             && !core.has_said_leaving(self.replica)
+            && !core.view.snapshot().is_evacuated(&self.replica.zone)
             && !core.pool.lock().declines(&self.replica.id, now)
             && permits::may_write(core, &self.replica.id, self.cold, now);
         let begin = || FlightGuard::new(core, self.replica, suspects.clone());
--- a/crates/relay/src/services.rs
+++ b/crates/relay/src/services.rs
@@ -63,6 +63,15 @@
         /// Version of the weights.
         version: u64,
     },
+    /// The operators evacuate a zone, or no longer do.
+    Evacuation {
+        /// Name of the zone.
+        zone: Arc<str>,
+        /// Whether no requests may be sent to replicas in the zone.
+        active: bool,
+    },
+    /// All evacuated zones, as a peer hands them on. Sorted.
+    Evacuated(Vec<Arc<str>>),
     /// A replica registered or changed.
     Replica(Replica),
     /// A replica is no longer registered, or its entry can't be used as a replica.
--- a/crates/relay/src/zones.rs
+++ b/crates/relay/src/zones.rs
@@ -1,11 +1,76 @@
-//! Cold replicas, as entries and this instance's own attempts show them.
+//! Evacuated zones, and cold replicas as entries and this instance's own attempts show them.
 
 use std::sync::Arc;
 
-use fleet::{ColdLimit, Replica};
+use fleet::{ColdLimit, Instance, Replica};
+use rand::seq::IndexedRandom;
 use tracing::{info, warn};
 
-use crate::{core::Core, permits};
+use crate::{
+    core::Core,
+    permits,
+    services::{Report, Topic, Update},
+};
+
+/// A peer that may know what the registry does not tell this instance.
+pub(crate) fn choose_peer(core: &Core) -> Option<Arc<str>> {
+    let snapshot = core.view.snapshot();
+    let others = snapshot.instances.iter().filter(|i| i.name != core.settings.name);
+    let heard: Vec<&Arc<Instance>> = others.filter(|i| core.is_heard(&i.name)).collect();
+    heard.choose(&mut rand::rng()).map(|i| i.name.clone())
+}
+
+/// Joins the evacuations in updates of the registry into one update with all evacuated zones.
+pub(crate) fn join(core: &Core, topic: Topic, updates: Vec<Update>, full: bool) -> Vec<Update> {
+    let is_evacuation = |u: &Update| matches!(u, Update::Evacuation { .. });
+    if topic != Topic::Operator || !(full || updates.iter().any(is_evacuation)) {
+        return updates;
+    }
+    // A complete reading replaces what was known.
+    let known = core.view.snapshot().evacuated.clone();
+    let mut zones = if full { Vec::new() } else { known };
+    let mut out = Vec::new();
+    for update in updates {
+        let Update::Evacuation { zone, active } = update else {
+            out.push(update);
+            continue;
+        };
+        match (zones.binary_search(&zone), active) {
+            (Err(at), true) => zones.insert(at, zone),
+            (Ok(at), false) => _ = zones.remove(at),
+            (Err(_), false) => info!(%zone, "evacuation removed that was not known"),
+            (Ok(_), true) => {}
+        }
+    }
+    out.push(Update::Evacuated(zones));
+    out
+}
+
+/// Applies the evacuated zones. `from` names their origin in the log.
+pub(crate) fn evacuate(core: &Core, zones: Vec<Arc<str>>, from: &str) {
+    let (snapshot, now) = (core.view.snapshot(), core.now());
+    let known = &snapshot.evacuated;
+    if *known == zones {
+        return;
+    }
+    let known_ms = now.since(snapshot.confirmed.config).as_millis() as u64;
+    for zone in known.iter().filter(|z| zones.binary_search(z).is_err()) {
+        // Before requests are sent there again.
+        let cold = core.cold.lock().zone_returned(zone, now);
+        info!(%zone, cold, known_ms, from, "evacuation of the zone ended");
+    }
+    for zone in zones.iter().filter(|z| known.binary_search(z).is_err()) {
+        let replicas = snapshot.replicas.iter().filter(|r| r.zone == *zone).count();
+        let bound_ms = core.settings.bounds.evacuation.as_millis() as u64;
+        info!(%zone, replicas, known_ms, bound_ms, from, "zone is evacuated");
+        if replicas == 0 && !snapshot.replicas.is_empty() {
+            warn!(%zone, "evacuated zone has no known replica");
+        }
+    }
+    core.metrics.evacuated_zones.set(zones.len() as i64);
+    core.pool.lock().set_evacuated(&zones);
+    core.view.set_evacuated(zones);
+}
 
 /// The limit of cold replicas of a target.
 fn limit(core: &Core, target: &str) -> Option<ColdLimit> {
@@ -61,8 +126,7 @@
     let (core, replica) = (core.clone(), replica.clone());
     tokio::spawn(async move {
         let report = permits::report(&core, &replica).await;
-        let is_same =
-            |r: &crate::services::Report| r.started_ms != 0 && r.started_ms == replica.started_ms;
+        let is_same = |r: &Report| r.started_ms != 0 && r.started_ms == replica.started_ms;
         if report.is_ok_and(|r| is_same(&r)) {
             let now = core.now();
             core.cold.lock().is_same(&replica.id, replica.started_ms, now);
