Count a request until its answer is written and acknowledged

Cause: a request left the count of those in progress when the last bytes of its answer were handed to hyper, and a stopping instance gave what was still in buffers 60 ms. Answers of the directory were not counted.

Change: the guard that counts a request goes with the body of its answer and waits at the connection for the flush after the body's last bytes. Answers of the directory and of detours for peers are counted too, polls of followers are not. Then the instance waits within the grace period for the kernel's send queues of its listeners' connections to be empty. The log line of the end has the field unacked.

--- a/crates/relay/src/accept.rs
+++ b/crates/relay/src/accept.rs
@@ -18,7 +18,7 @@
     answer::Refusal,
     core::{BODY_PERMIT_BYTES, Core},
     detour::DETOUR,
-    job::{ActiveGuard, Job, request_digest},
+    job::{Job, request_digest},
 };
 
 /// How long a request waits for memory for its body.
@@ -34,7 +34,6 @@
     request: Request<Incoming>,
     start: Time,
 ) -> Result<Job, Refusal> {
-    let active = ActiveGuard::new(core);
     let (head, body) = request.into_parts();
     let snapshot: Arc<Snapshot> = core.view.snapshot();
     let config = snapshot.config.as_ref().ok_or(Refusal::Unready)?;
@@ -71,7 +70,6 @@
         deadline,
         is_detour: false,
         _body_permit: permit,
-        _active: active,
     })
 }
 
--- a/crates/relay/src/caller_conn.rs
+++ b/crates/relay/src/caller_conn.rs
@@ -24,7 +24,7 @@
     net::TcpStream,
 };
 
-use crate::answer::Body;
+use crate::{answer::Body, unwritten::Unwritten};
 
 /// Whether the caller would take the end of the connection for the end of an answer that is not
 /// complete. Clones share the state.
@@ -63,13 +63,14 @@
 pub(crate) struct CallerConn {
     stream: TcpStream,
     incomplete: Incomplete,
+    unwritten: Unwritten,
     /// Whether closing the socket resets the connection.
     resets: bool,
 }
 
 impl CallerConn {
-    pub(crate) fn new(stream: TcpStream, incomplete: Incomplete) -> Self {
-        Self { stream, incomplete, resets: false }
+    pub(crate) fn new(stream: TcpStream, incomplete: Incomplete, unwritten: Unwritten) -> Self {
+        Self { stream, incomplete, unwritten, resets: false }
     }
 
     fn update(&mut self) -> io::Result<()> {
@@ -116,6 +117,8 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // hyper flushes once it has written all that it has buffered.
+        self.unwritten.written();
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -15,7 +15,7 @@
 
 use crate::{core::Core, protocol::RequestMeta};
 
-/// Counts a request as in flight until the guard is dropped at the end of its answer.
+/// Counts a request as in flight until the guard is dropped, once its answer is written.
 pub struct ActiveGuard(Arc<Core>);
 
 impl ActiveGuard {
@@ -59,8 +59,6 @@
     pub is_detour: bool,
     /// Holds the memory that the body takes.
     pub _body_permit: OwnedSemaphorePermit,
-    /// Counts the request as in flight.
-    pub _active: ActiveGuard,
 }
 
 impl Job {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -38,6 +38,8 @@
 mod send;
 mod serve;
 pub mod services;
+pub mod unacked;
+mod unwritten;
 mod verdicts;
 mod versions;
 mod whole;
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -7,6 +7,7 @@
 };
 
 use fleet::{Instance, Replica};
+use ident::Time;
 use rand::Rng;
 use socket2::{Domain, Socket, Type};
 use tokio::{
@@ -17,10 +18,11 @@
 use tracing::{info, warn};
 
 use crate::{
-    core::Core,
+    core::{Core, Listen},
     duty, feed, follow, holdings, links, origins, peers,
     serve::{ListenerKind, listen},
     services::Topic,
+    unacked::unacked_bytes,
     verdicts,
 };
 
@@ -35,8 +37,8 @@
 const LONG_TIMER_DELAY: Duration = Duration::from_millis(250);
 /// The process ends this long before the platform would kill it.
 const GRACE_MARGIN: Duration = Duration::from_millis(250);
-/// Time allowed for writing the last bytes of answers.
-const FLUSH_GRACE: Duration = Duration::from_millis(60);
+/// Interval at which a stopping instance checks whether its answers are written and acknowledged.
+const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Share of the grace period in which new requests are still accepted. Callers learn late that an
 /// instance is stopping, and a request accepted later might not finish in time.
 const ACCEPT_SHARE: f64 = 0.33;
@@ -158,11 +160,27 @@
         if end.passed(now) || (idle && close.passed(now)) {
             break;
         }
-        tokio::time::sleep(Duration::from_millis(50)).await;
+        tokio::time::sleep(STOP_CHECK_INTERVAL).await;
+    }
+    let unacked = wait_for_acks(core, end).await;
+    info!(active = core.active.load(Ordering::Relaxed), unacked, "instance stopped");
+}
+
+/// Waits until the other ends have acknowledged all that was written to connections, or until `end`.
+/// What the kernel holds is lost if the machine goes away with the process. Returns the number of
+/// bytes that are left; `None` if the kernel does not tell.
+async fn wait_for_acks(core: &Core, end: Time) -> Option<u64> {
+    let Listen { front, ready, directory, peer, .. } = core.settings.listen;
+    loop {
+        match unacked_bytes(&[front, ready, directory, peer]).await {
+            Ok(bytes) if bytes == 0 || end.passed(core.now()) => return Some(bytes),
+            Ok(_) => tokio::time::sleep(STOP_CHECK_INTERVAL).await,
+            Err(error) => {
+                warn!(%error, "the kernel does not tell which bytes are acknowledged");
+                return None;
+            }
+        }
     }
-    // A request is counted as complete before the last bytes of its answer are written.
-    tokio::time::sleep(FLUSH_GRACE).await;
-    info!(active = core.active.load(Ordering::Relaxed), "instance stopped");
 }
 
 /// Opens a listener with a long queue. Its address can be bound again at once after a restart.
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -19,8 +19,10 @@
     detour::{self, DETOUR},
     directory, feed,
     forward::forward,
+    job::ActiveGuard,
     peers::CONFIG_PATH,
     protocol::Endpoint,
+    unwritten::{CountedBody, Unwritten},
 };
 
 /// Largest head of a request, in bytes, before a configuration sets a limit.
@@ -82,9 +84,18 @@
     let head = limits.map_or(DEFAULT_HEAD_BYTES, |l| l.head_bytes.max(8192));
     let mut closing = core.closing.subscribe();
     let incomplete = Incomplete::default();
-    let stream = CallerConn::new(stream, incomplete.clone());
-    let service =
-        service_fn(move |request| respond(core.clone(), request, kind, from, incomplete.clone()));
+    let unwritten = Unwritten::default();
+    let stream = CallerConn::new(stream, incomplete.clone(), unwritten.clone());
+    let service = service_fn(move |request| {
+        let (core, incomplete, unwritten) = (core.clone(), incomplete.clone(), unwritten.clone());
+        async move {
+            // Followers ask again and again, also while the instance stops.
+            let is_counted = kind != ListenerKind::Peer || request.headers().contains_key(DETOUR);
+            let active = is_counted.then(|| ActiveGuard::new(&core));
+            let answer = respond(core, request, kind, from, incomplete).await;
+            Ok::<_, Infallible>(answer.map(|body| CountedBody::new(body, active, unwritten)))
+        }
+    });
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new()).max_buf_size(head);
     // hyper's timer also covers the idle time before a request, so the longer limit applies.
@@ -108,7 +119,7 @@
     kind: ListenerKind,
     from: SocketAddr,
     incomplete: Incomplete,
-) -> Result<Response<Body>, Infallible> {
+) -> Response<Body> {
     let mut out = match kind {
         ListenerKind::Front => {
             let (version, method) = (request.version(), request.method().clone());
@@ -129,7 +140,7 @@
     if core.is_leaving() {
         out.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    Ok(out)
+    out
 }
 
 async fn serve_request(core: &Arc<Core>, request: Request<Incoming>) -> Response<Body> {
--- /dev/null
+++ b/crates/relay/tests/unacked_bytes.rs
@@ -0,0 +1,38 @@
+//! An instance that stops waits for bytes that the other end has not acknowledged: they are lost if
+//! the machine goes away with the process.
+
+use std::{
+    io::{ErrorKind, Read, Write},
+    net::{TcpListener, TcpStream},
+};
+
+use relay::unacked::unacked_bytes;
+
+#[tokio::test]
+async fn bytes_count_until_the_other_end_acknowledges_them() {
+    for addr in ["127.0.0.1:0", "0.0.0.0:0", "[::1]:0", "[::]:0"] {
+        // Without IPv6 there is nothing to check there.
+        let Ok(listener) = TcpListener::bind(addr) else { continue };
+        let addr = listener.local_addr().expect("it is bound");
+        let mut client = TcpStream::connect(("localhost", addr.port()))
+            .or_else(|_| TcpStream::connect(addr))
+            .expect("it listens");
+        let (mut server, _) = listener.accept().expect("the client has connected");
+        assert_eq!(unacked_bytes(&[addr]).await.expect("it is told"), 0, "{addr}");
+        server.set_nonblocking(true).expect("the mode can be set");
+        let written = loop {
+            match server.write(&[0; 65_536]) {
+                Ok(count) => assert!(count > 0, "it takes bytes or none"),
+                Err(e) => break e.kind(),
+            }
+        };
+        assert_eq!(written, ErrorKind::WouldBlock);
+        drop(server);
+        let unacked = unacked_bytes(&[addr]).await.expect("it is told");
+        assert!(unacked > 0, "{addr}: a closed connection counts until all is acknowledged");
+        let others = [TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("free")];
+        assert_eq!(unacked_bytes(&others).await.expect("it is told"), 0, "of another listener");
+        client.read_to_end(&mut Vec::new()).expect("the connection ends");
+        assert_eq!(unacked_bytes(&[addr]).await.expect("it is told"), 0, "{addr}: all was read");
+    }
+}
