Release leases at a service that counts all transactions

Cause: leases took the version of their row to rise by one with each write. The registry numbers rows by its transactions, so a write by anybody else made the next renewal or release fail with a conflict. A renewal then read the row and went on; a release reported the lease as lost and left it to expire.

Change: Table::commit_versioned returns the version of the written rows where the answer tells it, and leases keep that. A release that did not succeed reads the row and is repeated while the holder is the same.

Result: with a table that numbers rows by commits, release gave Lost right after acquire; the row of a stopped instance had released: false.

--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -146,12 +146,13 @@
             });
             let (holder_wire, act_after) = (holder.clone(), None);
             let wire = RowWire { holder: holder_wire, fence, duration, released: false, act_after };
-            let answer = self.table.commit(vec![wire.write(&sort, expect)]).await;
+            let answer = self.table.commit_versioned(vec![wire.write(&sort, expect)]).await;
             match answer {
                 // Answered in a later era: nobody knows in which one it took effect.
-                Ok(()) if self.table.era() != era => {}
-                Ok(()) => {
-                    let version = row.map_or(Version { era, number: 1 }, |r| r.version.next());
+                Ok(_) if self.table.era() != era => {}
+                Ok(written) => {
+                    let next = row.map_or(Version { era, number: 1 }, |r| r.version.next());
+                    let version = written.filter(|v| v.era == era).unwrap_or(next);
                     let held = self.held(sort, holder, fence, version, duration, now);
                     return Ok(held.after(previous));
                 }
@@ -185,11 +186,14 @@
         }
         let wire = held.wire(duration, false);
         for _ in 0..MAX_TRIES {
-            let answer = self.table.commit(vec![wire.write(&held.sort, held.expect())]).await;
+            let write = wire.write(&held.sort, held.expect());
+            let answer = self.table.commit_versioned(vec![write]).await;
             self.check_era(held)?;
             match answer {
-                Ok(()) => {
-                    held.extend(held.version.next(), duration, now);
+                Ok(written) => {
+                    let follows = |v: &Version| v.era == held.era() && *v > held.version;
+                    let version = written.filter(follows).unwrap_or(held.version.next());
+                    held.extend(version, duration, now);
                     return Ok(());
                 }
                 Err(TableError::Refused(text)) => return Err(TableError::Refused(text).into()),
@@ -215,10 +219,28 @@
     pub async fn release(&self, mut held: HeldLease) -> Result<(), LeaseError> {
         self.check_era(&mut held)?;
         let wire = held.wire(held.duration, true);
-        match self.table.commit(vec![wire.write(&held.sort, held.expect())]).await {
-            Err(TableError::Conflict) => Err(LeaseError::Lost),
-            other => Ok(other?),
+        for _ in 0..MAX_TRIES {
+            let answer = self.table.commit(vec![wire.write(&held.sort, held.expect())]).await;
+            self.check_era(&mut held)?;
+            match answer {
+                Ok(()) => return Ok(()),
+                Err(TableError::Refused(text)) => return Err(TableError::Refused(text).into()),
+                Err(_) => {}
+            }
+            // As with a renewal, a higher version with the same holder is from a write of its own.
+            let row = self.table.get(row::PARTITION, &held.sort).await;
+            self.check_era(&mut held)?;
+            let row = row?.ok_or(LeaseError::Lost)?;
+            let current = RowWire::read(&row)?;
+            if current.holder != held.holder || row.version.era != held.era() {
+                return Err(LeaseError::Lost);
+            }
+            if current.released {
+                return Ok(());
+            }
+            held.version = row.version;
         }
+        Err(TableError::Conflict.into())
     }
 
     /// Ends a lease of an earlier era.
--- a/crates/table/src/lib.rs
+++ b/crates/table/src/lib.rs
@@ -102,4 +102,10 @@
 
     /// Applies all writes if all their conditions hold, or none of them.
     async fn commit(&self, writes: Vec<Write>) -> Result<(), TableError>;
+
+    /// Like [`Table::commit`], and returns the version that the written rows have now, if the service
+    /// tells it. A service that numbers rows by its transactions gives one that can't be foreseen.
+    async fn commit_versioned(&self, writes: Vec<Write>) -> Result<Option<Version>, TableError> {
+        self.commit(writes).await.map(|()| None)
+    }
 }
--- a/crates/table/src/memory.rs
+++ b/crates/table/src/memory.rs
@@ -33,6 +33,9 @@
     /// Sorted by name.
     partitions: Vec<Partition>,
     era: u64,
+    /// Number of commits so far, where the table numbers rows by it; `None` where it counts the
+    /// writes to each row.
+    commits: Option<u64>,
     faults: Faults,
 }
 
@@ -52,6 +55,13 @@
         Self::default()
     }
 
+    /// Creates an empty table that gives all rows of a commit its number, as services do that count
+    /// their transactions.
+    pub fn counting_commits() -> Self {
+        let inner = Inner { commits: Some(0), ..Inner::default() };
+        Self { inner: Mutex::new(inner) }
+    }
+
     /// While `on`, every call fails with [`TableError::Unknown`] and has no effect.
     pub fn down(&self, on: bool) {
         self.inner.lock().faults.down = on;
@@ -164,19 +174,21 @@
     }
 
     fn apply(&mut self, write: Write) {
-        let era = self.era;
+        let (era, commits) = (self.era, self.commits);
+        let numbered =
+            |version: Version| Version { number: commits.unwrap_or(version.number), ..version };
         let rows = &mut self.part_mut(&write.part).rows;
         let found = rows.binary_search_by(|r| r.sort.cmp(&write.sort));
         match (found, write.body) {
             (Ok(at), Some(body)) => {
-                rows[at].version = rows[at].version.next();
+                rows[at].version = numbered(rows[at].version.next());
                 rows[at].body = body;
             }
             (Ok(at), None) => {
                 rows.remove(at);
             }
             (Err(at), Some(body)) => {
-                let version = Version { era, number: 1 };
+                let version = numbered(Version { era, number: 1 });
                 rows.insert(at, Row { part: write.part, sort: write.sort, version, body });
             }
             (Err(_), None) => {}
@@ -210,6 +222,7 @@
         if !writes.iter().all(|w| inner.holds(w)) {
             return Err(TableError::Conflict);
         }
+        inner.commits = inner.commits.map(|n| n + 1);
         writes.into_iter().for_each(|w| inner.apply(w));
         inner.faults.writes += 1;
         if inner.faults.lost_answers > 0 {
