Read the four figures of replicas' load reports

Cause: of the load header only the sum of the first two figures was used. The pace of a replica was not read, values with too few or too many figures passed, and a malformed value left no trace.

Change: ResponseMeta has a ReplicaLoad with running and waiting requests, slots and pace, or the error of a malformed value, and Pool::record_report takes it. LoadReport carries it with the time of its arrival. Three figures are valid, since replicas that name no pace send them; any other number of figures, text, negative and huge figures and a pace of 0 make the whole value malformed, which is logged once for each incarnation of a replica and counted. Reports that name a pace are handed on between instances with their figures in an optional field of the feed; others are sent as before. A change in the number of engines for short prompts is logged and shown in a gauge, each target at most once a second.

--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -14,6 +14,7 @@
 mod pool;
 mod prompt;
 mod refusals;
+mod report;
 mod room;
 mod salt;
 
@@ -22,10 +23,12 @@
     catalog::{Catalog, Change, HeldPart},
     choice::{Choice, PlacementError, PlacementRequest},
     limits::{LimitReport, Limits, NamedLimit, Peers, Permit},
+    partition::EngineShare,
     plan::{Plan, Source, Transfer, free_delay, old_part_grace},
-    pool::{Load, LoadReport, Outcome, PeerLoad, Pool},
+    pool::{Load, Outcome, PeerLoad, Pool},
     prompt::{Part, Prompt},
     refusals::{RefusalReport, Refusals},
+    report::{LoadReport, ReplicaLoad},
     room::Headroom,
     salt::{Salt, cache_salt},
 };
--- a/crates/place/src/partition.rs
+++ b/crates/place/src/partition.rs
@@ -25,6 +25,8 @@
 const TARGET_MEMORY: f64 = 0.75;
 /// Interval between two observations of the demand.
 const OBSERVE_INTERVAL: Duration = Duration::from_millis(100);
+/// Shortest time between two changes of a target's share that are returned to be logged.
+const TELL_INTERVAL: Duration = Duration::from_secs(1);
 /// Time constant with which the demand follows higher observations. Short prompts have goals of a
 /// few hundred ms.
 const RISE_TIME: Duration = Duration::from_millis(300);
@@ -62,12 +64,36 @@
     /// others.
     mix: [(f64, f64); 2],
     observed: Time,
+    /// Number of engines for short prompts that was last returned as changed, and when.
+    told: (usize, Time),
+}
+
+/// How many engines of a target serve short prompts, and why.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EngineShare {
+    /// Name of the target.
+    pub target: Arc<str>,
+    /// Number of engines for short prompts.
+    pub short: usize,
+    /// Number of engines that accept requests.
+    pub engines: usize,
+    /// Engines' worth of slots that short prompts keep busy.
+    pub busy: f64,
+    /// Long prompts that run or wait.
+    pub long: f64,
 }
 
 impl Demand {
     fn new(target: &Arc<str>) -> Self {
         let target = target.clone();
-        Self { target, short: 0.0, long: 0.0, mix: [(0.0, 0.0); 2], observed: Time(0) }
+        Self {
+            target,
+            short: 0.0,
+            long: 0.0,
+            mix: [(0.0, 0.0); 2],
+            observed: Time(0),
+            told: (0, Time(0)),
+        }
     }
 
     /// Whether the next observation is due.
@@ -160,6 +186,26 @@
         self.demands = demands;
     }
 
+    /// Returns the targets whose number of engines for short prompts has changed, each at most once a
+    /// second. A quarter is not a change before another number was returned.
+    pub fn take_share_changes(&mut self, now: Time) -> Vec<EngineShare> {
+        let mut demands = std::mem::take(&mut self.demands);
+        let mut out = Vec::new();
+        for demand in demands.iter_mut().filter(|d| now.since(d.told.1) >= TELL_INTERVAL) {
+            let takes = |e: &&Entry| e.replica.target == demand.target && !e.replica.leaving;
+            let engines = self.entries.iter().filter(takes).count();
+            let short = demand.short_count(engines, f64::MAX);
+            let told = if demand.told.0 == 0 { least_short_count(engines) } else { demand.told.0 };
+            if short != told {
+                demand.told = (short, now);
+                let (target, busy, long) = (demand.target.clone(), demand.short, demand.long);
+                out.push(EngineShare { target, short, engines, busy, long });
+            }
+        }
+        self.demands = demands;
+        out
+    }
+
     /// Keeps one demand for each target with engines.
     pub(crate) fn sync_demands(&mut self) {
         let engines = self.entries.iter().filter(|e| !e.replica.models.is_empty());
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -5,7 +5,7 @@
 use fleet::Replica;
 use ident::Time;
 
-use crate::partition::Demand;
+use crate::{LoadReport, ReplicaLoad, partition::Demand};
 
 /// How long a replica is excluded after [`FAILURE_THRESHOLD`] attempts in a row without an answer.
 /// Each further one doubles the time.
@@ -99,11 +99,12 @@
     pub(crate) own: Load,
     /// Number of those that are long prompts.
     pub(crate) own_long: u32,
-    /// Running and queued requests that the replica last reported, and when the report arrived, at
-    /// this instance or a peer.
-    reported: Option<(u32, Time)>,
+    /// Load that the replica last reported, and when the report arrived, at this instance or a peer.
+    pub(crate) reported: Option<(ReplicaLoad, Time)>,
     /// Whether the report arrived at this instance.
     is_own_report: bool,
+    /// Whether a malformed report arrived at this instance.
+    is_malformed: bool,
     /// Number of the report among all that this instance recorded.
     report_rev: u64,
     /// Number of attempts without an answer since the last [`Outcome::Answered`].
@@ -156,17 +157,6 @@
     pub(crate) demands: Vec<Demand>,
 }
 
-/// A replica's report of its running and queued requests, as peers share it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct LoadReport {
-    /// Identifier of the replica.
-    pub replica: Arc<str>,
-    /// Running and queued requests.
-    pub requests: u32,
-    /// When the report arrived.
-    pub at: Time,
-}
-
 impl Pool {
     /// Sets the registered replicas, which must be sorted by id. Replicas that are still registered
     /// keep their load and health.
@@ -187,6 +177,7 @@
                     own_long: 0,
                     reported: None,
                     is_own_report: false,
+                    is_malformed: false,
                     report_rev: 0,
                     failures: 0,
                     heard: Time(0),
@@ -311,26 +302,32 @@
         found.is_ok_and(|at| !self.entries[at].declined_until.passed(now))
     }
 
-    /// Records a replica's own report of its running and queued requests.
-    pub fn record_report(&mut self, id: &str, requests: u32, now: Time) {
-        self.set_report(id, requests, now, true);
+    /// Records a replica's own report of its load.
+    pub fn record_report(&mut self, id: &str, load: ReplicaLoad, now: Time) {
+        self.set_report(id, load, now, true);
         self.observe_demand(now);
     }
 
     /// Records a report that arrived at a peer, unless a later one is known.
     pub fn merge_report(&mut self, report: &LoadReport) {
-        let LoadReport { replica, requests, at } = report;
+        let LoadReport { replica, load, at } = report;
         let is_later = |e: &mut Entry| e.reported.is_none_or(|(_, known)| known < *at);
         if self.find(replica).is_some_and(is_later) {
-            self.set_report(replica, *requests, *at, false);
+            self.set_report(replica, *load, *at, false);
         }
     }
 
-    fn set_report(&mut self, id: &str, requests: u32, at: Time, is_own: bool) {
+    /// Records that a replica's report was malformed. Returns whether it is the first one of its
+    /// incarnation.
+    pub fn mark_malformed(&mut self, id: &str) -> bool {
+        self.find(id).is_some_and(|entry| !std::mem::replace(&mut entry.is_malformed, true))
+    }
+
+    fn set_report(&mut self, id: &str, load: ReplicaLoad, at: Time, is_own: bool) {
         self.reports += 1;
         let rev = self.reports;
         if let Some(entry) = self.find(id) {
-            (entry.reported, entry.is_own_report) = (Some((requests, at)), is_own);
+            (entry.reported, entry.is_own_report) = (Some((load, at)), is_own);
             entry.report_rev = rev;
         }
     }
@@ -340,8 +337,8 @@
     pub fn reports_since(&self, rev: u64, shared: bool) -> (Vec<LoadReport>, u64) {
         let is_new = |e: &&Entry| e.report_rev > rev && (shared || e.is_own_report);
         let report = |e: &Entry| {
-            let (requests, at) = e.reported?;
-            Some(LoadReport { replica: e.replica.id.clone(), requests, at })
+            let (load, at) = e.reported?;
+            Some(LoadReport { replica: e.replica.id.clone(), load, at })
         };
         (self.entries.iter().filter(is_new).filter_map(report).collect(), self.reports)
     }
@@ -365,12 +362,12 @@
     /// Load that all instances have at an engine. Where peers' loads are old, the engine's own report
     /// counts: the requests in it that are not this instance's are taken for typical ones.
     pub(crate) fn engine_load(&self, entry: &Entry, for_short: bool, now: Time) -> Load {
-        let recent = |(_, at): &(u32, Time)| now.since(*at) < SHARED_REPORT_TTL;
+        let recent = |(_, at): &(ReplicaLoad, Time)| now.since(*at) < SHARED_REPORT_TTL;
         let Some((reported, _)) = entry.reported.filter(recent).filter(|_| self.has_many_peers())
         else {
             return self.total_load(entry, now);
         };
-        let others = reported.saturating_sub(entry.own.requests);
+        let others = reported.requests().saturating_sub(entry.own.requests);
         let (prefill, memory) = self.typical[usize::from(!for_short)].unwrap_or_default();
         let mut out = entry.own;
         out.add(Load {
@@ -412,8 +409,8 @@
     pub(crate) fn requests(&self, entry: &Entry, now: Time) -> u32 {
         let counted = self.total_load(entry, now).requests;
         let ttl = if self.has_many_peers() { SHARED_REPORT_TTL } else { LOAD_REPORT_TTL };
-        let recent = |(_, received): &(u32, Time)| now.since(*received) < ttl;
-        entry.reported.filter(recent).map_or(counted, |(n, _)| n.max(counted))
+        let recent = |(_, received): &(ReplicaLoad, Time)| now.since(*received) < ttl;
+        entry.reported.filter(recent).map_or(counted, |(load, _)| load.requests().max(counted))
     }
 
     fn find(&mut self, id: &str) -> Option<&mut Entry> {
--- a/crates/place/tests/engine_shares.rs
+++ b/crates/place/tests/engine_shares.rs
@@ -4,7 +4,7 @@
 
 use fleet::Engine;
 use ident::Time;
-use place::{Headroom, Load, PlacementRequest, Pool};
+use place::{Headroom, Load, PlacementRequest, Pool, ReplicaLoad};
 
 mod simulated;
 
@@ -72,7 +72,7 @@
         let short = short_engines(pool, now);
         for replica in replicas(ENGINES) {
             let requests = if short.contains(&replica.id) { busy } else { other };
-            pool.record_report(&replica.id, requests, now);
+            pool.record_report(&replica.id, ReplicaLoad::of_requests(requests), now);
         }
     }
     Time(from.0 + span_ms)
@@ -118,10 +118,11 @@
     let mut pool = pool();
     let short = short_engines(&pool, Time(2000));
     let now = Time(2000);
-    short.iter().for_each(|id| pool.record_report(id, 30, now));
+    let full = ReplicaLoad::of_requests(30);
+    short.iter().for_each(|id| pool.record_report(id, full, now));
     let (chosen, _) = choose(&pool, SHORT, "c", now);
     assert!(!short.contains(&chosen));
-    replicas(ENGINES).iter().for_each(|r| pool.record_report(&r.id, 30, now));
+    replicas(ENGINES).iter().for_each(|r| pool.record_report(&r.id, full, now));
     let (chosen, _) = choose(&pool, SHORT, "c", now);
     assert!(short.contains(&chosen), "no other engine has a free slot");
 }
--- a/crates/place/tests/many_deciders.rs
+++ b/crates/place/tests/many_deciders.rs
@@ -4,7 +4,7 @@
 
 use fleet::Engine;
 use ident::Time;
-use place::{Headroom, Load, LoadReport, PeerLoad, PlacementRequest, Pool};
+use place::{Headroom, Load, LoadReport, PeerLoad, PlacementRequest, Pool, ReplicaLoad};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 mod common;
@@ -82,12 +82,12 @@
         for (at, sim) in sims.iter_mut().enumerate() {
             sim.work.retain(|w| w.end > now);
             for (_, instance, _, prefill) in begins.extract_if(.., |b| b.2 == at && b.0 <= now) {
-                let requests = sim.work.len() as u32;
+                let load = ReplicaLoad::of_requests(sim.work.len() as u32);
                 let id = replicas[at].id.clone();
-                pools[instance].record_report(&id, requests, time);
+                pools[instance].record_report(&id, load, time);
                 let done = Load { prefill_tokens: prefill, memory_tokens: 0, requests: 0 };
                 pools[instance].remove_load(&id, done);
-                reports.push((now + SHARING, LoadReport { replica: id, requests, at: time }));
+                reports.push((now + SHARING, LoadReport { replica: id, load, at: time }));
             }
         }
         for (_, instance, at, load) in ends.extract_if(.., |e| e.0 <= now) {
--- a/crates/place/tests/replica_choice.rs
+++ b/crates/place/tests/replica_choice.rs
@@ -4,7 +4,9 @@
 
 use fleet::{Engine, Replica};
 use ident::Time;
-use place::{Choice, Headroom, Load, Outcome, PeerLoad, PlacementError, PlacementRequest, Pool};
+use place::{
+    Choice, Headroom, Load, Outcome, PeerLoad, PlacementError, PlacementRequest, Pool, ReplicaLoad,
+};
 
 mod common;
 
@@ -250,7 +252,8 @@
     // Typical prompts of this instance are long.
     (0..40).for_each(|_| pool.add_load("r-00", LONG));
     (0..40).for_each(|_| pool.remove_load("r-00", LONG));
-    (0..12).for_each(|n| pool.record_report(&format!("r-{n:02}"), 4, NOW));
+    (0..12)
+        .for_each(|n| pool.record_report(&format!("r-{n:02}"), ReplicaLoad::of_requests(4), NOW));
     let large = Load { prefill_tokens: 45_000, memory_tokens: 45_100, requests: 1 };
     assert!(pool.choose(&request(large, &engine, "ctx"), NOW).is_ok());
 }
--- a/crates/place/tests/simulated/mod.rs
+++ b/crates/place/tests/simulated/mod.rs
@@ -5,7 +5,7 @@
 
 use fleet::{Engine, Replica};
 use ident::Time;
-use place::{Headroom, Load, LoadReport, Outcome, PeerLoad, PlacementRequest, Pool};
+use place::{Headroom, Load, LoadReport, Outcome, PeerLoad, PlacementRequest, Pool, ReplicaLoad};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 const SLOTS: usize = 12;
@@ -144,6 +144,11 @@
         self.running.len() + self.waiting.len()
     }
 
+    fn report(&self) -> ReplicaLoad {
+        let (running, waiting) = (self.running.len() as u32, self.waiting.len() as u32);
+        ReplicaLoad { running, waiting, slots: SLOTS as u32, pace: None }
+    }
+
     fn admit(&mut self, spec: &Deployment, now: u64) {
         while self.running.len() < SLOTS {
             let taken: u64 = self.running.iter().map(|j| j.load.memory_tokens).sum();
@@ -240,13 +245,13 @@
                 continue;
             }
             let (begun, ended) = sim.step(&spec, now);
-            let (requests, id) = (sim.requests() as u32, &replicas[at].id);
+            let (load, id) = (sim.report(), &replicas[at].id);
             for job in begun {
                 let pool = &mut pools[job.instance];
-                pool.record_report(id, requests, time);
+                pool.record_report(id, load, time);
                 pool.record_outcome(id, Outcome::Answered, time);
                 pool.remove_load(id, Load { memory_tokens: 0, requests: 0, ..job.load });
-                reports[at] = Some(LoadReport { replica: id.clone(), requests, at: time });
+                reports[at] = Some(LoadReport { replica: id.clone(), load, at: time });
             }
             for job in ended {
                 let load = Load { prefill_tokens: 0, ..job.load };
@@ -343,7 +348,7 @@
         let at = usize::from(choice.replica.addr.port() - 1000);
         arrivals.push(at);
         if sims[at].requests() >= SLOTS + QUEUE {
-            pool.record_report(&id, sims[at].requests() as u32, time);
+            pool.record_report(&id, sims[at].report(), time);
             pool.record_outcome(&id, Outcome::Full, time);
             tried.push(id);
             continue;
--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -19,7 +19,7 @@
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use ident::Time;
 use parking_lot::Mutex;
-use place::{HeldPart, LoadReport};
+use place::HeldPart;
 use table::Version;
 use tokio::{sync::watch, time::timeout};
 use tracing::{info, warn};
@@ -29,7 +29,8 @@
     conns::SendError,
     core::{Core, StoreCatalog},
     detour::Open,
-    feed_wire::{self, LoadWire, PartsPoll, PartsWire, TopicWire},
+    feed_wire::{self, PartsPoll, PartsWire, TopicWire},
+    loads,
     services::{Batch, Topic, Update},
 };
 
@@ -53,8 +54,6 @@
 const FIRST_ANSWER_DELAY: Duration = Duration::from_millis(200);
 /// Interval at which a follower asks for changes of the stores' catalogs.
 const PARTS_INTERVAL: Duration = Duration::from_millis(250);
-/// Age from which a replica's report of its load is not handed on.
-const MAX_LOAD_AGE: Duration = Duration::from_millis(1200);
 /// Most connections of followers' polls to a reader.
 const MAX_CONNS: u32 = 64;
 /// Longest answer of a reader, in bytes.
@@ -395,9 +394,10 @@
 fn parts_answer(core: &Core, query: &str) -> Response<Body> {
     let poll = PartsPoll::parse(query);
     let now = core.now();
-    merge_loads(core, &poll.loads, now);
+    loads::merge(core, &poll.loads, &poll.figures, now);
     let (reports, seen) = core.pool.lock().reports_since(poll.seen, true);
-    let mut wire = PartsWire::new(seen, load_wires(reports, now));
+    let (loads, figures) = loads::encode(reports, now);
+    let mut wire = PartsWire::new(seen, loads, figures);
     for entry in core.catalogs.lock().iter() {
         let tag = feed_wire::store_tag(&entry.store.name);
         let found = poll.positions.binary_search_by_key(&tag, |(tag, _)| *tag);
@@ -412,31 +412,6 @@
     Response::new(full_body(serde_json::to_vec(&wire).unwrap_or_default().into()))
 }
 
-fn load_wires(reports: Vec<LoadReport>, now: Time) -> Vec<LoadWire> {
-    let age = |at: Time| now.since(at).as_millis() as u64;
-    let recent = reports.iter().filter(|r| now.since(r.at) < MAX_LOAD_AGE);
-    recent.map(|r| LoadWire(feed_wire::replica_tag(&r.replica), r.requests, age(r.at))).collect()
-}
-
-/// Records replicas' loads that a peer heard of, with their age at `now`.
-fn merge_loads(core: &Core, loads: &[LoadWire], now: Time) {
-    if loads.is_empty() {
-        return;
-    }
-    let snapshot = core.view.snapshot();
-    let mut tags: Vec<(u32, &Arc<str>)> =
-        snapshot.replicas.iter().map(|r| (feed_wire::replica_tag(&r.id), &r.id)).collect();
-    tags.sort_unstable();
-    let mut pool = core.pool.lock();
-    for LoadWire(tag, requests, age_ms) in loads {
-        let at = now.before(Duration::from_millis(*age_ms));
-        if let Ok(found) = tags.binary_search_by_key(tag, |(tag, _)| *tag) {
-            let (replica, requests) = (tags[found].1.clone(), *requests);
-            pool.merge_report(&LoadReport { replica, requests, at });
-        }
-    }
-}
-
 /// Keeps the catalogs of stores and the loads of replicas up to date from a reader, while this
 /// instance is none.
 pub(crate) async fn follow_parts(core: Arc<Core>) {
@@ -457,15 +432,15 @@
         };
         let asked_at = core.now();
         let (reports, newest) = core.pool.lock().reports_since(sent, false);
-        let loads = load_wires(reports, asked_at);
-        let poll = PartsPoll { positions, seen, loads };
+        let (loads, figures) = loads::encode(reports, asked_at);
+        let poll = PartsPoll { positions, seen, loads, figures };
         let path = format!("{PARTS_PATH}?{}", poll.query());
         let Some(bytes) = fetch(&core, &reader, &path, FEED_TIMEOUT).await else { continue };
         sent = newest;
         match serde_json::from_slice::<PartsWire>(&bytes) {
             Ok(wire) => {
                 seen = wire.seen;
-                merge_loads(&core, &wire.loads, asked_at);
+                loads::merge(&core, &wire.loads, &wire.figures, asked_at);
                 apply_parts(&core, wire, &poll.positions, asked_at);
             }
             Err(error) => {
--- a/crates/relay/src/feed_wire.rs
+++ b/crates/relay/src/feed_wire.rs
@@ -247,6 +247,8 @@
     pub(crate) seen: u64,
     /// Reports that arrived at the follower since its last poll.
     pub(crate) loads: Vec<LoadWire>,
+    /// More of those reports that name a pace.
+    pub(crate) figures: Vec<FiguresWire>,
 }
 
 impl PartsPoll {
@@ -256,7 +258,16 @@
         let positions: Vec<String> = self.positions.iter().map(position).collect();
         let loads: Vec<String> = self.loads.iter().map(load).collect();
         let (positions, loads) = (positions.join(","), loads.join(","));
-        format!("format={FORMAT}&after={positions}&seen={}&loads={loads}", self.seen)
+        let mut out = format!("format={FORMAT}&after={positions}&seen={}&loads={loads}", self.seen);
+        if !self.figures.is_empty() {
+            let figures = |FiguresWire(tag, running, slots, pace): &FiguresWire| {
+                format!("{tag:x}.{running}.{slots}.{pace}")
+            };
+            let figures: Vec<String> = self.figures.iter().map(figures).collect();
+            out += "&figures=";
+            out += &figures.join(",");
+        }
+        out
     }
 
     /// Reads a query. What can't be read counts as missing.
@@ -267,11 +278,22 @@
             let tag = u32::from_str_radix(words.next()?, 16).ok()?;
             Some(LoadWire(tag, words.next()?.parse().ok()?, words.next()?.parse().ok()?))
         };
+        let figures = |word: &str| {
+            let (tag, figures) = word.split_once('.')?;
+            let tag = u32::from_str_radix(tag, 16).ok()?;
+            let figures: Option<Vec<u32>> = figures.split('.').map(|f| f.parse().ok()).collect();
+            match figures?[..] {
+                [running, slots, pace] => Some(FiguresWire(tag, running, slots, pace)),
+                _ => None,
+            }
+        };
         let loads = word("loads=").unwrap_or_default().split(',').filter_map(load);
+        let figures = word("figures=").unwrap_or_default().split(',').filter_map(figures);
         Self {
             positions: parse_positions(query),
             seen: word("seen=").and_then(|w| w.parse().ok()).unwrap_or(0),
             loads: loads.collect(),
+            figures: figures.collect(),
         }
     }
 }
@@ -280,6 +302,10 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) struct LoadWire(pub(crate) u32, pub(crate) u32, pub(crate) u64);
 
+/// More of a replica's report that names a pace: tag, running requests, slots and pace.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct FiguresWire(pub(crate) u32, pub(crate) u32, pub(crate) u32, pub(crate) u32);
+
 /// Short name of a replica. Two that share one also share a load, which only costs placement.
 pub(crate) fn replica_tag(id: &str) -> u32 {
     xxhash_rust::xxh3::xxh3_64(id.as_bytes()) as u32
@@ -308,6 +334,9 @@
     /// Reports since the number that the follower named.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub(crate) loads: Vec<LoadWire>,
+    /// More of those reports that name a pace.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub(crate) figures: Vec<FiguresWire>,
 }
 
 /// What changed in the catalog of one store.
@@ -335,8 +364,8 @@
 }
 
 impl PartsWire {
-    pub(crate) fn new(seen: u64, loads: Vec<LoadWire>) -> Self {
-        Self { format: FORMAT, stores: Vec::new(), seen, loads }
+    pub(crate) fn new(seen: u64, loads: Vec<LoadWire>, figures: Vec<FiguresWire>) -> Self {
+        Self { format: FORMAT, stores: Vec::new(), seen, loads, figures }
     }
 
     pub(crate) fn push(&mut self, tag: u64, delta: Delta<HeldPart>, clock: u64, age: Duration) {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -24,6 +24,7 @@
 mod job;
 mod kept;
 mod links;
+mod loads;
 pub mod metrics;
 pub mod node;
 mod origins;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -1,8 +1,8 @@
 //! Counters and latency histograms.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 /// Upper bounds of the latency histograms' buckets, in seconds.
@@ -66,6 +66,10 @@
     /// Polls of readers by outcome: `answered`, `failed`, or `stale` where the source's word was too
     /// old.
     pub feed_polls: IntCounterVec,
+    /// Replicas whose report of their load was malformed.
+    pub malformed_loads: IntCounter,
+    /// Engines of each target that serve short prompts, where they are or were more than a quarter.
+    pub short_engines: IntGaugeVec,
     /// Answers to followers' polls.
     pub feed_answers: IntCounter,
     /// Whether this instance follows readers, 1, or reads the sources itself, 0.
@@ -92,6 +96,10 @@
         );
         let ended = ended.expect("metric names and labels are valid");
         registry.register(Box::new(ended.clone())).expect("metric names are unique");
+        let opts = Opts::new("lentil_short_engines", "Engines that serve short prompts");
+        let short_engines = IntGaugeVec::new(opts, &["target"]);
+        let short_engines = short_engines.expect("metric names and labels are valid");
+        registry.register(Box::new(short_engines.clone())).expect("metric names are unique");
         let seconds = |name: &str, help: &str| {
             let opts = HistogramOpts::new(name, help).buckets(BUCKETS.to_vec());
             let out = Histogram::with_opts(opts).expect("bucket bounds are in ascending order");
@@ -170,6 +178,11 @@
             ),
             feed_polls: family("lentil_feed_polls_total", "Polls of readers by outcome", "outcome"),
             feed_answers: counter("lentil_feed_answers_total", "Answers to followers' polls"),
+            malformed_loads: counter(
+                "lentil_malformed_loads_total",
+                "Replicas whose report of their load was malformed",
+            ),
+            short_engines,
             follows: gauge("lentil_follows_readers", "Whether this instance follows readers"),
             ended,
             registry,
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use hyper::{HeaderMap, StatusCode};
-use place::{NamedLimit, Plan, Prompt};
+use place::{NamedLimit, Plan, Prompt, ReplicaLoad};
 
 /// What a caller's headers say about its request.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -67,8 +67,8 @@
     pub sealed: bool,
     /// Whether the replica refused, so that the request did not run.
     pub refused: bool,
-    /// Number of running and waiting requests at the replica.
-    pub requests: Option<u32>,
+    /// Load that the replica reports, `None` if it reports none; an error if the report is malformed.
+    pub load: Result<Option<ReplicaLoad>, HeaderError>,
     /// Version of the weights that produced the answer.
     pub version: Option<u64>,
     /// Identifier of the replica that answers.
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -17,7 +17,7 @@
     detour,
     ends::{self, FlightGuard},
     forward::{Attempt, Forwarder},
-    links, permits,
+    links, loads, permits,
     protocol::{ForwardHeaders, ResponseMeta},
 };
 
@@ -346,9 +346,7 @@
         let (head, body) = response.into_parts();
         let meta = core.adapters.protocol.parse_response(head.status, &head.headers);
         let now = core.now();
-        if let Some(requests) = meta.requests {
-            core.pool.lock().record_report(id, requests, now);
-        }
+        loads::observe(core, &meta, &choice.replica, now);
         // Nothing came before the first answer on a connection. Later, a refusal without an id may
         // be a copy of that of an earlier request.
         let is_own = match &meta.request_id {
