--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -15,6 +15,7 @@
 mod pool;
 mod prompt;
 mod refusals;
+mod report;
 mod room;
 mod roster;
 mod salt;
@@ -26,10 +27,12 @@
     choice::{Choice, PlacementError, PlacementRequest},
     cold::{ColdBound, ColdReplicas},
     limits::{LimitReport, Limits, NamedLimit, Peers, Permit},
+    partition::EngineShare,
     plan::{Plan, Source, Transfer, free_delay, old_part_grace},
-    pool::{Load, LoadReport, Outcome, PeerLoad, Pool},
+    pool::{Load, Outcome, PeerLoad, Pool},
     prompt::{Part, Prompt},
     refusals::{RefusalReport, Refusals},
+    report::{LoadReport, ReplicaLoad},
     room::Headroom,
     salt::{Salt, cache_salt},
 };
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -25,6 +25,7 @@
 mod job;
 mod kept;
 mod links;
+mod loads;
 pub mod metrics;
 pub mod node;
 mod origins;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -70,6 +70,10 @@
     /// Polls of readers by outcome: `answered`, `failed`, or `stale` where the source's word was too
     /// old.
     pub feed_polls: IntCounterVec,
+    /// Replicas whose report of their load was malformed.
+    pub malformed_loads: IntCounter,
+    /// Engines of each target that serve short prompts, where they are or were more than a quarter.
+    pub short_engines: IntGaugeVec,
     /// Answers to followers' polls.
     pub feed_answers: IntCounter,
     /// Whether this instance follows readers, 1, or reads the sources itself, 0.
@@ -102,6 +106,10 @@
         let held = IntGaugeVec::new(Opts::new("lentil_held", "What is held by kind"), &["kind"]);
         let held = held.expect("metric names and labels are valid");
         registry.register(Box::new(held.clone())).expect("metric names are unique");
+        let opts = Opts::new("lentil_short_engines", "Engines that serve short prompts");
+        let short_engines = IntGaugeVec::new(opts, &["target"]);
+        let short_engines = short_engines.expect("metric names and labels are valid");
+        registry.register(Box::new(short_engines.clone())).expect("metric names are unique");
         let seconds = |name: &str, help: &str| {
             let opts = HistogramOpts::new(name, help).buckets(BUCKETS.to_vec());
             let out = Histogram::with_opts(opts).expect("bucket bounds are in ascending order");
@@ -182,6 +190,11 @@
             ),
             feed_polls: family("lentil_feed_polls_total", "Polls of readers by outcome", "outcome"),
             feed_answers: counter("lentil_feed_answers_total", "Answers to followers' polls"),
+            malformed_loads: counter(
+                "lentil_malformed_loads_total",
+                "Replicas whose report of their load was malformed",
+            ),
+            short_engines,
             follows: gauge("lentil_follows_readers", "Whether this instance follows readers"),
             ended,
             held,
