Track the work of long prompts at engines

Cause: with many instances each sends so few long prompts that none knows how much work an engine has; datagrams with loads are older than a prefill takes. Change: one instance for each engine, the first in the rendezvous order, keeps the long prompts of all instances; it is asked before a long prompt is placed. Where replicas say that they share their machines.

--- a/crates/place/src/choice.rs
+++ b/crates/place/src/choice.rs
@@ -43,6 +43,8 @@
 /// Engines of a target among which one is chosen besides the preferred one, where there are many
 /// peers.
 const SAMPLE_SIZE: usize = 2;
+/// The same where the engines' trackers are asked first.
+const TRACKED_SAMPLE_SIZE: usize = 4;
 /// Delay after which a caller finds another instance, where this one sends to none of the limited
 /// replicas.
 const LIMITED_DELAY: Duration = Duration::from_secs(1);
@@ -249,7 +251,27 @@
         let seed = request.tie_breaker.to_le_bytes();
         let suitable: Vec<&Member<'m>> = suitable.collect();
         let order = rendezvous_order(&seed, &suitable, |m| &m.entry.replica.id);
-        order.into_iter().take(SAMPLE_SIZE).map(|m| &*m.entry.replica.id).collect()
+        let is_tracked = !request.is_short() && self.is_tracked(request.target);
+        let count = if is_tracked { TRACKED_SAMPLE_SIZE } else { SAMPLE_SIZE };
+        order.into_iter().take(count).map(|m| &*m.entry.replica.id).collect()
+    }
+
+    /// The engines among which [`Pool::choose`] chooses for the same request, and whose trackers should
+    /// be asked before. Empty where none needs to be.
+    pub fn tracked_candidates(&self, request: &PlacementRequest<'_>, now: Time) -> Vec<Arc<str>> {
+        if request.engine.is_none() || request.is_short() || !self.is_tracked(request.target) {
+            return Vec::new();
+        }
+        let members = self.members(request);
+        let preferred = preferred_replicas(&members, request, now);
+        let preferred = preferred.into_iter().map(|(_, entry)| &*entry.replica.id);
+        let mut out: Vec<Arc<str>> = Vec::new();
+        for id in preferred.chain(self.sample(&members, request)) {
+            if out.iter().all(|known| **known != *id) {
+                out.push(id.into());
+            }
+        }
+        out
     }
 
     /// When this instance may next send to a replica that only its limit excludes; `None` if there is
@@ -292,7 +314,10 @@
         else {
             return true;
         };
-        let taken = self.total_load(member.entry, now).memory_tokens;
+        let taken = match self.tracked(member.entry, now) {
+            Some(load) => load.memory_tokens,
+            None => self.total_load(member.entry, now).memory_tokens,
+        };
         let suits = request.headroom == Headroom::Tight || !member.for_short;
         suits && request.headroom.fits(taken, request.load.memory_tokens, engine.capacity_tokens)
     }
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -15,6 +15,7 @@
 mod refusals;
 mod room;
 mod salt;
+mod tracker;
 
 pub use crate::{
     budget::{RetryBudget, RetryBudgets},
@@ -22,9 +23,10 @@
     choice::{Choice, PlacementError, PlacementRequest},
     limits::{LimitReport, Limits, NamedLimit, Peers, Permit},
     plan::{Plan, Source, Transfer, free_delay, old_part_grace},
-    pool::{Load, LoadReport, Outcome, PeerLoad, Pool},
+    pool::{Load, LoadReport, Outcome, PeerLoad, Pool, is_long},
     prompt::{Part, Prompt},
     refusals::{RefusalReport, Refusals},
     room::Headroom,
     salt::{Salt, cache_salt},
+    tracker::Tracker,
 };
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -20,6 +20,9 @@
 const SHARED_REPORT_TTL: Duration = Duration::from_millis(1200);
 /// Peers from which on their datagrams are so rare that replicas' reports say more of the load.
 const MANY_PEERS: usize = 12;
+/// How long the word of an engine's tracker is used. A long prompt arrives at a target every ten ms or
+/// so.
+const TRACKED_TTL: Duration = Duration::from_millis(60);
 /// Weight of a new request in the typical load.
 const TYPICAL_WEIGHT: f64 = 0.05;
 /// Share of its prefill that a request at a replica still needs, on average.
@@ -48,8 +51,13 @@
     tokens < SHORT_PROMPT_TOKENS
 }
 
+/// Whether the prefill of a prompt with this many tokens delays other requests noticeably.
+pub fn is_long(tokens: u64) -> bool {
+    !is_short(tokens)
+}
+
 impl Load {
-    fn add(&mut self, other: Self) {
+    pub(crate) fn add(&mut self, other: Self) {
         self.prefill_tokens = self.prefill_tokens.saturating_add(other.prefill_tokens);
         self.memory_tokens = self.memory_tokens.saturating_add(other.memory_tokens);
         self.requests = self.requests.saturating_add(other.requests);
@@ -96,6 +104,10 @@
     is_own_report: bool,
     /// Number of the report among all that this instance recorded.
     report_rev: u64,
+    /// Whether the replica shares its machine, so that its speed varies.
+    is_shared: bool,
+    /// What long prompts at the replica still need, as its tracker last said, and when.
+    tracked: Option<(Load, Time)>,
     /// Number of attempts without an answer since the last [`Outcome::Answered`].
     pub(crate) failures: u32,
     /// When the replica last answered this instance, or was checked since it did not.
@@ -175,6 +187,8 @@
                     reported: None,
                     is_own_report: false,
                     report_rev: 0,
+                    is_shared: false,
+                    tracked: None,
                     failures: 0,
                     heard: Time(0),
                     excluded_until: Time(0),
@@ -294,6 +308,33 @@
         found.is_ok_and(|at| !self.entries[at].declined_until.passed(now))
     }
 
+    /// Records that a replica says how fast its machine is now, since others use it too.
+    pub fn note_shared(&mut self, id: &str) {
+        if let Some(entry) = self.find(id) {
+            entry.is_shared = true;
+        }
+    }
+
+    /// Whether long prompts for a target are tracked: there are many instances, and the engines'
+    /// speed varies, so that counts of requests say little of their work.
+    pub fn is_tracked(&self, target: &str) -> bool {
+        let mut shared = self.entries.iter().filter(|e| e.is_shared);
+        self.has_many_peers() && shared.any(|e| *e.replica.target == *target)
+    }
+
+    /// Records what long prompts at an engine still need, as its tracker says.
+    pub fn record_tracked(&mut self, id: &str, load: Load, now: Time) {
+        if let Some(entry) = self.find(id) {
+            entry.tracked = Some((load, now));
+        }
+    }
+
+    /// What the engine's tracker said lately.
+    pub(crate) fn tracked(&self, entry: &Entry, now: Time) -> Option<Load> {
+        let recent = |(_, at): &(Load, Time)| now.since(*at) < TRACKED_TTL;
+        entry.tracked.filter(recent).map(|(load, _)| load)
+    }
+
     /// Records a replica's own report of its running and queued requests.
     pub fn record_report(&mut self, id: &str, requests: u32, now: Time) {
         self.set_report(id, requests, now, true);
@@ -347,6 +388,9 @@
     /// Load that all instances have at an engine. Where peers' loads are old, the engine's own report
     /// counts: the requests in it that are not this instance's are taken for typical ones.
     pub(crate) fn engine_load(&self, entry: &Entry, for_short: bool, now: Time) -> Load {
+        if let Some(load) = self.tracked(entry, now) {
+            return load;
+        }
         let recent = |(_, at): &(u32, Time)| now.since(*at) < SHARED_REPORT_TTL;
         let Some((reported, _)) = entry.reported.filter(recent).filter(|_| self.has_many_peers())
         else {
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -15,7 +15,7 @@
 use ident::{Clock, Time};
 use origin::{Latest, Origins, Versions};
 use parking_lot::Mutex;
-use place::{Limits, Peers, Pool, Refusals, RetryBudgets};
+use place::{Limits, Peers, Pool, Refusals, RetryBudgets, Tracker};
 use reach::Reach;
 use table::Table;
 use tokio::{
@@ -36,6 +36,7 @@
     releases::Releases,
     returns::{RETURN_SPAN, Returns},
     services::{Engines, Registry},
+    tracking,
     versions::Listed,
 };
 
@@ -224,6 +225,12 @@
     pub(crate) listed: tokio::sync::Mutex<Option<Listed>>,
     /// Questions to peers that wait for answers.
     pub(crate) inquiries: Mutex<Vec<origins::Waiting>>,
+    /// Long prompts at the engines that this instance tracks.
+    pub(crate) tracker: Mutex<Tracker>,
+    /// The instances among which engines are tracked.
+    pub(crate) tracker_peers: Mutex<Peers>,
+    /// Questions to trackers that wait for answers.
+    pub(crate) work_inquiries: Mutex<Vec<tracking::Waiting>>,
     /// Socket for datagrams to peers, once it is open.
     pub(crate) peer_socket: OnceLock<Arc<UdpSocket>>,
     /// Time from which this instance may try to take a trial.
@@ -286,6 +293,9 @@
             versions: Mutex::default(),
             listed: tokio::sync::Mutex::default(),
             inquiries: Mutex::default(),
+            tracker: Mutex::default(),
+            tracker_peers: Mutex::default(),
+            work_inquiries: Mutex::default(),
             peer_socket: OnceLock::new(),
             next_trial: Mutex::new(Time(0)),
             fatal: Mutex::default(),
--- a/crates/relay/src/datagram.rs
+++ b/crates/relay/src/datagram.rs
@@ -10,8 +10,9 @@
 pub(crate) const FORMAT: u8 = 2;
 
 /// Release of what an instance shares with its peers; 0 is that of instances that don't say.
-/// From 1 on, the salts of teams that share name the dedicated teams.
-pub(crate) const RELEASE: u32 = 1;
+/// From 1 on, the salts of teams that share name the dedicated teams. From 2 on, datagrams about
+/// tracked work are read.
+pub(crate) const RELEASE: u32 = 2;
 
 /// A datagram. The order of its fields is part of the format.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -18,7 +18,7 @@
     job::Job,
     origins, permits, relay,
     send::{AttemptOutcome, ReplicaAnswer},
-    verdicts, versions,
+    tracking, verdicts, versions,
     whole::{MAX_BUFFERED_BYTES, Start, content_length, read_start, whole_answer},
 };
 
@@ -113,6 +113,10 @@
     possible_runs: u32,
     /// Number of attempts that reached a replica or may have.
     arrivals: u32,
+    /// Selects the candidates of the next choice.
+    tie_breaker: u64,
+    /// When the trackers of engines were last asked.
+    asked_at: Time,
 }
 
 impl Forwarder {
@@ -131,6 +135,8 @@
             is_trial,
             possible_runs,
             arrivals,
+            tie_breaker: rand::random(),
+            asked_at: Time(0),
         }
     }
 
@@ -142,6 +148,7 @@
     ) -> Result<ReplicaAnswer, Stopped> {
         self.try_trial().await;
         loop {
+            self.refresh_work().await;
             let attempt = match self.next_step() {
                 Step::Send(attempt) => attempt,
                 Step::Wait(pause) => {
@@ -392,6 +399,14 @@
     }
 
     fn choose(&self, snapshot: &Snapshot, now: Time) -> Result<Choice, PlacementError> {
+        self.with_request(snapshot, now, |request| self.core.pool.lock().choose(request, now))
+    }
+
+    /// Calls `use_request` with what the choice of a replica goes by.
+    fn with_request<T, F>(&self, snapshot: &Snapshot, now: Time, use_request: F) -> T
+    where
+        F: FnOnce(&PlacementRequest<'_>) -> T,
+    {
         let config = snapshot.config.as_ref();
         let engine = config.and_then(|s| s.target(&self.target)).and_then(|t| t.engine.as_ref());
         let prompt = self.job.prompt();
@@ -414,9 +429,25 @@
             tried: &self.tried,
             permits: &permits,
             engine,
-            tie_breaker: rand::random(),
+            tie_breaker: self.tie_breaker,
         };
-        self.core.pool.lock().choose(&request, now)
+        use_request(&request)
+    }
+
+    /// Draws other candidates, and asks the trackers of their engines how much work these have.
+    async fn refresh_work(&mut self) {
+        self.tie_breaker = rand::random();
+        let now = self.core.now();
+        let is_long = self.job.prompt().is_some_and(|p| place::is_long(p.input_tokens));
+        if !is_long || now.since(self.asked_at) < tracking::ASK_INTERVAL {
+            return;
+        }
+        self.asked_at = now;
+        let snapshot = self.core.view.snapshot();
+        let candidates = self.with_request(&snapshot, now, |request| {
+            self.core.pool.lock().tracked_candidates(request, now)
+        });
+        tracking::refresh(&self.core, &candidates).await;
     }
 
     pub(crate) fn load(&self) -> Load {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -37,6 +37,7 @@
 mod send;
 mod serve;
 pub mod services;
+mod tracking;
 mod verdicts;
 mod versions;
 mod whole;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -34,6 +34,8 @@
     pub platform_calls: IntCounterVec,
     /// Datagrams from and to peers: `received`; `regular` and `news`, sent at intervals and at once.
     pub datagrams: IntCounterVec,
+    /// Questions to trackers of engines, by whether they were answered in time.
+    pub tracker_answers: IntCounterVec,
     /// Changes of the verdict on parts and requests under which replicas end.
     pub verdict_changes: IntCounter,
     /// Seconds by which timers fire late: tasks wait for the processor.
@@ -113,6 +115,11 @@
             attempts: family("lentil_sends_total", "Sends to replicas by outcome", "outcome"),
             shared_tokens: family("lentil_shared_tokens_total", "Shared prompt tokens", "source"),
             platform_calls: family("lentil_platform_calls_total", "Platform calls", "outcome"),
+            tracker_answers: family(
+                "lentil_tracker_answers_total",
+                "Questions to trackers of engines, by whether they were answered in time",
+                "outcome",
+            ),
             datagrams: family("lentil_datagrams_total", "Datagrams from and to peers", "kind"),
             timer_delay: seconds("lentil_timer_delay_seconds", "By which timers fire late"),
             verdict_changes: counter(
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -240,11 +240,13 @@
     loop {
         let peers = core.limit_peers();
         core.limits.lock().set_peers(peers.clone());
+        *core.tracker_peers.lock() = peers.clone();
         core.refusals.lock().set_peers(peers);
         tokio::time::sleep(SWEEP_INTERVAL).await;
         let snapshot = core.view.snapshot();
         let now = core.now();
         let same = |r: &Replica, started_ms: u64| r.started_ms == started_ms;
+        core.tracker.lock().expire(now);
         let mut limits = core.limits.lock();
         limits.retain(|id, started_ms| snapshot.replica(id).is_some_and(|r| same(r, started_ms)));
         core.metrics.limited_replicas.set(limits.count() as i64);
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -24,7 +24,7 @@
         AnnouncedVersion, Datagram, FORMAT, LimitWire, RELEASE, RefusalWire, Trailer, parse,
     },
     dates::RegistryClock,
-    ends, links, origins,
+    ends, links, origins, tracking,
 };
 
 /// How long after its last datagram a peer is listed to callers. Where limits are divided among
@@ -196,6 +196,10 @@
             origins::receive(&core, &socket, rest, from).await;
             continue;
         }
+        if let Some((&tracking::FORMAT, rest)) = buffer[..length].split_first() {
+            tracking::receive(&core, &socket, rest, from);
+            continue;
+        }
         core.metrics.datagrams.with_label_values(&["received"]).inc();
         match parse(&buffer[..length]) {
             Ok((datagram, trailer)) => apply(&core, datagram, &trailer),
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -19,6 +19,7 @@
     forward::{Attempt, Forwarder},
     links, permits,
     protocol::{ForwardHeaders, ResponseMeta},
+    tracking::Reservation,
 };
 
 /// Stores are used only while the newest weights were confirmed less than this long ago. Parts of
@@ -41,12 +42,14 @@
     core: Arc<Core>,
     replica: Arc<str>,
     load: Load,
+    /// Tells the engine's tracker; `None` if the request is not tracked.
+    reservation: Option<Reservation>,
 }
 
 impl LoadGuard {
     fn new(core: &Arc<Core>, replica: &Arc<str>, load: Load) -> Self {
         core.pool.lock().add_load(replica, load);
-        Self { core: core.clone(), replica: replica.clone(), load }
+        Self { core: core.clone(), replica: replica.clone(), load, reservation: None }
     }
 
     /// Removes the prefill tokens from the load, once the replica has begun to answer.
@@ -54,6 +57,9 @@
         let prefill =
             Load { prefill_tokens: self.load.prefill_tokens, memory_tokens: 0, requests: 0 };
         self.load.prefill_tokens = 0;
+        if let Some(reservation) = &self.reservation {
+            reservation.prefill_done();
+        }
         self.core.pool.lock().remove_load(&self.replica, prefill);
     }
 }
@@ -178,7 +184,11 @@
         *request.uri_mut() = job.uri.clone();
         *request.headers_mut() = job.headers.clone();
         core.adapters.protocol.set_forward_headers(request.headers_mut(), &forward_headers);
-        let guard = LoadGuard::new(core, &replica.id, load);
+        let mut guard = LoadGuard::new(core, &replica.id, load);
+        if place::is_long(self.load().prefill_tokens) {
+            let until = job.deadline;
+            guard.reservation = Reservation::new(core, &self.target, &replica.id, load, until);
+        }
         self.log_attempt(&choice, plan.as_ref(), forward_headers.time_left, &snapshot);
         let max_conns = self.max_conns(&snapshot);
         let flight = Mutex::new(None);
@@ -348,6 +358,7 @@
         let now = core.now();
         if let Some(requests) = meta.requests {
             core.pool.lock().record_report(id, requests, now);
+            core.pool.lock().note_shared(id);
         }
         // Nothing came before the first answer on a connection. Later, a refusal without an id may
         // be a copy of that of an earlier request.
