--- a/crates/relay/src/conns.rs
+++ b/crates/relay/src/conns.rs
@@ -83,7 +83,7 @@
 pub struct Conn {
     sender: http1::SendRequest<Full<Bytes>>,
     task: AbortHandle,
-    replica: Arc<ReplicaConns>,
+    open: OpenGuard,
     /// When the connection expires if it stays unused.
     expires: Time,
     /// Whether an earlier request was answered on it.
@@ -101,7 +101,25 @@
 impl Drop for Conn {
     fn drop(&mut self) {
         self.task.abort();
-        self.replica.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Counts a connection as open until the guard is dropped. It exists before the connection does, so
+/// that a request that is dropped while its connection opens is not counted any more.
+struct OpenGuard(Arc<ReplicaConns>);
+
+impl OpenGuard {
+    /// Counts one more connection. `None` if `max_conns` are open.
+    fn new(replica: Arc<ReplicaConns>, max_conns: u32) -> Option<Self> {
+        let before = replica.open.fetch_add(1, Ordering::Relaxed);
+        let guard = Self(replica);
+        (before < max_conns).then_some(guard)
+    }
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -109,8 +127,11 @@
 struct ReplicaConns {
     id: Arc<str>,
     addr: SocketAddr,
+    /// Number of [`OpenGuard`]s.
     open: AtomicU32,
-    idle: Mutex<Vec<Conn>>,
+    /// `None` once the pool has dropped this entry. A connection in the list owns the entry, so one
+    /// that is added later would keep itself open.
+    idle: Mutex<Option<Vec<Conn>>>,
 }
 
 /// Connections of an instance to all replicas.
@@ -191,8 +212,15 @@
         }
         conn.expires = now.after(idle_timeout);
         conn.is_kept = true;
-        let replica = conn.replica.clone();
-        replica.idle.lock().push(conn);
+        let replica = conn.open.0.clone();
+        if let Some(idle) = replica.idle.lock().as_mut() {
+            idle.push(conn);
+        }
+    }
+
+    /// Number of connections that are open or being opened, kept ones included.
+    pub fn open_conns(&self) -> u32 {
+        self.replicas.lock().iter().map(|r| r.open.load(Ordering::Relaxed)).sum()
     }
 
     /// Closes expired connections, and those to replicas for which `known` returns false.
@@ -207,16 +235,22 @@
             // lock of `replicas`.
             let unusable: Vec<Conn> = {
                 let mut idle = replica.idle.lock();
-                let all = std::mem::take(&mut *idle);
+                let all = idle.take().unwrap_or_default();
                 let (usable, unusable) = all
                     .into_iter()
                     .partition(|c| keep && !c.expires.passed(now) && !c.sender.is_closed());
-                *idle = usable;
+                *idle = Some(usable);
                 unusable
             };
             drop(unusable);
         }
-        replicas.retain(|p| known(&p.id) || p.open.load(Ordering::Relaxed) > 0);
+        replicas.retain(|p| {
+            let keep = known(&p.id) || p.open.load(Ordering::Relaxed) > 0;
+            if !keep {
+                p.close_idle();
+            }
+            keep
+        });
     }
 
     fn conns_of(&self, id: &Arc<str>, addr: SocketAddr) -> Arc<ReplicaConns> {
@@ -224,10 +258,11 @@
         match replicas.binary_search_by(|p| p.id.cmp(id)) {
             Ok(at) if replicas[at].addr == addr => replicas[at].clone(),
             found => {
-                let (id, open, idle) = (id.clone(), AtomicU32::new(0), Mutex::default());
+                let (id, open) = (id.clone(), AtomicU32::new(0));
+                let idle = Mutex::new(Some(Vec::new()));
                 let replica = Arc::new(ReplicaConns { id, addr, open, idle });
                 match found {
-                    Ok(at) => replicas[at] = replica.clone(),
+                    Ok(at) => std::mem::replace(&mut replicas[at], replica.clone()).close_idle(),
                     Err(at) => replicas.insert(at, replica.clone()),
                 }
                 replica
@@ -240,12 +275,18 @@
     /// Takes the connection that was used last, if it is still usable.
     fn take_idle(&self, now: Time) -> Option<Conn> {
         loop {
-            let conn = self.idle.lock().pop()?;
+            let conn = self.idle.lock().as_mut()?.pop()?;
             if !conn.expires.passed(now) && conn.sender.is_ready() {
                 return Some(conn);
             }
         }
     }
+
+    /// Closes the kept connections, and keeps none from now on.
+    fn close_idle(&self) {
+        let idle = self.idle.lock().take();
+        drop(idle);
+    }
 }
 
 async fn connect(
@@ -253,18 +294,10 @@
     max_conns: u32,
     source: Option<IpAddr>,
 ) -> Result<Conn, SendError> {
-    if replica.open.fetch_add(1, Ordering::Relaxed) >= max_conns {
-        replica.open.fetch_sub(1, Ordering::Relaxed);
-        return Err(SendError::NoFreeConn);
-    }
-    match handshake(replica.addr, source).await {
-        // The expiry is set when the connection becomes idle.
-        Ok((sender, task)) => Ok(Conn { sender, task, replica, expires: Time(0), is_kept: false }),
-        Err(e) => {
-            replica.open.fetch_sub(1, Ordering::Relaxed);
-            Err(e)
-        }
-    }
+    let open = OpenGuard::new(replica, max_conns).ok_or(SendError::NoFreeConn)?;
+    let (sender, task) = handshake(open.0.addr, source).await?;
+    // The expiry is set when the connection becomes idle.
+    Ok(Conn { sender, task, open, expires: Time(0), is_kept: false })
 }
 
 type Handshake = (http1::SendRequest<Full<Bytes>>, AbortHandle);
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -16,7 +16,9 @@
     core::Core,
     detour, ends,
     job::Job,
-    origins, permits, relay,
+    origins,
+    permits::{self, ColdPermit},
+    relay,
     send::{AttemptOutcome, ReplicaAnswer},
     tracking, verdicts, versions,
     whole::{MAX_BUFFERED_BYTES, Start, content_length, read_start, whole_answer},
@@ -47,6 +49,8 @@
 pub(crate) struct Attempt {
     pub(crate) snapshot: Arc<Snapshot>,
     pub(crate) choice: Choice,
+    /// The permit for the request if the replica is cold.
+    pub(crate) cold: Option<ColdPermit>,
 }
 
 /// What can be done next for a request without an answer.
@@ -220,6 +224,7 @@
     /// Makes one attempt and counts it. `last` is the event after which a stream is resumed.
     pub(crate) async fn attempt(&mut self, attempt: Attempt, last: Option<u64>) -> AttemptOutcome {
         let outcome = self.send(attempt, last).await;
+        self.asked_at = Time(0);
         let (arrivals, runs) = match &outcome {
             AttemptOutcome::Answered(_) | AttemptOutcome::Lost => (1, 1),
             AttemptOutcome::NotRun => (1, 0),
@@ -339,15 +344,15 @@
             self.tried.push(choice.replica.id.clone());
             return Step::Wait(Duration::ZERO);
         }
-        if !permits::take(&self.core, &choice.replica.id, now) {
+        let Some(cold) = permits::take(&self.core, &choice.replica.id, now) else {
             // Another request has taken it since the choice.
             return Step::Wait(Duration::ZERO);
-        }
+        };
         if !self.within_budget(&snapshot, now) {
             return stop("the budget of repeats is used up", BUSY_RETRY_DELAY);
         }
         self.tried.push(choice.replica.id.clone());
-        Step::Send(Attempt { snapshot, choice })
+        Step::Send(Attempt { snapshot, choice, cold })
     }
 
     /// Sends the request on to a peer.
@@ -429,6 +434,7 @@
             tried: &self.tried,
             permits: &permits,
             engine,
+            goal: self.job.route.goal,
             tie_breaker: self.tie_breaker,
         };
         use_request(&request)
@@ -436,10 +442,13 @@
 
     /// Draws other candidates, and asks the trackers of their engines how much work these have.
     async fn refresh_work(&mut self) {
-        self.tie_breaker = rand::random();
         let now = self.core.now();
         let is_long = self.job.prompt().is_some_and(|p| place::is_long(p.input_tokens));
-        if !is_long || now.since(self.asked_at) < tracking::ASK_INTERVAL {
+        if is_long && now.since(self.asked_at) < tracking::ASK_INTERVAL {
+            return;
+        }
+        self.tie_breaker = rand::random();
+        if !is_long {
             return;
         }
         self.asked_at = now;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -8,7 +8,7 @@
 mod accept;
 mod answer;
 mod caller_conn;
-mod conns;
+pub mod conns;
 pub mod core;
 mod datagram;
 mod dates;
@@ -21,6 +21,7 @@
 mod feed_wire;
 mod follow;
 mod forward;
+pub mod holdings;
 mod job;
 mod kept;
 mod links;
@@ -41,6 +42,7 @@
 mod verdicts;
 mod versions;
 mod whole;
+mod zones;
 
 pub use crate::{
     dates::RegistryClock,
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -1,8 +1,8 @@
 //! Counters and latency histograms.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 /// Upper bounds of the latency histograms' buckets, in seconds.
@@ -59,6 +59,10 @@
     pub limited_replicas: IntGauge,
     /// Replicas that say how many refusals they bear.
     pub brittle_replicas: IntGauge,
+    /// Replicas that count as cold, of targets with a limit for cold replicas.
+    pub cold_replicas: IntGauge,
+    /// Zones to which no requests are sent.
+    pub evacuated_zones: IntGauge,
     /// Answers in which a replica named a time for which it wants no requests.
     pub retry_after: IntCounter,
     /// Replicas that said in an answer that they are leaving.
@@ -72,6 +76,9 @@
     pub feed_answers: IntCounter,
     /// Whether this instance follows readers, 1, or reads the sources itself, 0.
     pub follows: IntGauge,
+    /// What is held for requests, checks and questions to peers; see
+    /// [`holdings`](crate::holdings::holdings).
+    pub held: IntGaugeVec,
     /// Seconds from the request to the head of a replica's answer, before its body is read.
     pub first_byte: Histogram,
     /// Seconds from the request to the end of a relayed answer.
@@ -94,6 +101,9 @@
         );
         let ended = ended.expect("metric names and labels are valid");
         registry.register(Box::new(ended.clone())).expect("metric names are unique");
+        let held = IntGaugeVec::new(Opts::new("lentil_held", "What is held by kind"), &["kind"]);
+        let held = held.expect("metric names and labels are valid");
+        registry.register(Box::new(held.clone())).expect("metric names are unique");
         let seconds = |name: &str, help: &str| {
             let opts = HistogramOpts::new(name, help).buckets(BUCKETS.to_vec());
             let out = Histogram::with_opts(opts).expect("bucket bounds are in ascending order");
@@ -163,6 +173,8 @@
                 "lentil_brittle_replicas",
                 "Replicas that say how many refusals they bear",
             ),
+            cold_replicas: gauge("lentil_cold_replicas", "Replicas that count as cold"),
+            evacuated_zones: gauge("lentil_evacuated_zones", "Zones to which no requests are sent"),
             retry_after: counter(
                 "lentil_replica_retry_after_total",
                 "Answers in which a replica named a time for which it wants no requests",
@@ -179,6 +191,7 @@
             feed_answers: counter("lentil_feed_answers_total", "Answers to followers' polls"),
             follows: gauge("lentil_follows_readers", "Whether this instance follows readers"),
             ended,
+            held,
             registry,
         }
     }
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -18,10 +18,10 @@
 
 use crate::{
     core::Core,
-    duty, feed, follow, links, origins, peers,
+    duty, feed, follow, holdings, links, origins, peers,
     serve::{ListenerKind, listen},
     services::Topic,
-    verdicts,
+    verdicts, zones,
 };
 
 /// Length of a listener's queue of pending connections.
@@ -242,6 +242,7 @@
         core.limits.lock().set_peers(peers.clone());
         *core.tracker_peers.lock() = peers.clone();
         core.refusals.lock().set_peers(peers);
+        zones::sweep(&core);
         tokio::time::sleep(SWEEP_INTERVAL).await;
         let snapshot = core.view.snapshot();
         let now = core.now();
@@ -258,5 +259,6 @@
         core.conns.sweep(|id| snapshot.replica(id).is_some(), now);
         core.peer_conns.sweep(|name| snapshot.instances.iter().any(|i| *i.name == *name), now);
         core.budgets.lock().record_instances(core.instance_count(&snapshot), now);
+        holdings::record(&core);
     }
 }
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -69,6 +69,8 @@
     pub refused: bool,
     /// Number of running and waiting requests at the replica.
     pub requests: Option<u32>,
+    /// Whether the replica says how fast its machine is now, since others use it too.
+    pub shares_machine: bool,
     /// Version of the weights that produced the answer.
     pub version: Option<u64>,
     /// Identifier of the replica that answers.
--- a/crates/trial/src/run.rs
+++ b/crates/trial/src/run.rs
@@ -253,6 +253,7 @@
             tried: &[],
             permits: &[],
             engine: Some(&self.engine_spec),
+            goal: class.goal,
             tie_breaker: self.rng.random(),
         };
         let Ok(choice) = self.pool.choose(&request, now) else {
@@ -396,6 +397,7 @@
         leaving: false,
         started_ms: 1,
         models: vec![(MODEL.0.into(), MODEL.1)],
+        cold: Duration::ZERO,
     })
 }
 
