--- a/crates/place/src/choice.rs
+++ b/crates/place/src/choice.rs
@@ -40,6 +40,8 @@
 /// Engines of each part of a target among which one is chosen besides the preferred one, where
 /// there are many peers.
 const SAMPLE_SIZE: usize = 2;
+/// The same where the engines' trackers are asked first.
+const TRACKED_SAMPLE_SIZE: usize = 4;
 /// Cost of a cold replica, in ms: that of a replica whose slots are all in use.
 const COLD_COST_MS: f64 = 100.0;
 /// Delay after which a caller finds another instance, where this one sends to none of the limited
@@ -187,10 +189,11 @@
 fn sample<'m, 'e>(
     engines: Vec<&'m Member<'e>>,
     request: &PlacementRequest<'_>,
+    count: usize,
 ) -> Vec<&'m Member<'e>> {
     let seed = request.tie_breaker.to_le_bytes();
     let order = rendezvous_order(&seed, &engines, |m| &m.entry.replica.id);
-    order.into_iter().take(SAMPLE_SIZE).copied().collect()
+    order.into_iter().take(count).copied().collect()
 }
 
 /// The member with the least cost.
@@ -253,11 +256,12 @@
         let best = match self.needs_sample(request) {
             false => least(&fitting, cost),
             true => {
-                let sampled = sample(own_part(&members, request), request);
+                let count = self.sample_size(request);
+                let sampled = sample(own_part(&members, request), request, count);
                 let own = fitting.iter().filter(|m| is_preferred(m) || contains(&sampled, m));
                 let own = least(&own.copied().collect::<Vec<_>>(), cost);
                 let free = match is_late(own, request) {
-                    true => sample(self.free_engines(&fitting, request, now), request),
+                    true => sample(self.free_engines(&fitting, request, now), request, count),
                     false => Vec::new(),
                 };
                 let best = own.into_iter().chain(least(&free, cost));
@@ -312,6 +316,31 @@
         fitting.iter().copied().filter(|m| is_free(m)).collect()
     }
 
+    /// Number of engines in a sample.
+    fn sample_size(&self, request: &PlacementRequest<'_>) -> usize {
+        let is_tracked = !request.is_short() && self.is_tracked(request.target);
+        if is_tracked { TRACKED_SAMPLE_SIZE } else { SAMPLE_SIZE }
+    }
+
+    /// The engines among which [`Pool::choose`] chooses for the same request, and whose trackers should
+    /// be asked before. Empty where none needs to be.
+    pub fn tracked_candidates(&self, request: &PlacementRequest<'_>, now: Time) -> Vec<Arc<str>> {
+        if !self.needs_sample(request) || request.is_short() || !self.is_tracked(request.target) {
+            return Vec::new();
+        }
+        let members = self.members(request);
+        let preferred = preferred_replicas(&members, request, now);
+        let preferred = preferred.into_iter().map(|(_, entry)| entry);
+        let sampled = sample(own_part(&members, request), request, self.sample_size(request));
+        let mut out: Vec<Arc<str>> = Vec::new();
+        for entry in preferred.chain(sampled.into_iter().map(|m| m.entry)) {
+            if !out.contains(&entry.replica.id) {
+                out.push(entry.replica.id.clone());
+            }
+        }
+        out
+    }
+
     /// When this instance may next send to a replica that only its limit excludes; `None` if there is
     /// no such replica.
     fn limited_until(
@@ -355,7 +384,10 @@
         else {
             return true;
         };
-        let taken = self.total_load(member.entry, now).memory_tokens;
+        let taken = match self.tracked(member.entry, now) {
+            Some(load) => load.memory_tokens,
+            None => self.total_load(member.entry, now).memory_tokens,
+        };
         let suits = request.headroom == Headroom::Tight || !member.for_short;
         suits && request.headroom.fits(taken, request.load.memory_tokens, engine.capacity_tokens)
     }
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -20,6 +20,7 @@
 mod roster;
 mod salt;
 mod share;
+mod tracker;
 
 pub use crate::{
     budget::{RetryBudget, RetryBudgets},
@@ -29,10 +30,11 @@
     limits::{LimitReport, Limits, NamedLimit, Peers, Permit},
     partition::EngineShare,
     plan::{Plan, Source, Transfer, free_delay, old_part_grace},
-    pool::{Load, Outcome, PeerLoad, Pool},
+    pool::{Load, Outcome, PeerLoad, Pool, is_long},
     prompt::{Part, Prompt},
     refusals::{RefusalReport, Refusals},
     report::{LoadReport, ReplicaLoad},
     room::Headroom,
     salt::{Salt, cache_salt},
+    tracker::Tracker,
 };
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -22,6 +22,9 @@
 const SHARED_REPORT_TTL: Duration = Duration::from_millis(1200);
 /// Peers from which on their datagrams are so rare that replicas' reports say more of the load.
 const MANY_PEERS: usize = 12;
+/// How long the word of an engine's tracker is used. A long prompt arrives at a target every ten ms or
+/// so.
+const TRACKED_TTL: Duration = Duration::from_millis(60);
 /// Weight of a new request in the typical load.
 const TYPICAL_WEIGHT: f64 = 0.05;
 /// Share of its prefill that a request at a replica still needs, on average.
@@ -50,6 +53,11 @@
     tokens < SHORT_PROMPT_TOKENS
 }
 
+/// Whether the prefill of a prompt with this many tokens delays other requests noticeably.
+pub fn is_long(tokens: u64) -> bool {
+    !is_short(tokens)
+}
+
 /// Number of the requests of a load if they are long prompts. The memory that a prompt needs does
 /// not shrink while it is in flight.
 fn long_requests(load: Load) -> u32 {
@@ -57,7 +65,7 @@
 }
 
 impl Load {
-    fn add(&mut self, other: Self) {
+    pub(crate) fn add(&mut self, other: Self) {
         self.prefill_tokens = self.prefill_tokens.saturating_add(other.prefill_tokens);
         self.memory_tokens = self.memory_tokens.saturating_add(other.memory_tokens);
         self.requests = self.requests.saturating_add(other.requests);
@@ -107,6 +115,10 @@
     is_malformed: bool,
     /// Number of the report among all that this instance recorded.
     report_rev: u64,
+    /// Whether the replica has reported a pace: it shares its machine, so that its speed varies.
+    is_shared: bool,
+    /// What long prompts at the replica still need, as its tracker last said, and when.
+    tracked: Option<(Load, Time)>,
     /// Number of attempts without an answer since the last [`Outcome::Answered`].
     pub(crate) failures: u32,
     /// When the replica last answered this instance, or was checked since it did not.
@@ -181,6 +193,8 @@
                     is_own_report: false,
                     is_malformed: false,
                     report_rev: 0,
+                    is_shared: false,
+                    tracked: None,
                     failures: 0,
                     heard: Time(0),
                     excluded_until: Time(0),
@@ -314,6 +328,26 @@
         found.is_ok_and(|at| !self.entries[at].declined_until.passed(now))
     }
 
+    /// Whether long prompts for a target are tracked: there are many instances, and the engines'
+    /// speed varies, so that counts of requests say little of their work.
+    pub fn is_tracked(&self, target: &str) -> bool {
+        let mut shared = self.entries.iter().filter(|e| e.is_shared);
+        self.has_many_peers() && shared.any(|e| *e.replica.target == *target)
+    }
+
+    /// Records what long prompts at an engine still need, as its tracker says.
+    pub fn record_tracked(&mut self, id: &str, load: Load, now: Time) {
+        if let Some(entry) = self.find(id) {
+            entry.tracked = Some((load, now));
+        }
+    }
+
+    /// What the engine's tracker said lately.
+    pub(crate) fn tracked(&self, entry: &Entry, now: Time) -> Option<Load> {
+        let recent = |(_, at): &(Load, Time)| now.since(*at) < TRACKED_TTL;
+        entry.tracked.filter(recent).map(|(load, _)| load)
+    }
+
     /// Records a replica's own report of its load.
     pub fn record_report(&mut self, id: &str, load: ReplicaLoad, now: Time) {
         self.set_report(id, load, now, true);
@@ -340,6 +374,7 @@
         let rev = self.reports;
         if let Some(entry) = self.find(id) {
             (entry.reported, entry.is_own_report) = (Some((load, at)), is_own);
+            entry.is_shared |= load.pace.is_some();
             entry.report_rev = rev;
         }
     }
@@ -374,6 +409,9 @@
     /// Load that all instances have at an engine. Where peers' loads are old, the engine's own report
     /// counts: the requests in it that are not this instance's are taken for typical ones.
     pub(crate) fn engine_load(&self, entry: &Entry, for_short: bool, now: Time) -> Load {
+        if let Some(load) = self.tracked(entry, now) {
+            return load;
+        }
         let recent = |(_, at): &(ReplicaLoad, Time)| now.since(*at) < SHARED_REPORT_TTL;
         let Some((reported, _)) = entry.reported.filter(recent).filter(|_| self.has_many_peers())
         else {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -39,6 +39,7 @@
 mod send;
 mod serve;
 pub mod services;
+mod tracking;
 pub mod unacked;
 mod unwritten;
 mod verdicts;
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -20,6 +20,7 @@
     links, loads,
     permits::{self, ColdPermit},
     protocol::{ForwardHeaders, ResponseMeta},
+    tracking::Reservation,
     zones,
 };
 
@@ -43,12 +44,14 @@
     core: Arc<Core>,
     replica: Arc<str>,
     load: Load,
+    /// Tells the engine's tracker; `None` if the request is not tracked.
+    reservation: Option<Reservation>,
 }
 
 impl LoadGuard {
     fn new(core: &Arc<Core>, replica: &Arc<str>, load: Load) -> Self {
         core.pool.lock().add_load(replica, load);
-        Self { core: core.clone(), replica: replica.clone(), load }
+        Self { core: core.clone(), replica: replica.clone(), load, reservation: None }
     }
 
     /// Removes the prefill tokens from the load, once the replica has begun to answer.
@@ -56,6 +59,9 @@
         let prefill =
             Load { prefill_tokens: self.load.prefill_tokens, memory_tokens: 0, requests: 0 };
         self.load.prefill_tokens = 0;
+        if let Some(reservation) = &self.reservation {
+            reservation.prefill_done();
+        }
         self.core.pool.lock().remove_load(&self.replica, prefill);
     }
 }
@@ -184,7 +190,11 @@
         *request.uri_mut() = job.uri.clone();
         *request.headers_mut() = job.headers.clone();
         core.adapters.protocol.set_forward_headers(request.headers_mut(), &forward_headers);
-        let guard = LoadGuard::new(core, &replica.id, load);
+        let mut guard = LoadGuard::new(core, &replica.id, load);
+        if place::is_long(self.load().prefill_tokens) {
+            let until = job.deadline;
+            guard.reservation = Reservation::new(core, &self.target, &replica.id, load, until);
+        }
         self.log_attempt(&choice, plan.as_ref(), forward_headers.time_left, &snapshot);
         let max_conns = self.max_conns(&snapshot);
         let flight = Mutex::new(None);
