Count a replica's reported state for one incarnation only

Cause: the holder of the duties kept the last reported state of a replica by its id. After a restart under the same id, with older weights, the state of the process before still said that the upgrade was done.

Change: states are kept with the incarnation's start time and dropped when the registered one differs. A report of another incarnation than the one asked is logged and ignored.

--- a/crates/relay/src/duty/orders.rs
+++ b/crates/relay/src/duty/orders.rs
@@ -43,13 +43,22 @@
     }
 }
 
+/// A state that an incarnation of a replica reported.
+struct State {
+    started_ms: u64,
+    report: ReplicaReport,
+}
+
 struct Orders<'a> {
     lease_state: &'a LeaseState,
     core: &'a Core,
     /// Progress of each model's upgrade. Sorted by model.
     upgrades: Vec<(Arc<str>, Upgrade)>,
     /// Newest state of each replica that was queried. Sorted by replica.
-    states: Vec<ReplicaReport>,
+    ///
+    /// A replica that starts again may keep its id, with other weights, so a state counts for one
+    /// incarnation only.
+    states: Vec<State>,
     /// When peers are told again which replicas load.
     next_notice: Time,
 }
@@ -87,7 +96,12 @@
             .map(|r| (r.id.clone(), r.version(model).unwrap_or(0)))
             .collect();
         let now = self.core.now();
-        self.states.retain(|r| snapshot.replica(&r.replica).is_some());
+        let is_current = |s: &State| {
+            let known = snapshot.replica(&s.report.replica);
+            known.is_some_and(|r| r.started_ms == s.started_ms)
+        };
+        self.states.retain(is_current);
+        let reports: Vec<ReplicaReport> = self.states.iter().map(|s| s.report.clone()).collect();
         let at = match self.upgrades.binary_search_by(|(m, _)| m.cmp(model)) {
             Ok(at) => at,
             Err(at) => {
@@ -96,7 +110,7 @@
             }
         };
         let usable = self.core.min_version(weights, now);
-        self.upgrades[at].1.step(weights.version, usable, &registered, &self.states, now)
+        self.upgrades[at].1.step(weights.version, usable, &registered, &reports, now)
     }
 
     async fn apply_actions(
@@ -130,9 +144,9 @@
         }
     }
 
-    fn put_state(&mut self, state: Option<ReplicaReport>) {
+    fn put_state(&mut self, state: Option<State>) {
         let Some(state) = state else { return };
-        match self.states.binary_search_by(|r| r.replica.cmp(&state.replica)) {
+        match self.states.binary_search_by(|s| s.report.replica.cmp(&state.report.replica)) {
             Ok(at) => self.states[at] = state,
             Err(at) => self.states.insert(at, state),
         }
@@ -178,15 +192,28 @@
             self.lease_state.stop_acting();
         }
         // The next run queries the replica again, whatever the answer was.
-        self.states.retain(|r| r.replica != replica.id);
+        self.states.retain(|s| s.report.replica != replica.id);
     }
 }
 
-/// Queries a replica's state; `None` where it does not answer.
-async fn query(core: &Core, replica: &Replica, model: &Arc<str>) -> Option<ReplicaReport> {
+/// Queries a replica's state; `None` where this incarnation does not answer.
+async fn query(core: &Core, replica: &Replica, model: &Arc<str>) -> Option<State> {
     let asked_at = core.now();
+    let started_ms = replica.started_ms;
     match permits::report(core, replica).await {
-        Ok(report) => Some(to_replica_report(core, replica, model, &report, asked_at)),
+        Ok(report) if ![0, started_ms].contains(&report.started_ms) => {
+            info!(
+                replica = %replica.id,
+                started_ms,
+                reported_ms = report.started_ms,
+                "replica state ignored, it is another incarnation's"
+            );
+            None
+        }
+        Ok(report) => {
+            let report = to_replica_report(core, replica, model, &report, asked_at);
+            Some(State { started_ms, report })
+        }
         Err(error) => {
             info!(replica = %replica.id, %error, "replica state query failed");
             None
