Keep datagrams with long replica ids within a packet

Cause: only loads were left out of a datagram that was too long. With 16 departed replicas with ids of 200 bytes it was not sent at all, so peers heard neither of them nor of the instance. Of more than 16 departed replicas the same 16 were told each time.

Change: without loads, the last entry of the longest list is left out until the datagram fits. Departed replicas that were told go to the end of their list, and new ones come first. The format is unchanged.

--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -117,7 +117,6 @@
 const DEPARTED_TTL: Duration = Duration::from_secs(4);
 /// How long a replica that said that it is leaving is remembered. It ends sooner.
 const SAID_TTL: Duration = Duration::from_secs(600);
-
 /// How long after it was heard a peer or the registry shows that this instance's links work.
 const CONTACT_TTL: Duration = Duration::from_millis(1000);
 
@@ -194,7 +193,7 @@
     /// Peers with the time of the last datagram, ready or not, kept as long as in `last_heard`.
     /// Sorted by name.
     pub last_datagrams: Mutex<Vec<(Arc<str>, Time)>>,
-    /// Replicas that began to leave or disappeared, for at least [`RETURN_SPAN`].
+    /// Replicas that began to leave or disappeared, for at least [`RETURN_SPAN`], in the order to tell.
     pub departed: Mutex<Vec<Departed>>,
     /// The era of the registry.
     pub returns: Returns,
@@ -378,7 +377,8 @@
             said || departed.iter().any(|d| d.said && d.id == *id && d.started_ms == started_ms);
         let ttl = |d: &Departed| if d.said { SAID_TTL } else { RETURN_SPAN };
         departed.retain(|d| d.id != *id && !(forget && at.since(d.at) >= ttl(d)));
-        departed.push(Departed { id: id.clone(), started_ms, leaving, said, at, returned: false });
+        let (id, returned) = (id.clone(), false);
+        departed.insert(0, Departed { id, started_ms, leaving, said, at, returned });
     }
 
     /// Records that a replica that had departed is registered again.
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -94,8 +94,9 @@
     (datagram, Trailer { era, started, said, young_ms, release, ..Trailer::default() })
 }
 
-/// Encodes the datagram for peers, with as much of the evidence as fits. The loads of
-/// the least loaded replicas are left out if it gets too long. `None` if it is too long without any.
+/// Encodes the datagram for peers, with as much of the evidence as fits. The loads of the least loaded
+/// replicas are left out if it gets too long, and then entries of other lists. `None` if it is too
+/// long without any.
 fn encode(core: &Core) -> Option<Vec<u8>> {
     let clock = *core.registry_clock.lock();
     let (mut datagram, mut trailer) = datagram(core, &clock);
@@ -110,6 +111,10 @@
     while bare + reserved > MAX_DATAGRAM_BYTES && datagram.loads.pop().is_some() {
         bare = postcard::to_stdvec(&(&datagram, &trailer)).ok()?.len();
     }
+    while bare > MAX_DATAGRAM_BYTES && shorten(&mut datagram, &mut trailer) {
+        bare = postcard::to_stdvec(&(&datagram, &trailer)).ok()?.len();
+    }
+    note_told(core, &datagram.leaving);
     let Some(space) = MAX_DATAGRAM_BYTES.checked_sub(bare) else {
         warn!(bytes = bare, "datagram for peers is too long and was not sent");
         return None;
@@ -119,6 +124,41 @@
     postcard::to_stdvec(&(&datagram, &trailer)).ok()
 }
 
+/// Lets the next datagram begin with departed replicas that were not in this one, so that peers hear
+/// of all of them where they don't fit into one.
+fn note_told(core: &Core, told: &[String]) {
+    // The sort is stable.
+    core.departed.lock().sort_by_key(|d| told.iter().any(|id| **id == *d.id));
+}
+
+/// Removes the last entry of the list that takes most bytes, of those whose entries have the names of
+/// replicas or targets. Returns false if all are empty.
+fn shorten(datagram: &mut Datagram, trailer: &mut Trailer) -> bool {
+    let texts = |list: &[String]| list.iter().map(String::len).sum::<usize>();
+    let sizes = [
+        texts(&datagram.leaving),
+        texts(&datagram.loading),
+        texts(&trailer.cut_off),
+        trailer.limits.iter().map(|l| l.replica.len()).sum(),
+        trailer.full.iter().map(|f| f.replica.len()).sum(),
+    ];
+    let largest = (0..sizes.len()).max_by_key(|at| sizes[*at]).filter(|at| sizes[*at] > 0);
+    match largest {
+        Some(0) => {
+            // Entries of the three lists belong together.
+            datagram.leaving.pop();
+            trailer.started.truncate(datagram.leaving.len());
+            trailer.said.truncate(datagram.leaving.len());
+        }
+        Some(1) => drop(datagram.loading.pop()),
+        Some(2) => drop(trailer.cut_off.pop()),
+        Some(3) => drop(trailer.limits.pop()),
+        Some(_) => drop(trailer.full.pop()),
+        None => return false,
+    }
+    true
+}
+
 /// The newest versions of each model and when they were announced.
 fn announced_weights(
     core: &Core,
