Reserve the memory of request bodies as they arrive

Cause: a body in chunks was admitted at 256 KiB and grew to the configured limit, and each chunk kept a buffer of the connection.

Change: a body of either framing reserves memory in steps before it takes it, and copies chunks out of the connection's buffers. Where there is no memory, a body without a byte for 300 ms is given up at once. Else the one that holds most and progresses least is given up after that time. Nothing of it has run, so it gets 503, with the time after which memory is expected.

--- a/crates/relay/src/accept.rs
+++ b/crates/relay/src/accept.rs
@@ -2,29 +2,23 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
-use fleet::{Config, Snapshot};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use fleet::Snapshot;
 use hyper::{
     Request,
-    body::{Body as _, Incoming},
+    body::Incoming,
     header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING},
     http::request::Parts,
 };
 use ident::Time;
-use tokio::{sync::OwnedSemaphorePermit, time::timeout};
 
 use crate::{
     answer::Refusal,
-    core::{BODY_PERMIT_BYTES, Core},
+    bodies,
+    core::Core,
     detour::DETOUR,
     job::{ActiveGuard, Job, request_digest},
 };
 
-/// How long a request waits for memory for its body.
-const BODY_MEMORY_TIMEOUT: Duration = Duration::from_millis(300);
-/// Memory reserved for a body of unknown length, in bytes; longer ones are rare.
-const UNSIZED_BODY_BYTES: usize = 256 * 1024;
 /// Timeout of a request that names none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -50,8 +44,8 @@
     };
     let request_timeout = meta.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let deadline = start.after(request_timeout);
-    let permit = reserve_memory(core, config, &body, deadline).await?;
-    let body = read_body(core, config, body, deadline).await?;
+    let max_bytes = config.limits.body_bytes;
+    let (body, hold) = bodies::read(&core.bodies, body, max_bytes, deadline).await?;
     let mut headers = head.headers;
     core.adapters.protocol.strip_request(&mut headers);
     headers.remove(DETOUR);
@@ -70,7 +64,7 @@
         start,
         deadline,
         is_detour: false,
-        _body_permit: permit,
+        _body_hold: hold,
         _active: active,
     })
 }
@@ -105,45 +99,3 @@
     let path = uri.path_and_query().cloned();
     path.map_or(uri, hyper::Uri::from)
 }
-
-/// Reserves memory for a body before the body is read.
-async fn reserve_memory(
-    core: &Core,
-    config: &Config,
-    body: &Incoming,
-    deadline: Time,
-) -> Result<OwnedSemaphorePermit, Refusal> {
-    let max_bytes = config.limits.body_bytes;
-    let bytes = body.size_hint().upper().map_or(UNSIZED_BODY_BYTES.min(max_bytes), |n| n as usize);
-    if bytes > max_bytes {
-        return Err(Refusal::TooLong(max_bytes));
-    }
-    let units =
-        bytes.div_ceil(BODY_PERMIT_BYTES).min(core.settings.bounds.bodies / BODY_PERMIT_BYTES);
-    let permits = core.body_memory.clone().acquire_many_owned(units as u32);
-    let wait = deadline.since(core.now()).min(BODY_MEMORY_TIMEOUT);
-    let retry_delay = BODY_MEMORY_TIMEOUT * 2;
-    match timeout(wait, permits).await {
-        Ok(Ok(permit)) => Ok(permit),
-        _ => Err(Refusal::NotRun { why: "no memory is free for its body", retry_delay }),
-    }
-}
-
-async fn read_body(
-    core: &Core,
-    config: &Config,
-    body: Incoming,
-    deadline: Time,
-) -> Result<Bytes, Refusal> {
-    let max_bytes = config.limits.body_bytes;
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    let time_left = deadline.since(core.now());
-    match timeout(time_left, Limited::new(body, max_bytes).collect()).await {
-        Ok(Ok(read)) => Ok(read.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(Refusal::TooLong(max_bytes)),
-        Ok(Err(_)) => Err(Refusal::Disconnected),
-        Err(_) => Err(Refusal::BodyTimeout),
-    }
-}
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -20,11 +20,12 @@
 use table::Table;
 use tokio::{
     net::UdpSocket,
-    sync::{Notify, Semaphore, watch},
+    sync::{Notify, watch},
 };
 use tracing::info;
 
 use crate::{
+    bodies::Bodies,
     conns::ConnPool,
     dates::RegistryClock,
     feed::Feeds,
@@ -110,8 +111,6 @@
     pub table: Arc<dyn Table>,
 }
 
-/// Bytes of a request body that one permit stands for.
-pub const BODY_PERMIT_BYTES: usize = 1024;
 /// How long after its departure a replica is listed in datagrams to peers. During this time an
 /// older registry entry does not mark it as available again.
 const DEPARTED_TTL: Duration = Duration::from_secs(4);
@@ -164,8 +163,8 @@
     pub catalogs: Mutex<Vec<StoreCatalog>>,
     /// The last change of which teams are dedicated.
     pub(crate) walls_change: Mutex<WallsChange>,
-    /// Memory for request bodies, in permits of [`BODY_PERMIT_BYTES`].
-    pub body_memory: Arc<Semaphore>,
+    /// Memory for request bodies.
+    pub bodies: Arc<Bodies>,
     /// Connections to replicas.
     pub conns: ConnPool,
     /// Connections to peers that send requests on.
@@ -241,7 +240,8 @@
 impl Core {
     /// The initial state of an instance, without a configuration.
     pub fn new(settings: Settings, adapters: Adapters, clock: Arc<dyn Clock>) -> Arc<Self> {
-        let body_memory = Arc::new(Semaphore::new(settings.bounds.bodies / BODY_PERMIT_BYTES));
+        let metrics = Metrics::new();
+        let bodies = Bodies::new(settings.bounds.bodies, clock.clone(), &metrics);
         let Bounds { ratio, window, extra, .. } = settings.bounds;
         let now = clock.now();
         // Peers know this instance by the address.
@@ -257,12 +257,12 @@
             budgets: Mutex::new(budgets),
             catalogs: Mutex::default(),
             walls_change: Mutex::default(),
-            body_memory,
+            bodies,
             conns: ConnPool::default(),
             peer_conns,
             detours: Mutex::default(),
             reach: Mutex::default(),
-            metrics: Metrics::new(),
+            metrics,
             active: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
             live_instances: AtomicU32::new(1),
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -11,9 +11,8 @@
 use hyper::{HeaderMap, Method, Uri};
 use ident::{Digest, Time};
 use place::Prompt;
-use tokio::sync::OwnedSemaphorePermit;
 
-use crate::{core::Core, protocol::RequestMeta};
+use crate::{bodies::Hold, core::Core, protocol::RequestMeta};
 
 /// Counts a request as in flight until the guard is dropped at the end of its answer.
 pub struct ActiveGuard(Arc<Core>);
@@ -58,7 +57,7 @@
     /// Whether a peer sent it on, so that it goes to replicas only.
     pub is_detour: bool,
     /// Holds the memory that the body takes.
-    pub _body_permit: OwnedSemaphorePermit,
+    pub _body_hold: Option<Hold>,
     /// Counts the request as in flight.
     pub _active: ActiveGuard,
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -7,6 +7,8 @@
 
 mod accept;
 mod answer;
+mod bodies;
+pub mod body_budget;
 mod caller_conn;
 mod conns;
 pub mod core;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -70,6 +70,11 @@
     pub feed_answers: IntCounter,
     /// Whether this instance follows readers, 1, or reads the sources itself, 0.
     pub follows: IntGauge,
+    /// Bytes held for request bodies.
+    pub body_bytes: IntGauge,
+    /// Requests and connections of clients that were given up for others, by cause: `body_stalled`
+    /// (no byte for a while) or `body_memory` (its body held most).
+    pub rejected_clients: IntCounterVec,
     /// Seconds from the request to the head of a replica's answer, before its body is read.
     pub first_byte: Histogram,
     /// Seconds from the request to the end of a relayed answer.
@@ -171,6 +176,12 @@
             feed_polls: family("lentil_feed_polls_total", "Polls of readers by outcome", "outcome"),
             feed_answers: counter("lentil_feed_answers_total", "Answers to followers' polls"),
             follows: gauge("lentil_follows_readers", "Whether this instance follows readers"),
+            body_bytes: gauge("lentil_body_bytes", "Bytes held for request bodies"),
+            rejected_clients: family(
+                "lentil_clients_rejected_total",
+                "Requests and connections given up for others by cause",
+                "cause",
+            ),
             ended,
             registry,
         }
