Bound all accepted connections together

Cause: each of the five listeners took as many connections as the process has descriptors for, whatever memory they need. One that was full waited until a client left, so that silent connections kept ordinary ones out.

Change: the listeners share the number of connections. A full listener closes a connection without a request in progress: first one that never brought a request, then the one that has been idle longest. The end of an answer is still written. Failed accepts are logged once a second.

--- /dev/null
+++ b/crates/relay/src/connections.rs
@@ -0,0 +1,185 @@
+//! The connections of a listener, and which one is closed when there are too many.
+//!
+//! The load it handles: clients that open many connections and send nothing, or a head that never
+//! ends, beside clients that keep a connection between requests. One that never brought a request is
+//! closed before one that did, then the one that has been idle longest. A connection with a request in
+//! progress is never closed for another.
+
+use std::{
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::{Frame, SizeHint};
+use ident::{Clock, Time};
+use parking_lot::Mutex;
+use prometheus::IntCounterVec;
+use tokio::sync::Notify;
+
+use crate::answer::{AbortedBody, Body};
+
+struct Entry {
+    id: u64,
+    /// When it began to wait for a request; `None` while one is in progress.
+    idle_since: Option<Time>,
+    /// Whether it brought a request.
+    has_served: bool,
+    /// Whether it is being closed for another.
+    is_closing: bool,
+    close: Arc<Notify>,
+}
+
+/// The connections of a listener.
+pub(crate) struct Connections {
+    max: usize,
+    /// Sorted by id, since ids rise.
+    open: Mutex<(u64, Vec<Entry>)>,
+    /// Wakes the listener when a connection ended or became idle.
+    changed: Notify,
+    clock: Arc<dyn Clock>,
+    rejected: IntCounterVec,
+}
+
+impl Connections {
+    pub(crate) fn new(max: usize, clock: Arc<dyn Clock>, rejected: IntCounterVec) -> Arc<Self> {
+        let (open, changed) = (Mutex::default(), Notify::new());
+        Arc::new(Self { max, open, changed, clock, rejected })
+    }
+
+    /// Waits until there is a place for one more connection. An idle one is closed for it.
+    pub(crate) async fn enter(self: &Arc<Self>) -> Arc<Slot> {
+        loop {
+            if let Some(slot) = self.try_enter() {
+                return slot;
+            }
+            self.changed.notified().await;
+        }
+    }
+
+    fn try_enter(self: &Arc<Self>) -> Option<Arc<Slot>> {
+        let mut open = self.open.lock();
+        let (next, entries) = &mut *open;
+        if entries.len() < self.max {
+            let (id, close) = (*next, Arc::new(Notify::new()));
+            *next += 1;
+            entries.push(Entry {
+                id,
+                idle_since: Some(self.clock.now()),
+                has_served: false,
+                is_closing: false,
+                close: close.clone(),
+            });
+            return Some(Arc::new(Slot { list: self.clone(), id, close }));
+        }
+        if !entries.iter().any(|e| e.is_closing) {
+            let idle = entries.iter_mut().filter(|e| e.idle_since.is_some());
+            if let Some(victim) = idle.min_by_key(|e| (e.has_served, e.idle_since)) {
+                victim.is_closing = true;
+                victim.close.notify_one();
+                self.rejected.with_label_values(&["connection_idle"]).inc();
+            }
+        }
+        None
+    }
+
+    fn update<F>(&self, id: u64, change: F)
+    where
+        F: FnOnce(&mut Entry),
+    {
+        let entries = &mut self.open.lock().1;
+        if let Ok(at) = entries.binary_search_by_key(&id, |e| e.id) {
+            change(&mut entries[at]);
+        }
+    }
+}
+
+/// The place of one connection, until it is dropped.
+pub(crate) struct Slot {
+    list: Arc<Connections>,
+    id: u64,
+    close: Arc<Notify>,
+}
+
+impl Slot {
+    /// Completes when the connection must end for another.
+    pub(crate) async fn must_close(&self) {
+        self.close.notified().await;
+    }
+
+    /// Whether a request is in progress.
+    pub(crate) fn is_busy(&self) -> bool {
+        let mut is_busy = false;
+        self.list.update(self.id, |e| is_busy = e.idle_since.is_none());
+        is_busy
+    }
+
+    /// Whether the connection brought a request.
+    pub(crate) fn has_served(&self) -> bool {
+        let mut has_served = false;
+        self.list.update(self.id, |e| has_served = e.has_served);
+        has_served
+    }
+
+    /// Records that a request is in progress until the guard is dropped.
+    pub(crate) fn busy(self: &Arc<Self>) -> Busy {
+        self.list.update(self.id, |e| (e.idle_since, e.has_served) = (None, true));
+        Busy(self.clone())
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let entries = &mut self.list.open.lock().1;
+        if let Ok(at) = entries.binary_search_by_key(&self.id, |e| e.id) {
+            entries.remove(at);
+        }
+        self.list.changed.notify_one();
+    }
+}
+
+/// A request in progress on a connection.
+pub(crate) struct Busy(Arc<Slot>);
+
+impl Busy {
+    /// Keeps the guard until the body is written or dropped.
+    pub(crate) fn until_end(self, body: Body) -> Body {
+        Guarded { body, _busy: self }.boxed_unsync()
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        let list = &self.0.list;
+        let now = list.clock.now();
+        list.update(self.0.id, |e| e.idle_since = Some(now));
+        list.changed.notify_one();
+    }
+}
+
+struct Guarded {
+    body: Body,
+    _busy: Busy,
+}
+
+impl hyper::body::Body for Guarded {
+    type Data = Bytes;
+    type Error = AbortedBody;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AbortedBody>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -82,7 +82,7 @@
     pub fenced: bool,
     /// Memory for request bodies, in bytes.
     pub bodies: usize,
-    /// Most connections that each listener serves at a time.
+    /// Most connections that all listeners serve at a time.
     pub callers: usize,
 }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,6 +10,7 @@
 mod bodies;
 pub mod body_budget;
 mod caller_conn;
+mod connections;
 mod conns;
 pub mod core;
 mod datagram;
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -1,19 +1,24 @@
 //! Accepts connections and serves them until the process ends.
 
-use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
+use std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use hyper::{
     Request, Response, StatusCode, body::Incoming, header::CONNECTION, header::HeaderValue,
     server::conn::http1, service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
+use ident::Time;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::timeout,
+};
 use tracing::{info, warn};
 
 use crate::{
     accept::accept,
     answer::{Body, full_body, json_response},
     caller_conn::{CallerConn, Incomplete},
+    connections::{Connections, Slot},
     conns::{CALLER_UNACKED_TIMEOUT, set_socket_options},
     core::Core,
     detour::{self, DETOUR},
@@ -29,6 +34,13 @@
 const DEFAULT_HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 /// Pause after a failed accept, for example without free file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Shortest time between two log lines about failed accepts.
+const ACCEPT_LOG_INTERVAL: Duration = Duration::from_secs(1);
+/// Connections that a listener serves however few the process may have.
+const MIN_CONNS: usize = 64;
+
+/// How long a connection that is closed for another may take to write the end of an answer.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// The kind of requests that a listener takes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -41,27 +53,47 @@
     Peer,
 }
 
+impl ListenerKind {
+    /// Most connections that a listener of this kind serves at a time, of `all` that the process may
+    /// have: five in eight for callers, one in sixteen for each of the three listeners for
+    /// information, and the rest for peers.
+    fn max_conns(self, all: usize) -> usize {
+        let sixteenths = match self {
+            Self::Front => 10,
+            Self::Info => 1,
+            Self::Peer => 3,
+        };
+        (all * sixteenths / 16).max(MIN_CONNS)
+    }
+}
+
 /// Accepts connections until the process ends.
 pub(crate) async fn listen(core: Arc<Core>, listener: TcpListener, kind: ListenerKind) {
-    let permits = Arc::new(tokio::sync::Semaphore::new(core.settings.bounds.callers));
+    let max = kind.max_conns(core.settings.bounds.callers);
+    let rejected = core.metrics.rejected_clients.clone();
+    let conns = Connections::new(max, core.clock.clone(), rejected);
     let mut closing = core.closing.subscribe();
+    let mut logged = Time(0);
     loop {
-        let permit = permits.clone().acquire_owned().await.expect("the semaphore is never closed");
+        let accepted = async {
+            let accepted = listener.accept().await?;
+            Ok::<_, io::Error>((accepted, conns.enter().await))
+        };
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+            accepted = accepted => accepted,
             // Callers that still use this address are refused and choose another instance.
             _ = closing.wait_for(|c| *c), if kind == ListenerKind::Front => return,
         };
         match accepted {
-            Ok((stream, from)) => {
-                let core = core.clone();
-                tokio::spawn(async move {
-                    serve_connection(core, stream, from, kind).await;
-                    drop(permit);
-                });
+            Ok(((stream, from), slot)) => {
+                tokio::spawn(serve_connection(core.clone(), stream, from, kind, slot));
             }
             Err(e) => {
-                warn!(error = %e, "connection could not be accepted");
+                let now = core.now();
+                if now.since(logged) >= ACCEPT_LOG_INTERVAL {
+                    logged = now;
+                    warn!(error = %e, "connection could not be accepted");
+                }
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
@@ -73,6 +105,7 @@
     stream: TcpStream,
     from: SocketAddr,
     kind: ListenerKind,
+    slot: Arc<Slot>,
 ) {
     if let Err(e) = set_socket_options(&stream, CALLER_UNACKED_TIMEOUT) {
         warn!(error = %e, %from, "socket options of connection could not be set");
@@ -83,8 +116,14 @@
     let mut closing = core.closing.subscribe();
     let incomplete = Incomplete::default();
     let stream = CallerConn::new(stream, incomplete.clone());
-    let service =
-        service_fn(move |request| respond(core.clone(), request, kind, from, incomplete.clone()));
+    let served = slot.clone();
+    let service = service_fn(move |request| {
+        let (core, incomplete, busy) = (core.clone(), incomplete.clone(), served.busy());
+        async move {
+            let answer = respond(core, request, kind, from, incomplete).await?;
+            Ok::<_, Infallible>(answer.map(|body| busy.until_end(body)))
+        }
+    });
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new()).max_buf_size(head);
     // hyper's timer also covers the idle time before a request, so the longer limit applies.
@@ -94,12 +133,26 @@
     let conn = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(conn);
     // An error means that the caller went away, or a protocol error that was already answered.
-    tokio::select! {
+    let is_closing = tokio::select! {
         _ = conn.as_mut() => return,
-        _ = closing.wait_for(|c| *c), if kind == ListenerKind::Front => {}
+        is_closing = async { closing.wait_for(|c| *c).await.is_ok() },
+            if kind == ListenerKind::Front => is_closing,
+        () = slot.must_close() => false,
+    };
+    // A head that is not complete would delay the end of the connection.
+    if !is_closing && !slot.has_served() {
+        return;
     }
     conn.as_mut().graceful_shutdown();
-    let _ = conn.await;
+    // The end of an answer may still have to be written, or a request may have come meanwhile.
+    while !is_closing && timeout(CLOSE_TIMEOUT, conn.as_mut()).await.is_err() {
+        if !slot.is_busy() {
+            return;
+        }
+    }
+    if is_closing {
+        let _ = conn.await;
+    }
 }
 
 async fn respond(
