--- a/crates/place/tests/evacuated_zones.rs
+++ b/crates/place/tests/evacuated_zones.rs
@@ -24,6 +24,7 @@
         tried: &[],
         permits: &[],
         engine: None,
+        goal: std::time::Duration::from_millis(300),
         tie_breaker: 7,
     }
 }
--- a/crates/place/tests/simulated/mod.rs
+++ b/crates/place/tests/simulated/mod.rs
@@ -211,6 +211,7 @@
         software: None,
         slots: SLOTS as u32,
         leaving: false,
+        cold: Duration::ZERO,
         started_ms: 1,
         models: vec![("m".into(), 1)],
     };
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -20,11 +20,12 @@
 use table::Table;
 use tokio::{
     net::UdpSocket,
-    sync::{Notify, Semaphore, watch},
+    sync::{Notify, watch},
 };
 use tracing::info;
 
 use crate::{
+    bodies::Bodies,
     conns::ConnPool,
     dates::RegistryClock,
     feed::Feeds,
@@ -87,7 +88,7 @@
     pub cold: ColdBound,
     /// Memory for request bodies, in bytes.
     pub bodies: usize,
-    /// Most connections that each listener serves at a time.
+    /// Most connections that all listeners serve at a time.
     pub callers: usize,
 }
 
@@ -116,8 +117,6 @@
     pub table: Arc<dyn Table>,
 }
 
-/// Bytes of a request body that one permit stands for.
-pub const BODY_PERMIT_BYTES: usize = 1024;
 /// How long after its departure a replica is listed in datagrams to peers. During this time an
 /// older registry entry does not mark it as available again.
 const DEPARTED_TTL: Duration = Duration::from_secs(4);
@@ -169,8 +168,8 @@
     pub catalogs: Mutex<Vec<StoreCatalog>>,
     /// The last change of which teams are dedicated.
     pub(crate) walls_change: Mutex<WallsChange>,
-    /// Memory for request bodies, in permits of [`BODY_PERMIT_BYTES`].
-    pub body_memory: Arc<Semaphore>,
+    /// Memory for request bodies.
+    pub bodies: Arc<Bodies>,
     /// Connections to replicas.
     pub conns: ConnPool,
     /// Connections to peers that send requests on.
@@ -254,7 +253,8 @@
 impl Core {
     /// The initial state of an instance, without a configuration.
     pub fn new(settings: Settings, adapters: Adapters, clock: Arc<dyn Clock>) -> Arc<Self> {
-        let body_memory = Arc::new(Semaphore::new(settings.bounds.bodies / BODY_PERMIT_BYTES));
+        let metrics = Metrics::new();
+        let bodies = Bodies::new(settings.bounds.bodies, clock.clone(), &metrics);
         let Bounds { ratio, window, extra, .. } = settings.bounds;
         let now = clock.now();
         // Peers know this instance by the address.
@@ -274,12 +274,12 @@
             budgets: Mutex::new(budgets),
             catalogs: Mutex::default(),
             walls_change: Mutex::default(),
-            body_memory,
+            bodies,
             conns: ConnPool::default(),
             peer_conns,
             detours: Mutex::default(),
             reach: Mutex::default(),
-            metrics: Metrics::new(),
+            metrics,
             active: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
             live_instances: AtomicU32::new(1),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -7,7 +7,10 @@
 
 mod accept;
 mod answer;
+mod bodies;
+pub mod body_budget;
 mod caller_conn;
+mod connections;
 pub mod conns;
 pub mod core;
 mod datagram;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -83,6 +83,12 @@
     /// What is held for requests, checks and questions to peers; see
     /// [`holdings`](crate::holdings::holdings).
     pub held: IntGaugeVec,
+    /// Bytes held for request bodies.
+    pub body_bytes: IntGauge,
+    /// Requests and connections of clients that were given up for others, by cause: `body_stalled`
+    /// (no byte for a while), `body_memory` (its body held most) or `connection_idle` (it had no
+    /// request in progress).
+    pub rejected_clients: IntCounterVec,
     /// Seconds from the request to the head of a replica's answer, before its body is read.
     pub first_byte: Histogram,
     /// Seconds from the request to the end of a relayed answer.
@@ -203,6 +209,12 @@
             ),
             short_engines,
             follows: gauge("lentil_follows_readers", "Whether this instance follows readers"),
+            body_bytes: gauge("lentil_body_bytes", "Bytes held for request bodies"),
+            rejected_clients: family(
+                "lentil_clients_rejected_total",
+                "Requests and connections given up for others by cause",
+                "cause",
+            ),
             ended,
             held,
             registry,
