Find crashed replicas by closed connections and by peers

Cause: a replica that crashes and is back within a second under the same id is found by an instance only if one of its requests breaks. Kept connections that were closed meanwhile were replaced without a word, and instances without a connection learned of the crash from the registry up to 2 s later.

Change: a kept connection that the replica closed before its keep-alive time counts like a broken one, for targets with a limit for cold replicas: the replica is taken for cold, and its report is asked for the start time. With the same start time nothing has happened. With another one, or after the checks that find the end of a replica, the instance tells peers with a new trailing field of datagrams, `lost`, which has digests of incarnations, and sends one at once to the 30 peers that get other news. Peers don't pass it on. Earlier builds skip the field. A replica whose entry was removed is forgotten at once, so that it is new when it comes back.

--- a/crates/place/src/cold.rs
+++ b/crates/place/src/cold.rs
@@ -46,6 +46,8 @@
     since: Time,
     /// Whether it was not reached since.
     lost: bool,
+    /// Whether this instance found out itself that the incarnation ended, so that peers are told.
+    told: bool,
     /// [`Entry::cold_until`] if the doubt turns out to be wrong.
     before: Time,
 }
@@ -126,7 +128,8 @@
     fn start_cold(&mut self, now: Time) {
         let until = now.after(self.limit.span);
         let before = self.doubt.map_or(self.cold_until, |d| d.before);
-        self.doubt = Some(Doubt { since: now, lost: false, before });
+        let told = self.doubt.is_some_and(|d| d.told);
+        self.doubt = Some(Doubt { since: now, lost: false, told, before });
         self.set_until(self.cold_until.max(until), now);
     }
 
@@ -231,7 +234,7 @@
             Duration::ZERO => Time(0),
             stated => now.after(stated.min(limit.span)),
         };
-        let doubt = Doubt { since: now, lost: false, before: entry.cold_until };
+        let doubt = Doubt { since: now, lost: false, told: false, before: entry.cold_until };
         entry.doubt = is_doubted.then_some(doubt);
         let is_cold = entry.is_cold(now);
         self.entries.insert(at, entry);
@@ -247,16 +250,34 @@
     }
 
     /// Records that an incarnation of a replica was not reached, or that a connection to it broke:
-    /// it may come back cold. Returns whether it did not count as cold.
+    /// it may come back cold. Returns whether it was not lost before.
     pub fn lost(&mut self, replica: &str, started_ms: u64, now: Time) -> bool {
         let Some(entry) = self.incarnation(replica, started_ms) else { return false };
-        let was_cold = entry.is_cold(now);
+        let was_lost = entry.doubt.is_some_and(|d| d.lost);
         if entry.rate(now).is_none() {
             entry.bucket = Bucket::empty(now);
         }
         let before = entry.doubt.map_or(entry.cold_until, |d| d.before);
-        entry.doubt = Some(Doubt { since: now, lost: true, before });
-        !was_cold
+        let told = was_lost && entry.doubt.is_some_and(|d| d.told);
+        entry.doubt = Some(Doubt { since: now, lost: true, told, before });
+        !was_lost
+    }
+
+    /// Records that this instance found out that an incarnation ended. Returns whether that is new,
+    /// so that peers should hear of it.
+    pub fn ended(&mut self, replica: &str, started_ms: u64, now: Time) -> bool {
+        self.lost(replica, started_ms, now);
+        let entry = self.incarnation(replica, started_ms);
+        let doubt = entry.and_then(|e| e.doubt.as_mut());
+        doubt.is_some_and(|d| !std::mem::replace(&mut d.told, true))
+    }
+
+    /// The incarnations that this instance lately found to have ended, by identifier and
+    /// [`Replica::started_ms`].
+    pub fn report(&self, now: Time) -> Vec<(Arc<str>, u64)> {
+        let is_recent = |d: &Doubt| d.told && now.since(d.since) < ENTRY_DELAY;
+        let ended = self.entries.iter().filter(|e| e.doubt.as_ref().is_some_and(is_recent));
+        ended.map(|e| (e.replica.clone(), e.started_ms)).collect()
     }
 
     /// Records that a replica was reached. If it was lost, it counts as cold from now on.
--- a/crates/place/tests/cold_replicas.rs
+++ b/crates/place/tests/cold_replicas.rs
@@ -195,6 +195,22 @@
     assert!(!lost.is_cold("r", later.after(LIMIT.span)));
 }
 
+/// Guards against peers that learn of a crash only from the entry, and against news without an end.
+#[test]
+fn an_end_is_reported_for_some_time() {
+    let (names, now) = (names(1), Time(START));
+    let mut cold = instance(0, &names);
+    cold.lost("r", 1, now);
+    assert!(cold.report(now).is_empty(), "a lost connection shows no end");
+    assert!(!cold.ended("r", 2, now), "it is another incarnation");
+    assert!(cold.ended("r", 1, now) && !cold.ended("r", 1, now), "it is new once");
+    cold.reached("r", now);
+    assert_eq!(cold.report(now), [("r".into(), 1)]);
+    assert!(cold.report(now.after(Duration::from_secs(3))).is_empty());
+    cold.note(&replica(2, 9000), Some(LIMIT), false, now);
+    assert!(cold.report(now).is_empty(), "the entry of the next one is known");
+}
+
 /// Guards against an instance that restarts and sends freely to replicas that have just started.
 #[test]
 fn an_instance_that_starts_takes_young_replicas_for_cold() {
--- a/crates/relay/src/conns.rs
+++ b/crates/relay/src/conns.rs
@@ -6,7 +6,7 @@
     net::{IpAddr, SocketAddr},
     sync::{
         Arc,
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::Duration,
 };
@@ -111,6 +111,8 @@
     addr: SocketAddr,
     open: AtomicU32,
     idle: Mutex<Vec<Conn>>,
+    /// Whether a kept connection was closed before it expired, since the last request.
+    closed_early: AtomicBool,
 }
 
 /// Connections of an instance to all replicas.
@@ -129,6 +131,9 @@
 
     /// Nothing was written since [`Gate::open`].
     fn unsent(&self);
+
+    /// The replica closed a connection that was kept, sooner than its keep-alive timeout says.
+    fn closed_early(&self) {}
 }
 
 impl ConnPool {
@@ -151,6 +156,9 @@
         let informational = InformationalLimit::new(&mut request);
         let replica = self.conns_of(id, addr);
         while let Some(mut conn) = replica.take_idle(now) {
+            if replica.closed_early.swap(false, Ordering::Relaxed) {
+                gate.closed_early();
+            }
             if !gate.open() {
                 return Err(SendError::Withheld);
             }
@@ -161,12 +169,16 @@
                 Err(mut e) => match e.take_message() {
                     Some(unsent) => {
                         gate.unsent();
+                        replica.closed_early.store(true, Ordering::Relaxed);
                         request = unsent;
                     }
                     None => return Err(SendError::Broken(e.into_error().to_string().into())),
                 },
             }
         }
+        if replica.closed_early.swap(false, Ordering::Relaxed) {
+            gate.closed_early();
+        }
         let mut conn = connect(replica, max_conns, self.source).await?;
         if !gate.open() {
             return Err(SendError::Withheld);
@@ -208,6 +220,7 @@
             let unusable: Vec<Conn> = {
                 let mut idle = replica.idle.lock();
                 let all = std::mem::take(&mut *idle);
+                all.iter().for_each(|c| replica.note_closed(c, now));
                 let (usable, unusable) = all
                     .into_iter()
                     .partition(|c| keep && !c.expires.passed(now) && !c.sender.is_closed());
@@ -225,7 +238,8 @@
             Ok(at) if replicas[at].addr == addr => replicas[at].clone(),
             found => {
                 let (id, open, idle) = (id.clone(), AtomicU32::new(0), Mutex::default());
-                let replica = Arc::new(ReplicaConns { id, addr, open, idle });
+                let closed_early = AtomicBool::new(false);
+                let replica = Arc::new(ReplicaConns { id, addr, open, idle, closed_early });
                 match found {
                     Ok(at) => replicas[at] = replica.clone(),
                     Err(at) => replicas.insert(at, replica.clone()),
@@ -237,10 +251,18 @@
 }
 
 impl ReplicaConns {
+    /// Notes an idle connection that the replica closed before it expired.
+    fn note_closed(&self, conn: &Conn, now: Time) {
+        if conn.sender.is_closed() && !conn.expires.passed(now) {
+            self.closed_early.store(true, Ordering::Relaxed);
+        }
+    }
+
     /// Takes the connection that was used last, if it is still usable.
     fn take_idle(&self, now: Time) -> Option<Conn> {
         loop {
             let conn = self.idle.lock().pop()?;
+            self.note_closed(&conn, now);
             if !conn.expires.passed(now) && conn.sender.is_ready() {
                 return Some(conn);
             }
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -376,6 +376,8 @@
 
     /// Records that a replica is gone. `started_ms` is 0 if its entry may only have expired.
     pub(crate) fn record_removal(&self, id: &Arc<str>, started_ms: u64) {
+        // One that comes back counts as cold.
+        self.cold.lock().retain(|known| *known != **id);
         self.push_departed(id, started_ms, false, false);
     }
 
--- a/crates/relay/src/datagram.rs
+++ b/crates/relay/src/datagram.rs
@@ -80,6 +80,9 @@
     pub(crate) young_ms: u64,
     /// The sender's [`RELEASE`].
     pub(crate) release: u32,
+    /// Digests of incarnations of replicas that the sender found to have ended, of targets with a
+    /// limit for cold replicas.
+    pub(crate) lost: Vec<u64>,
 }
 
 /// A [`LimitReport`].
@@ -171,6 +174,7 @@
     take(&mut trailer.said, &mut rest)?;
     take(&mut trailer.young_ms, &mut rest)?;
     take(&mut trailer.release, &mut rest)?;
+    take(&mut trailer.lost, &mut rest)?;
     Ok((datagram, trailer))
 }
 
--- a/crates/relay/src/ends.rs
+++ b/crates/relay/src/ends.rs
@@ -118,7 +118,9 @@
         let mut blame = core.blame.lock();
         (blame.has_ended(end), blame.replica_ended(end, planned, core.now()))
     };
-    zones::note_lost(core, replica);
+    if !planned {
+        zones::note_ended(core, replica);
+    }
     if !known {
         core.metrics.replica_ends.inc();
         info!(replica = &*replica.id, planned, evidence = news, "replica ended");
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -24,7 +24,7 @@
         AnnouncedVersion, Datagram, FORMAT, LimitWire, RELEASE, RefusalWire, Trailer, parse,
     },
     dates::RegistryClock,
-    ends, links, origins,
+    ends, links, origins, zones,
 };
 
 /// How long after its last datagram a peer is listed to callers. Where limits are divided among
@@ -105,6 +105,7 @@
     trailer.limits = limits.into_iter().take(MAX_LIMITS).map(LimitWire::from).collect();
     let full = core.refusals.lock().report(core.now());
     trailer.full = full.into_iter().take(MAX_FULL).map(RefusalWire::from).collect();
+    trailer.lost = zones::report(core);
     let reserved = if core.blame.lock().has_suspects() { RESERVED_BYTES } else { 0 };
     let mut bare = postcard::to_stdvec(&(&datagram, &trailer)).ok()?.len();
     while bare + reserved > MAX_DATAGRAM_BYTES && datagram.loads.pop().is_some() {
@@ -307,6 +308,7 @@
             Err(error) => warn!(%error, peer = %name, "peer reported a malformed refusal"),
         }
     }
+    zones::merge(core, &trailer.lost);
     core.releases.lock().note(&name, trailer.release, &core.view.snapshot().instances);
     fetch_config(core, &name, datagram.rev);
     note_peer(core, name, datagram.ready, trailer.young_ms > 0, now);
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -124,6 +124,10 @@
     fn unsent(&self) {
         self.flight.lock().take();
     }
+
+    fn closed_early(&self) {
+        zones::note_broken(&self.forwarder.core, self.replica, true);
+    }
 }
 
 impl Forwarder {
@@ -238,7 +242,7 @@
                     flight.lost();
                 }
                 let (checking, checked) = (core.clone(), replica.clone());
-                zones::note_broken(core, replica);
+                zones::note_broken(core, replica, false);
                 tokio::spawn(async move { links::check(&checking, &checked).await });
                 core.pool.lock().record_outcome(&replica.id, Outcome::NoAnswer, core.now());
                 self.log_outcome("broken", &choice, &why);
--- a/crates/relay/src/zones.rs
+++ b/crates/relay/src/zones.rs
@@ -4,14 +4,17 @@
 
 use fleet::{ColdLimit, Instance, Replica};
 use rand::seq::IndexedRandom;
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 use crate::{
     core::Core,
     permits,
-    services::{Report, Topic, Update},
+    services::{Topic, Update},
 };
 
+/// Most ended incarnations in one datagram.
+const MAX_ENDED: usize = 8;
+
 /// A peer that may know what the registry does not tell this instance.
 pub(crate) fn choose_peer(core: &Core) -> Option<Arc<str>> {
     let snapshot = core.view.snapshot();
@@ -107,33 +110,74 @@
     }
 }
 
-/// Records that a replica was not reached: it may come back cold.
-pub(crate) fn note_lost(core: &Core, replica: &Replica) {
+/// Records that a replica was not reached: it may come back cold. Returns whether that is new.
+pub(crate) fn note_lost(core: &Core, replica: &Replica) -> bool {
     let mut cold = core.cold.lock();
-    if cold.lost(&replica.id, replica.started_ms, core.now()) {
+    let is_new = cold.lost(&replica.id, replica.started_ms, core.now());
+    if is_new {
         core.metrics.cold_replicas.set(cold.count(core.now()) as i64);
         info!(replica = &*replica.id, "replica was lost and counts as cold");
     }
+    is_new
+}
+
+/// Records that an incarnation of a replica has ended, and tells peers: most of them have no
+/// connection to it that would show it.
+pub(crate) fn note_ended(core: &Core, replica: &Replica) {
+    note_lost(core, replica);
+    if core.cold.lock().ended(&replica.id, replica.started_ms, core.now()) {
+        core.notify_evidence.notify_one();
+    }
 }
 
 /// Records that a connection to a replica broke, and finds out whether it is still the same
-/// incarnation.
-pub(crate) fn note_broken(core: &Arc<Core>, replica: &Arc<Replica>) {
-    if limit(core, &replica.target).is_none() {
+/// incarnation. A replica may close an `idle` connection without having ended, so that counts only
+/// until the replica answers without another start time.
+pub(crate) fn note_broken(core: &Arc<Core>, replica: &Arc<Replica>, idle: bool) {
+    // One check at a time: until it ends the replica counts as lost.
+    if limit(core, &replica.target).is_none() || !note_lost(core, replica) {
         return;
     }
-    note_lost(core, replica);
     let (core, replica) = (core.clone(), replica.clone());
     tokio::spawn(async move {
-        let report = permits::report(&core, &replica).await;
-        let is_same = |r: &Report| r.started_ms != 0 && r.started_ms == replica.started_ms;
-        if report.is_ok_and(|r| is_same(&r)) {
-            let now = core.now();
-            core.cold.lock().is_same(&replica.id, replica.started_ms, now);
+        match permits::report(&core, &replica).await {
+            Ok(report) if report.started_ms == 0 && !idle => {}
+            Ok(report) if [0, replica.started_ms].contains(&report.started_ms) => {
+                core.cold.lock().is_same(&replica.id, replica.started_ms, core.now());
+            }
+            Ok(_) => note_ended(&core, &replica),
+            Err(error) => debug!(replica = &*replica.id, %error, "replica does not say its start"),
         }
     });
 }
 
+/// The digest of an incarnation of a replica.
+fn digest(id: &str, started_ms: u64) -> u64 {
+    xxhash_rust::xxh3::xxh3_64_with_seed(id.as_bytes(), started_ms)
+}
+
+/// The digests of the ended incarnations that peers are told of.
+pub(crate) fn report(core: &Core) -> Vec<u64> {
+    let ended = core.cold.lock().report(core.now());
+    ended.into_iter().take(MAX_ENDED).map(|(id, started_ms)| digest(&id, started_ms)).collect()
+}
+
+/// Applies what a peer found to have ended.
+pub(crate) fn merge(core: &Core, ended: &[u64]) {
+    if ended.is_empty() {
+        return;
+    }
+    let snapshot = core.view.snapshot();
+    let has_ended = |r: &&Arc<Replica>| ended.contains(&digest(&r.id, r.started_ms));
+    for replica in snapshot.replicas.iter().filter(has_ended) {
+        // One that came back to this instance meanwhile counts as cold already.
+        let is_cold = core.cold.lock().is_cold(&replica.id, core.now());
+        if !is_cold {
+            note_lost(core, replica);
+        }
+    }
+}
+
 /// Sets the instances that share the limits of cold replicas, and drops replicas that are gone.
 pub(crate) fn sweep(core: &Core) {
     let (snapshot, now) = (core.view.snapshot(), core.now());
