--- a/crates/place/src/cold.rs
+++ b/crates/place/src/cold.rs
@@ -149,8 +149,8 @@
         let until = match stated {
             Duration::ZERO if may_be_old => return,
             Duration::ZERO => self.cold_until.min(now),
-            // It was written once and is read again.
-            _ if !is_new => return,
+            // Read again. After its end the same time means that the replica is cold once more.
+            _ if !is_new && !self.cold_until.passed(now) => return,
             _ => now.after(stated.min(self.limit.span)),
         };
         if may_be_old {
--- a/crates/place/tests/cold_replicas.rs
+++ b/crates/place/tests/cold_replicas.rs
@@ -211,6 +211,22 @@
     assert!(cold.report(now).is_empty(), "the entry of the next one is known");
 }
 
+/// Guards against cold times that are extended by each reading of an entry, and against a second
+/// cold time that is taken for the first.
+#[test]
+fn an_entry_that_is_read_again_extends_no_cold_time() {
+    let (names, now) = (names(1), Time(START));
+    let mut cold = instance(0, &names);
+    let note = |cold: &mut ColdReplicas, at: u64| {
+        cold.note(&replica(1, 4000), Some(LIMIT), true, Time(START + at))
+    };
+    assert!(note(&mut cold, 0) && !note(&mut cold, 3000));
+    assert!(cold.is_cold("r", Time(START + 3999)) && !cold.is_cold("r", Time(START + 4000)));
+    assert!(note(&mut cold, 5000), "it is cold once more");
+    assert!(cold.is_cold("r", Time(START + 8999)) && !cold.is_cold("r", Time(START + 9000)));
+    assert_eq!(cold.count(now.after(Duration::from_secs(6))), 1);
+}
+
 /// Guards against an instance that restarts and sends freely to replicas that have just started.
 #[test]
 fn an_instance_that_starts_takes_young_replicas_for_cold() {
