--- a/crates/relay/src/conns.rs
+++ b/crates/relay/src/conns.rs
@@ -6,7 +6,7 @@
     net::{IpAddr, SocketAddr},
     sync::{
         Arc,
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::Duration,
 };
@@ -132,6 +132,8 @@
     /// `None` once the pool has dropped this entry. A connection in the list owns the entry, so one
     /// that is added later would keep itself open.
     idle: Mutex<Option<Vec<Conn>>>,
+    /// Whether a kept connection was closed before it expired, since the last request.
+    closed_early: AtomicBool,
 }
 
 /// Connections of an instance to all replicas.
@@ -150,6 +152,9 @@
 
     /// Nothing was written since [`Gate::open`].
     fn unsent(&self);
+
+    /// The replica closed a connection that was kept, sooner than its keep-alive timeout says.
+    fn closed_early(&self) {}
 }
 
 impl ConnPool {
@@ -172,6 +177,9 @@
         let informational = InformationalLimit::new(&mut request);
         let replica = self.conns_of(id, addr);
         while let Some(mut conn) = replica.take_idle(now) {
+            if replica.closed_early.swap(false, Ordering::Relaxed) {
+                gate.closed_early();
+            }
             if !gate.open() {
                 return Err(SendError::Withheld);
             }
@@ -182,12 +190,16 @@
                 Err(mut e) => match e.take_message() {
                     Some(unsent) => {
                         gate.unsent();
+                        replica.closed_early.store(true, Ordering::Relaxed);
                         request = unsent;
                     }
                     None => return Err(SendError::Broken(e.into_error().to_string().into())),
                 },
             }
         }
+        if replica.closed_early.swap(false, Ordering::Relaxed) {
+            gate.closed_early();
+        }
         let mut conn = connect(replica, max_conns, self.source).await?;
         if !gate.open() {
             return Err(SendError::Withheld);
@@ -236,6 +248,7 @@
             let unusable: Vec<Conn> = {
                 let mut idle = replica.idle.lock();
                 let all = idle.take().unwrap_or_default();
+                all.iter().for_each(|c| replica.note_closed(c, now));
                 let (usable, unusable) = all
                     .into_iter()
                     .partition(|c| keep && !c.expires.passed(now) && !c.sender.is_closed());
@@ -259,8 +272,8 @@
             Ok(at) if replicas[at].addr == addr => replicas[at].clone(),
             found => {
                 let (id, open) = (id.clone(), AtomicU32::new(0));
-                let idle = Mutex::new(Some(Vec::new()));
-                let replica = Arc::new(ReplicaConns { id, addr, open, idle });
+                let (idle, closed_early) = (Mutex::new(Some(Vec::new())), AtomicBool::new(false));
+                let replica = Arc::new(ReplicaConns { id, addr, open, idle, closed_early });
                 match found {
                     Ok(at) => std::mem::replace(&mut replicas[at], replica.clone()).close_idle(),
                     Err(at) => replicas.insert(at, replica.clone()),
@@ -272,10 +285,18 @@
 }
 
 impl ReplicaConns {
+    /// Notes an idle connection that the replica closed before it expired.
+    fn note_closed(&self, conn: &Conn, now: Time) {
+        if conn.sender.is_closed() && !conn.expires.passed(now) {
+            self.closed_early.store(true, Ordering::Relaxed);
+        }
+    }
+
     /// Takes the connection that was used last, if it is still usable.
     fn take_idle(&self, now: Time) -> Option<Conn> {
         loop {
             let conn = self.idle.lock().as_mut()?.pop()?;
+            self.note_closed(&conn, now);
             if !conn.expires.passed(now) && conn.sender.is_ready() {
                 return Some(conn);
             }
