Add a queue for one target with a policy

Cause: which waiting request gets a freed slot is random, and a rejection does not depend on the request's priority or deadline.

Change: admit::WaitQueue keeps the requests that wait for one target in the order of a policy behind a trait object, without I/O or clock. It bounds entries and bytes, learns its pace from starts, and says on arrival what can't be answered in time and when callers should retry. The turns of teams are one generic type that the gate uses as well. Nothing uses the queue yet.

--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -6,10 +6,12 @@
 
 use crate::{
     Share,
-    class_queue::{ClassQueue, Queued},
+    turn_queue::{Item, TurnQueue},
     usage::Usage,
 };
 
+/// Prompt tokens that a team may start in each round.
+const QUANTUM_TOKENS: u64 = 8_192;
 /// Number of interactive requests that start for each batch request while both are queued.
 const INTERACTIVE_PER_BATCH: u32 = 4;
 /// One in this many slots is reserved for interactive requests.
@@ -98,6 +100,39 @@
     pub outcome: Outcome,
 }
 
+/// A queued request.
+#[derive(Debug, Clone)]
+struct Queued {
+    id: RequestId,
+    team: Name,
+    deadline: Time,
+    /// Prompt tokens to compute.
+    prefill_tokens: u64,
+    /// Expected time from the start of the request to its first token.
+    first_token: Duration,
+}
+
+impl Item for Queued {
+    type Id = RequestId;
+    type Team = Name;
+
+    fn id(&self) -> RequestId {
+        self.id
+    }
+
+    fn team(&self) -> &Name {
+        &self.team
+    }
+
+    fn key(&self) -> u64 {
+        self.deadline.0
+    }
+
+    fn work(&self) -> u64 {
+        self.prefill_tokens
+    }
+}
+
 #[derive(Debug)]
 struct Running {
     id: RequestId,
@@ -120,8 +155,8 @@
     max_queued: usize,
     running: Vec<Running>,
     batch_running: u32,
-    interactive: ClassQueue,
-    batch: ClassQueue,
+    interactive: TurnQueue<Queued>,
+    batch: TurnQueue<Queued>,
     /// Number of interactive requests started since the last start of a batch request.
     interactive_starts: u32,
     usage: Usage,
@@ -141,8 +176,8 @@
             max_queued: usize::MAX,
             running: Vec::new(),
             batch_running: 0,
-            interactive: ClassQueue::default(),
-            batch: ClassQueue::default(),
+            interactive: TurnQueue::new(QUANTUM_TOKENS),
+            batch: TurnQueue::new(QUANTUM_TOKENS),
             interactive_starts: 0,
             usage: Usage::default(),
             slot_time: INITIAL_SLOT_TIME.as_secs_f64(),
@@ -265,7 +300,7 @@
         if self.can_start_first(team, class, now) {
             return Duration::ZERO;
         }
-        let ahead = self.queue(class).ahead(team, request.deadline);
+        let ahead = self.queue(class).ahead(team, request.deadline.0);
         let count = ahead.count as f64;
         let between = match class {
             Class::Interactive => {
@@ -280,8 +315,7 @@
         let tokens = match self.headroom {
             0 => {
                 let share = self.usage.fair_share(team, self.prefill_rate).max(1.0);
-                ahead.prefill_tokens as f64 / share
-                    + self.usage.excess_secs(team, self.prefill_rate, now)
+                ahead.work as f64 / share + self.usage.excess_secs(team, self.prefill_rate, now)
             }
             _ => 0.0,
         };
@@ -301,8 +335,9 @@
     }
 
     fn refuse_late(&mut self, random_bits: u64, now: Time) -> Vec<Released> {
-        let mut late = self.interactive.expire(now);
-        late.extend(self.batch.expire(now));
+        let is_late = |r: &Queued| now.after(r.first_token) > r.deadline;
+        let mut late = self.interactive.extract(is_late);
+        late.extend(self.batch.extract(is_late));
         let delay = self.drain_time();
         let mut out = Vec::with_capacity(late.len());
         for (i, request) in (0_u64..).zip(late) {
@@ -391,14 +426,14 @@
             || self.batch.contains(id)
     }
 
-    fn queue(&self, class: Class) -> &ClassQueue {
+    fn queue(&self, class: Class) -> &TurnQueue<Queued> {
         match class {
             Class::Interactive => &self.interactive,
             Class::Batch => &self.batch,
         }
     }
 
-    fn queue_mut(&mut self, class: Class) -> &mut ClassQueue {
+    fn queue_mut(&mut self, class: Class) -> &mut TurnQueue<Queued> {
         match class {
             Class::Interactive => &mut self.interactive,
             Class::Batch => &mut self.batch,
--- /dev/null
+++ b/crates/admit/tests/queue_policies.rs
@@ -0,0 +1,207 @@
+//! A load model of instances with stale knowledge of shared engines, and a comparison of policies.
+
+use std::{sync::Arc, time::Duration};
+
+use admit::{
+    EarliestDeadline, FairLevels, FirstCome, LeastSlack, Policy, QueueBounds, Ticket, ValuePerWork,
+    WaitQueue, Waiting,
+};
+use ident::Time;
+
+/// A request class: share of the requests, level, work in ms, goal, deadline, values.
+type Class = (f64, u8, u64, u64, u64, f64, f64);
+
+/// The classes of deployment A and B, at engines: long and short prompts.
+const MIXES: [(&str, [Class; 2]); 2] = [
+    ("A", [(0.1, 1, 300, 600, 6_000, 12.0, 2.4), (0.9, 0, 40, 300, 4_000, 1.9, 0.38)]),
+    ("B", [(0.08, 2, 400, 2_000, 8_000, 3.3, 0.96), (0.92, 0, 40, 500, 4_000, 2.4, 0.2)]),
+];
+const SLOTS: usize = 24;
+const STALE_MS: u64 = 200;
+/// Time until an instance whose request was refused tries again.
+const RETRY_MS: u64 = 15;
+const SPAN_MS: u64 = 8_000;
+
+/// What clients of one class got.
+#[derive(Debug, Clone, Copy, Default)]
+struct Served {
+    all: f64,
+    on_time: f64,
+    late: f64,
+    /// Time until a rejected client was told, in ms.
+    told_ms: f64,
+}
+
+struct Random(u64);
+
+impl Random {
+    fn next(&mut self) -> f64 {
+        self.0 =
+            self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 40) as f64 / (1_u64 << 24) as f64
+    }
+}
+
+/// Plays a load. An instance knows when its own requests end, and the others' slots as they were a
+/// while ago; a start that finds no slot is refused and tried again later.
+fn play(
+    mix: &[Class; 2],
+    load: f64,
+    instances: usize,
+    policy: fn() -> Box<dyn Policy>,
+) -> [Served; 2] {
+    let mut random = Random(7);
+    let bounds = QueueBounds { entries: 1_000, bytes: 1 << 30 };
+    let mut queues: Vec<WaitQueue> =
+        (0..instances).map(|_| WaitQueue::new(policy(), bounds)).collect();
+    let mut waiting: Vec<Vec<(Ticket, usize, Waiting)>> = vec![Vec::new(); instances];
+    let mut ends: Vec<(u64, usize)> = Vec::new();
+    let mut paused = vec![0_u64; instances];
+    let sheds = policy().sheds();
+    let (mut out, mut known) = ([Served::default(); 2], SLOTS);
+    let mean: f64 = mix.iter().map(|c| c.0 * c.2 as f64).sum();
+    let per_ms = load * SLOTS as f64 / mean;
+    for ms in 0..SPAN_MS {
+        let now = Time(ms);
+        let mut changed: Vec<usize> = Vec::new();
+        ends.retain(|(end, at)| {
+            changed.extend((*end <= ms).then_some(*at));
+            *end > ms
+        });
+        if ms.is_multiple_of(STALE_MS) {
+            known = SLOTS - ends.len();
+        }
+        let own_ends = changed.clone();
+        // The fallback timer.
+        changed.extend((0..instances).filter(|at| (ms + *at as u64).is_multiple_of(RETRY_MS)));
+        let mut left = per_ms;
+        while random.next() < left {
+            left -= 1.0;
+            let (at, class) = (
+                (random.next() * instances as f64) as usize,
+                usize::from(random.next() >= mix[0].0),
+            );
+            let (_, level, work, goal, deadline, ..) = mix[class];
+            // The size varies by half around the mean.
+            let work = Duration::from_millis((work as f64 * (0.5 + random.next())) as u64);
+            let after = |ms| now.after(Duration::from_millis(ms));
+            let team: Arc<str> = ["a", "b"][usize::from(random.next() < 0.3)].into();
+            let request = Waiting {
+                level,
+                team,
+                arrived: now,
+                goal: after(goal),
+                deadline: after(deadline),
+                work,
+                is_begun: false,
+                bytes: 1,
+            };
+            out[class].all += 1.0;
+            if queues[at].check(&request, now).is_err() {
+                continue;
+            }
+            let (ticket, evicted) = queues[at].push(request.clone(), now);
+            waiting[at].push((ticket, class, request));
+            changed.push(at);
+            if let Some(found) = waiting[at].iter().position(|w| Some(w.0) == evicted) {
+                let (ticket, class, request) = waiting[at].swap_remove(found);
+                assert!(queues[at].remove(ticket), "an evicted request is queued");
+                out[class].told_ms += now.since(request.arrived).as_millis() as f64;
+            }
+        }
+        for at in changed {
+            let queue = &mut queues[at];
+            let hopeless = |w: &mut (Ticket, usize, Waiting)| {
+                now > w.2.deadline || (sheds && w.2.is_hopeless(now))
+            };
+            for (ticket, class, request) in waiting[at].extract_if(.., hopeless).collect::<Vec<_>>()
+            {
+                assert!(queue.remove(ticket), "a waiting request is queued");
+                out[class].told_ms += now.since(request.arrived).as_millis() as f64;
+            }
+            while paused[at] <= ms
+                && (known > 0 || own_ends.contains(&at))
+                && let Some(ticket) = queue.next(1, now).pop()
+            {
+                if ends.len() >= SLOTS {
+                    paused[at] = ms + RETRY_MS;
+                    break;
+                }
+                assert!(queue.start(ticket, now), "the next request is queued");
+                let found = waiting[at].iter().position(|w| w.0 == ticket).expect("it waits");
+                let (_, class, request) = waiting[at].swap_remove(found);
+                let end = now.after(request.work);
+                ends.push((end.0, at));
+                out[class].on_time += f64::from(u8::from(end <= request.goal));
+                out[class].late +=
+                    f64::from(u8::from(end > request.goal && end <= request.deadline));
+            }
+        }
+    }
+    out
+}
+
+fn value(mix: &[Class; 2], served: [Served; 2]) -> f64 {
+    (0..2).map(|c| served[c].on_time * mix[c].5 + served[c].late * mix[c].6).sum()
+}
+
+fn policies() -> [fn() -> Box<dyn Policy>; 7] {
+    [
+        || Box::new(FirstCome),
+        || Box::new(EarliestDeadline),
+        || Box::new(LeastSlack),
+        || Box::new(ValuePerWork),
+        || Box::new(FairLevels { max_passes: 4 }),
+        || Box::new(FairLevels { max_passes: 16 }),
+        || Box::new(FairLevels { max_passes: 64 }),
+    ]
+}
+
+/// Guards against an order that serves urgent requests less than others, starves a class, or loses
+/// value against first come, first served.
+#[test]
+fn fair_levels_serve_all_classes_and_lose_no_value() {
+    for (name, mix) in MIXES {
+        for (load, instances) in
+            [0.8, 1.1, 1.5, 2.5].iter().flat_map(|l| [1, 8, 110].map(|n| (*l, n)))
+        {
+            let case = format!("{name}, load {load}, {instances} instances");
+            let served = play(&mix, load, instances, || Box::new(FairLevels { max_passes: 16 }));
+            let before = play(&mix, load, instances, || Box::new(FirstCome));
+            let share = |s: Served| (s.on_time + s.late) / s.all;
+            let [long, short] = served.map(share);
+            let all = mix[0].0 * long + mix[1].0 * short;
+            assert!(short >= long - 0.05, "urgent ones are served less often: {case}");
+            assert!(long.min(short) >= all / 4.0, "a class is starved: {case}");
+            // With 110 instances, single runs differ by 2 in 100.
+            assert!(value(&mix, served) >= 0.97 * value(&mix, before), "value is lost: {case}");
+        }
+    }
+}
+
+/// Prints the table of the design note.
+#[test]
+#[ignore = "a measurement; run it with --no-capture"]
+fn table() {
+    for (name, mix) in MIXES {
+        for load in [0.8, 1.1, 1.5, 2.5] {
+            for instances in [1, 8, 110] {
+                for policy in policies() {
+                    let [long, short] = play(&mix, load, instances, policy);
+                    let part = |n: f64, s: Served| n / s.all;
+                    println!(
+                        "{name} {load} {instances:>3} {:<45} value {:>7.0} long {:.2} {:.2} short {:.2} {:.2} told {:.0} {:.0}",
+                        format!("{:?}", policy()),
+                        value(&mix, [long, short]),
+                        part(long.on_time, long),
+                        part(long.late, long),
+                        part(short.on_time, short),
+                        part(short.late, short),
+                        long.told_ms / long.all,
+                        short.told_ms / short.all,
+                    );
+                }
+            }
+        }
+    }
+}
