Compare the policies of the queue over four seeds

Cause: the load model compared the value of one seed and allowed 3 in 100 less than first come, first served, by a spread that was not measured.

--- a/crates/admit/tests/queue_policies.rs
+++ b/crates/admit/tests/queue_policies.rs
@@ -16,6 +16,7 @@
     ("A", [(0.1, 1, 300, 600, 6_000, 12.0, 2.4), (0.9, 0, 40, 300, 4_000, 1.9, 0.38)]),
     ("B", [(0.08, 2, 400, 2_000, 8_000, 3.3, 0.96), (0.92, 0, 40, 500, 4_000, 2.4, 0.2)]),
 ];
+const SEEDS: [u64; 4] = [7, 8, 9, 10];
 const SLOTS: usize = 24;
 const STALE_MS: u64 = 200;
 /// Time until an instance whose request was refused tries again.
@@ -49,8 +50,9 @@
     load: f64,
     instances: usize,
     policy: fn() -> Box<dyn Policy>,
+    seed: u64,
 ) -> [Served; 2] {
-    let mut random = Random(7);
+    let mut random = Random(seed);
     let bounds = QueueBounds { entries: 1_000, bytes: 1 << 30 };
     let mut queues: Vec<WaitQueue> =
         (0..instances).map(|_| WaitQueue::new(policy(), bounds)).collect();
@@ -166,15 +168,20 @@
             [0.8, 1.1, 1.5, 2.5].iter().flat_map(|l| [1, 8, 110].map(|n| (*l, n)))
         {
             let case = format!("{name}, load {load}, {instances} instances");
-            let served = play(&mix, load, instances, || Box::new(FairLevels { max_passes: 16 }));
-            let before = play(&mix, load, instances, || Box::new(FirstCome));
+            let fair: fn() -> Box<dyn Policy> = || Box::new(FairLevels { max_passes: 16 });
+            let total =
+                |policy| SEEDS.map(|seed| value(&mix, play(&mix, load, instances, policy, seed)));
+            let (after, before) = (total(fair), total(|| Box::new(FirstCome)));
+            let served = play(&mix, load, instances, fair, SEEDS[0]);
             let share = |s: Served| (s.on_time + s.late) / s.all;
             let [long, short] = served.map(share);
             let all = mix[0].0 * long + mix[1].0 * short;
             assert!(short >= long - 0.05, "urgent ones are served less often: {case}");
             assert!(long.min(short) >= all / 4.0, "a class is starved: {case}");
-            // With 110 instances, single runs differ by 2 in 100.
-            assert!(value(&mix, served) >= 0.97 * value(&mix, before), "value is lost: {case}");
+            let sum = |values: [f64; 4]| values.iter().sum::<f64>();
+            // At low loads and with 110 instances the difference is chance: single seeds differ by -5
+            // to 4 in 100, the lowest sum of the four is 0.983 of the other.
+            assert!(sum(after) >= 0.98 * sum(before), "value is lost: {case}");
         }
     }
 }
@@ -187,7 +194,7 @@
         for load in [0.8, 1.1, 1.5, 2.5] {
             for instances in [1, 8, 110] {
                 for policy in policies() {
-                    let [long, short] = play(&mix, load, instances, policy);
+                    let [long, short] = play(&mix, load, instances, policy, SEEDS[0]);
                     let part = |n: f64, s: Served| n / s.all;
                     println!(
                         "{name} {load} {instances:>3} {:<45} value {:>7.0} long {:.2} {:.2} short {:.2} {:.2} told {:.0} {:.0}",
