Wait for capacity in a queue instead of sleeping

Cause: a request that found no capacity slept 15 ms and checked again, so which waiting request got freed capacity was random, and each waiting request cost a placement in every 15 ms.

Change: where a target's requests have different effective priorities, they wait in admit::WaitQueue. One request at a time gets a turn: when a request of this instance ends at a replica, when another waiting request starts or leaves, and by the first one's fallback timer of 15 ms. A dropped request leaves the queue and gives the turn on. Placement's headroom by age stays: a request that has waited its time goes anywhere without a turn. A request that is rejected is told a time that is later for less urgent levels. Other targets sleep as before.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -11,6 +11,7 @@
 mod pace;
 mod policy;
 mod retry;
+mod rounds;
 mod share;
 mod turn_queue;
 mod usage;
@@ -20,6 +21,7 @@
     gate::{AdmissionRequest, Decision, Gate, Outcome, Reason, Refusal, Released},
     policy::{EarliestDeadline, FairLevels, FirstCome, LeastSlack, Policy, ValuePerWork, Waiting},
     retry::RetryBudget,
+    rounds::Rounds,
     share::{Limits, Share, instance_share},
     wait_queue::{QueueBounds, RejectReason, Rejection, Ticket, WaitQueue},
 };
--- a/crates/admit/src/wait_queue.rs
+++ b/crates/admit/src/wait_queue.rs
@@ -18,9 +18,9 @@
 /// Work that a team may start in each turn, in microseconds: that of a long prompt, so that teams
 /// with long prompts take turns with each other and not with many short prompts of another team.
 const QUANTUM_MICROS: u64 = 200_000;
-/// Retry delay of the most urgent level where the pace is not known. A rejected caller of the next
-/// level returns later by as much.
-const MIN_RETRY_DELAY: Duration = Duration::from_millis(400);
+/// Time by which callers of a level retry later than those of the next more urgent one where the pace
+/// is not known.
+const RETRY_STEP: Duration = Duration::from_millis(400);
 /// Longest retry delay, before the spread.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(30);
 
@@ -179,11 +179,13 @@
         self.len == 0
     }
 
-    /// Whether a new request of `level` is queued behind others: a request of this or a more urgent
-    /// level waits, or one that was passed over as often as the policy allows.
+    /// Whether a new request is queued behind others: a request of its or a more urgent level waits, or
+    /// one that was passed over as often as the policy allows. Begun requests don't count, since they
+    /// may wait for a replica that new ones don't need.
     pub fn must_wait(&self, request: &Waiting) -> bool {
         let level = self.policy.level(request);
-        self.levels.iter().any(|l| l.level <= level || l.passes >= self.policy.max_passes())
+        let is_ahead = |l: &Level| l.level <= level || l.passes >= self.policy.max_passes();
+        self.levels.iter().any(|l| l.new.len() > 0 && is_ahead(l))
     }
 
     /// Whether a request would be rejected on arrival.
@@ -221,15 +223,21 @@
         self.levels.iter().take_while(|l| l.level <= level).map(|l| l.work).sum()
     }
 
-    /// Time until a rejected caller of `level` should retry: once its own and all more urgent levels
-    /// have started what waits now, spread over as much time again. `rank` is the number of more
-    /// urgent levels of the target, and `random_bits` a new random number.
-    pub fn retry_delay(&self, level: u8, rank: usize, random_bits: u64, now: Time) -> Duration {
-        let first = MIN_RETRY_DELAY * (rank as u32 + 1);
-        let wait = self.wait(level, now).unwrap_or_default();
-        let delay = wait.max(first).min(MAX_RETRY_DELAY);
+    /// Time until a rejected caller of `level` should retry, spread over half as much again: once
+    /// this and all more urgent levels have started what waits now, and not before `least`, until
+    /// which no capacity is expected. `rank` is the number of more urgent levels of the target, and
+    /// `random_bits` a new random number.
+    pub fn retry_delay(
+        &self,
+        (level, rank): (u8, usize),
+        least: Duration,
+        random_bits: u64,
+        now: Time,
+    ) -> Duration {
+        let wait = self.wait(level, now).unwrap_or_default().min(MAX_RETRY_DELAY);
+        let delay = wait.max(least + RETRY_STEP * rank as u32);
         let share = (random_bits >> 40) as f64 / (1_u64 << 24) as f64;
-        delay + delay.mul_f64(share)
+        delay + wait.max(RETRY_STEP).mul_f64(share / 2.0)
     }
 
     /// Queues a request. Returns its ticket, and the ticket of the last request in the order if that
@@ -241,8 +249,8 @@
         let is_full = self.len >= self.bounds.entries
             || self.bytes.saturating_add(request.bytes) > self.bounds.bytes;
         let last = self.levels.last().filter(|_| is_full);
-        let evicted = last.and_then(|l| l.iter().max_by_key(|e| (e.key, e.ticket)));
-        let evicted = evicted.map(|e| e.ticket);
+        let key = |e: &&Entry| (!e.request.is_begun, e.key, e.ticket);
+        let evicted = last.and_then(|l| l.iter().max_by_key(key)).map(|e| e.ticket);
         let ticket = Ticket(self.next_ticket);
         self.next_ticket += 1;
         self.insert(ticket, request, now);
--- a/crates/place/src/choice.rs
+++ b/crates/place/src/choice.rs
@@ -11,7 +11,7 @@
 };
 
 /// Prompt tokens that an engine prefills per ms.
-const PREFILL_TOKENS_PER_MS: f64 = 45.0;
+pub(crate) const PREFILL_TOKENS_PER_MS: f64 = 45.0;
 /// Delay of a first token for each request that runs at the replica, in ms.
 const RUNNING_COST_MS: f64 = 1.5;
 /// Cost of each request beyond the number of an engine's slots, in ms.
--- a/crates/place/src/room.rs
+++ b/crates/place/src/room.rs
@@ -7,6 +7,8 @@
 
 use std::time::Duration;
 
+use crate::{Load, choice::PREFILL_TOKENS_PER_MS, pool::is_short};
+
 /// Largest share of an engine's memory that requests may need for [`Headroom::Ample`].
 const AMPLE_MEMORY_SHARE: f64 = 0.75;
 /// Largest share of an engine's memory that requests may need for [`Headroom::Tight`]. At 0.95
@@ -24,8 +26,8 @@
 /// Largest share of a request's timeout for which it waits for headroom.
 const MAX_WAIT_SHARE: f64 = 0.6;
 
-/// The headroom in an engine's memory that it must have to be chosen.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// The headroom in an engine's memory that it must have to be chosen, the most first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Headroom {
     /// The engine must have memory to spare and must not be preferred for short prompts.
     Ample,
@@ -35,20 +37,41 @@
     Any,
 }
 
+/// A request with a short timeout is sent to a replica before it times out.
+fn max_wait(timeout: Duration) -> Duration {
+    timeout.mul_f64(MAX_WAIT_SHARE)
+}
+
+impl Load {
+    /// Whether an engine needs headroom for a request with this load: its prompt is a long one.
+    pub fn needs_headroom(self) -> bool {
+        !is_short(self.prefill_tokens)
+    }
+
+    /// Expected time that an engine works on the request if `cached` tokens of its prompt are cached.
+    pub fn work(self, cached: u64) -> Duration {
+        let tokens = self.prefill_tokens.saturating_sub(cached);
+        Duration::from_secs_f64(tokens as f64 / PREFILL_TOKENS_PER_MS / 1e3)
+    }
+}
+
 impl Headroom {
     /// Returns the headroom that is needed for a request that has waited for `waited`; the longer
     /// it has waited, the less is needed. An answer within `goal` is on time; `timeout` is the
     /// longest time until the request is answered or rejected.
     pub fn after_wait(waited: Duration, goal: Duration, timeout: Duration) -> Self {
-        // A request with a short timeout is sent to a replica before it times out.
-        let limit = timeout.mul_f64(MAX_WAIT_SHARE);
         match waited {
-            w if w < goal.mul_f64(AMPLE_WAIT_RATIO).min(limit) => Self::Ample,
-            w if w < goal.mul_f64(TIGHT_WAIT_RATIO).min(limit) => Self::Tight,
+            w if w < goal.mul_f64(AMPLE_WAIT_RATIO).min(max_wait(timeout)) => Self::Ample,
+            w if w < Self::longest_wait(goal, timeout) => Self::Tight,
             _ => Self::Any,
         }
     }
 
+    /// The wait after which [`Headroom::after_wait`] returns [`Headroom::Any`].
+    pub fn longest_wait(goal: Duration, timeout: Duration) -> Duration {
+        goal.mul_f64(TIGHT_WAIT_RATIO).min(max_wait(timeout))
+    }
+
     /// Whether an engine with memory for `capacity` tokens, whose requests need `taken` tokens, has
     /// this headroom for a request that needs `more` tokens.
     pub(crate) fn fits(self, taken: u64, more: u64, capacity: u64) -> bool {
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -33,13 +33,14 @@
     origins,
     peers::{HEARD_TTL, PEER_TTL},
     protocol::Protocol,
+    queue::Queues,
     releases::Releases,
     returns::{RETURN_SPAN, Returns},
     services::{Engines, Registry},
     versions::Listed,
 };
 
-pub use crate::kept::StoreCatalog;
+pub use crate::{departed::Departed, kept::StoreCatalog};
 
 /// Older weights are no longer chosen after this share of the time for which they may be used. A
 /// request may wait at the replica before it runs.
@@ -125,24 +126,6 @@
 /// is not ready.
 const REPLICAS_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// A replica that began to leave or disappeared.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Departed {
-    /// Identifier of the replica.
-    pub id: Arc<str>,
-    /// Its [`fleet::Replica::started_ms`]; 0 if unknown, or if its entry may only have expired.
-    pub started_ms: u64,
-    /// Whether it began to leave; otherwise its entry was removed.
-    pub leaving: bool,
-    /// Whether it said so itself, to this instance or a peer: this incarnation does not come back,
-    /// whatever its entry says.
-    pub said: bool,
-    /// When this instance observed it.
-    pub at: Time,
-    /// Whether the replica has registered again since.
-    pub returned: bool,
-}
-
 /// The state that all tasks of an instance share.
 pub struct Core {
     /// Settings of the instance.
@@ -236,6 +219,8 @@
     pub(crate) notify_evidence: Notify,
     /// What peers are served of the registry, and whom this instance follows.
     pub(crate) feeds: Feeds,
+    /// Requests that wait for capacity.
+    pub(crate) queues: Queues,
 }
 
 impl Core {
@@ -292,6 +277,7 @@
             checked: Mutex::default(),
             notify_evidence: Notify::new(),
             feeds: Feeds::new(now),
+            queues: Queues::default(),
         })
     }
 
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -16,14 +16,16 @@
     core::Core,
     detour, ends,
     job::Job,
-    origins, permits, relay,
+    origins, permits,
+    queue::Spot,
+    relay,
     send::{AttemptOutcome, ReplicaAnswer},
     verdicts, versions,
     whole::{MAX_BUFFERED_BYTES, Start, content_length, read_start, whole_answer},
 };
 
 /// Shortest time left for which a request is still sent.
-const MIN_TIME_LEFT: Duration = Duration::from_millis(30);
+pub(crate) const MIN_TIME_LEFT: Duration = Duration::from_millis(30);
 /// Pause between two checks for a replica with free capacity.
 const CAPACITY_CHECK_INTERVAL: Duration = Duration::from_millis(15);
 /// Longest wait for the end of a replica's cooldown.
@@ -31,7 +33,7 @@
 /// Shortest pause before another look at replicas that are excluded or at their limits.
 const MIN_WAIT: Duration = Duration::from_millis(5);
 /// Age from which a request does not wait for replicas that are at their limits.
-const MAX_LIMITED_WAIT: Duration = Duration::from_millis(250);
+pub(crate) const MAX_LIMITED_WAIT: Duration = Duration::from_millis(250);
 /// Most attempts of one request, refused ones included.
 const MAX_ATTEMPTS: usize = 5;
 /// Delay after which callers should retry where all replicas are full or loading weights.
@@ -141,11 +143,18 @@
         last: Option<u64>,
     ) -> Result<ReplicaAnswer, Stopped> {
         self.try_trial().await;
+        let mut spot = self.join_behind()?;
         loop {
+            if let Some(spot) = &mut spot {
+                spot.turn(self).await?;
+            }
             let attempt = match self.next_step() {
-                Step::Send(attempt) => attempt,
+                Step::Send(attempt) => {
+                    spot.take().map_or_else(|| self.start_unqueued(), Spot::start);
+                    attempt
+                }
                 Step::Wait(pause) => {
-                    tokio::time::sleep(pause).await;
+                    self.wait(&mut spot, pause).await?;
                     continue;
                 }
                 Step::Detour => return Err(Stopped::CutOff),
@@ -361,7 +370,7 @@
     /// The refusal for a request that is not sent any more.
     fn refusal(&self, why: &'static str, retry_delay: Duration) -> Refusal {
         if self.possible_runs == 0 {
-            return Refusal::NotRun { why, retry_delay };
+            return Refusal::NotRun { why, retry_delay: self.retry_delay(retry_delay) };
         }
         // The caller's error does not tell the reason once the request may have run.
         info!(
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -1,8 +1,10 @@
 //! Counters and latency histograms.
 
+use std::time::Duration;
+
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 
 /// Upper bounds of the latency histograms' buckets, in seconds.
@@ -74,6 +76,10 @@
     pub first_byte: Histogram,
     /// Seconds from the request to the end of a relayed answer.
     pub answer_time: Histogram,
+    /// Seconds for which requests waited in a target's queue, by priority level.
+    queue_wait: HistogramVec,
+    /// Requests that a target's queue rejected, by priority level and reason.
+    pub rejections: IntCounterVec,
 }
 
 impl Metrics {
@@ -92,6 +98,16 @@
         );
         let ended = ended.expect("metric names and labels are valid");
         registry.register(Box::new(ended.clone())).expect("metric names are unique");
+        let rejections = IntCounterVec::new(
+            Opts::new("lentil_queue_rejections_total", "Requests rejected by a target's queue"),
+            &["level", "reason"],
+        );
+        let rejections = rejections.expect("metric names and labels are valid");
+        registry.register(Box::new(rejections.clone())).expect("metric names are unique");
+        let opts = HistogramOpts::new("lentil_queue_wait_seconds", "Wait in a target's queue");
+        let queue_wait = HistogramVec::new(opts.buckets(BUCKETS.to_vec()), &["level"]);
+        let queue_wait = queue_wait.expect("metric names and labels are valid");
+        registry.register(Box::new(queue_wait.clone())).expect("metric names are unique");
         let seconds = |name: &str, help: &str| {
             let opts = HistogramOpts::new(name, help).buckets(BUCKETS.to_vec());
             let out = Histogram::with_opts(opts).expect("bucket bounds are in ascending order");
@@ -172,10 +188,17 @@
             feed_answers: counter("lentil_feed_answers_total", "Answers to followers' polls"),
             follows: gauge("lentil_follows_readers", "Whether this instance follows readers"),
             ended,
+            queue_wait,
+            rejections,
             registry,
         }
     }
 
+    /// Records how long a request of a priority level waited in a target's queue.
+    pub(crate) fn observe_wait(&self, level: u8, wait: Duration) {
+        self.queue_wait.with_label_values(&[&*level.to_string()]).observe(wait.as_secs_f64());
+    }
+
     /// The metrics as text.
     pub fn text(&self) -> Vec<u8> {
         let mut out = Vec::new();
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -61,6 +61,7 @@
 impl Drop for LoadGuard {
     fn drop(&mut self) {
         self.core.pool.lock().remove_load(&self.replica, self.load);
+        self.core.queues.wake(self.core.now());
     }
 }
 
