Reject on arrival what can't be answered in time

Cause: a request whose wait exceeded its deadline had its body read and was held until the deadline. Its caller was told a constant time.

Change: accept asks the queues of the route's targets before the body is read, when requests wait there. The check takes half of the request's own expected work, since the engines' speed is assumed.

--- a/crates/admit/src/wait_queue.rs
+++ b/crates/admit/src/wait_queue.rs
@@ -21,6 +21,9 @@
 /// Time by which callers of a level retry later than those of the next more urgent one where the pace
 /// is not known.
 const RETRY_STEP: Duration = Duration::from_millis(400);
+/// A request may be answered in this part of its expected work: replicas of one deployment are up to
+/// 1.7 times as fast as those of another.
+const WORK_MARGIN: u32 = 2;
 /// Longest retry delay, before the spread.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(30);
 
@@ -194,7 +197,7 @@
         let level = self.policy.level(request);
         if self.policy.sheds() {
             let wait = self.least_wait(level, now).unwrap_or_default();
-            if now.after(wait).after(request.work) > request.deadline {
+            if now.after(wait).after(request.work / WORK_MARGIN) > request.deadline {
                 return Err(rejection(RejectReason::Deadline, wait));
             }
         }
--- a/crates/relay/src/accept.rs
+++ b/crates/relay/src/accept.rs
@@ -19,6 +19,7 @@
     core::{BODY_PERMIT_BYTES, Core},
     detour::DETOUR,
     job::{ActiveGuard, Job, request_digest},
+    queue,
 };
 
 /// How long a request waits for memory for its body.
@@ -50,6 +51,8 @@
     };
     let request_timeout = meta.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let deadline = start.after(request_timeout);
+    let bytes = body.size_hint().exact().unwrap_or(0) as usize;
+    queue::check_arrival(core, (&route, team.as_ref()), &meta, (start, deadline), bytes)?;
     let permit = reserve_memory(core, config, &body, deadline).await?;
     let body = read_body(core, config, body, deadline).await?;
     let mut headers = head.headers;
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -8,7 +8,7 @@
 use hyper::{HeaderMap, Response, header::CONTENT_TYPE};
 use ident::Time;
 use origin::{Origin, Record};
-use place::{Choice, Headroom, Load, Outcome, PlacementError, PlacementRequest};
+use place::{Choice, Headroom, Load, Outcome, PlacementError, PlacementRequest, Prompt};
 use tracing::info;
 
 use crate::{
@@ -16,10 +16,9 @@
     core::Core,
     detour, ends,
     job::Job,
-    origins, permits,
-    queue::Spot,
-    relay,
+    origins, permits, relay,
     send::{AttemptOutcome, ReplicaAnswer},
+    spot::Spot,
     verdicts, versions,
     whole::{MAX_BUFFERED_BYTES, Start, content_length, read_start, whole_answer},
 };
@@ -429,14 +428,7 @@
     }
 
     pub(crate) fn load(&self) -> Load {
-        match self.job.prompt() {
-            Some(p) => Load {
-                prefill_tokens: p.input_tokens,
-                memory_tokens: p.input_tokens + p.output_tokens,
-                requests: 1,
-            },
-            None => Load { prefill_tokens: 0, memory_tokens: 0, requests: 1 },
-        }
+        load(self.job.prompt())
     }
 
     /// Number of replicas that may have run the request.
@@ -445,6 +437,12 @@
     }
 }
 
+/// What a request needs of a replica.
+pub(crate) fn load(prompt: Option<&Prompt>) -> Load {
+    let tokens = prompt.map_or((0, 0), |p| (p.input_tokens, p.input_tokens + p.output_tokens));
+    Load { prefill_tokens: tokens.0, memory_tokens: tokens.1, requests: 1 }
+}
+
 /// Forwards a request and returns the answer for the caller.
 pub(crate) async fn forward(core: Arc<Core>, job: Arc<Job>) -> Result<Response<Body>, Refusal> {
     let mut forwarder = Forwarder::new(core.clone(), job.clone());
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -39,6 +39,7 @@
 mod send;
 mod serve;
 pub mod services;
+mod spot;
 mod verdicts;
 mod versions;
 mod whole;
