Send engines a priority that follows the requests' levels

Cause: the priority at the engine followed the prompt's length only, so an engine preferred a less urgent short prompt to an urgent long one.

Change: where a target's requests have different effective priorities, each level gets an equal part of the engine's ten priorities, and within it shorter prompts go first. Other targets keep the order by length.

--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -112,12 +112,18 @@
         self.route.shares[0].target.clone()
     }
 
-    /// The request's priority at an engine, 0 first; `None` without a prompt. Short prompts go
-    /// first, since they hardly delay others. The priorities of route and team are not used.
-    pub fn priority(&self) -> Option<u8> {
+    /// The request's priority at an engine, 0 first; `None` without a prompt. Its target has `levels`
+    /// effective priorities, `rank` of which are more urgent. Within a level short prompts go first,
+    /// since they hardly delay others.
+    pub fn priority(&self, rank: usize, levels: usize) -> Option<u8> {
         let tokens = self.prompt()?.input_tokens;
-        let shorter = PRIORITIES.iter().find(|(below, _)| tokens < *below);
-        Some(shorter.map_or(LONG_PROMPT_PRIORITY, |(_, priority)| *priority))
+        let class = PRIORITIES.iter().take_while(|(below, _)| tokens >= *below).count();
+        if levels < 2 {
+            return Some(PRIORITIES.get(class).map_or(LONG_PROMPT_PRIORITY, |(_, p)| *p));
+        }
+        // Each level has an equal part of the engine's priorities.
+        let width = (ENGINE_PRIORITIES / levels).max(1);
+        Some((rank * width + class.min(width - 1)).min(ENGINE_PRIORITIES - 1) as u8)
     }
 
     /// The oldest version of the model's weights that the request may use; 0 allows any.
@@ -155,3 +161,5 @@
 const PRIORITIES: [(u64, u8); 3] = [(1_024, 2), (4_096, 4), (16_384, 5)];
 /// Priority of all longer prompts.
 const LONG_PROMPT_PRIORITY: u8 = 6;
+/// Number of priorities that an engine knows.
+const ENGINE_PRIORITIES: usize = 10;
--- a/crates/relay/src/queue.rs
+++ b/crates/relay/src/queue.rs
@@ -329,6 +329,20 @@
         }
     }
 
+    /// The request's priority at an engine, 0 first; `None` without a prompt.
+    pub(crate) fn engine_priority(&self) -> Option<u8> {
+        let (core, job) = (&self.core, &self.job);
+        job.prompt()?;
+        let snapshot = core.view.snapshot();
+        let mut state = core.queues.state.lock();
+        let levels = match &snapshot.config {
+            Some(config) => state.levels(config, &self.target, core.now()),
+            None => Arc::default(),
+        };
+        let level = effective_priority(&job.route, job.team.as_ref());
+        job.priority(levels.partition_point(|l| *l < level), levels.len())
+    }
+
     /// Records that the request starts without having been queued.
     pub(crate) fn start_unqueued(&self) {
         if self.core.queues.waiting.load(Ordering::Relaxed) > 0
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -170,7 +170,7 @@
             team: job.team.as_ref().map(|t| &*t.name),
             salt: salt.as_deref(),
             version: choice.version,
-            priority: job.priority(),
+            priority: self.engine_priority(),
             plan: plan.as_ref(),
             last_event: last.or(job.meta.last_event),
         };
