Reject no request that goes to any engine before its deadline

Cause: the check on arrival compared the queue's pace with the deadline, but a long prompt goes to any engine after its longest wait for headroom, and may be answered late. A request for a plain server whose age passed 250 ms checked for capacity by itself from then on, out of order.

Change: the expected wait ends when placement needs no headroom. A request that needs none is tried once out of order at 250 ms, since it does not wait any longer for replicas at their limits.

--- a/crates/admit/src/policy.rs
+++ b/crates/admit/src/policy.rs
@@ -17,6 +17,9 @@
     pub goal: Time,
     /// Time after which an answer has no value.
     pub deadline: Time,
+    /// Time from which it starts without capacity, and thus the longest wait; [`Time::NEVER`] if it
+    /// waits on.
+    pub free_at: Time,
     /// Expected time from its start to its answer.
     pub work: Duration,
     /// Whether a part of the work is done: a stream to be resumed, or a retry.
--- a/crates/admit/src/wait_queue.rs
+++ b/crates/admit/src/wait_queue.rs
@@ -197,6 +197,7 @@
         let level = self.policy.level(request);
         if self.policy.sheds() {
             let wait = self.least_wait(level, now).unwrap_or_default();
+            let wait = wait.min(request.free_at.since(now));
             if now.after(wait).after(request.work / WORK_MARGIN) > request.deadline {
                 return Err(rejection(RejectReason::Deadline, wait));
             }
--- a/crates/admit/tests/queue_order.rs
+++ b/crates/admit/tests/queue_order.rs
@@ -19,6 +19,7 @@
         arrived: Time(0),
         goal: Time(500),
         deadline: Time(2_000),
+        free_at: Time::NEVER,
         work: Duration::from_millis(50),
         is_begun: false,
         bytes: 1,
@@ -116,6 +117,8 @@
     assert_eq!(queue.check(&due(2_500), now).unwrap_err().reason, RejectReason::Deadline);
     assert_eq!(queue.check(&due(3_500), now), Ok(()));
     assert_eq!(queue.check(&Waiting { level: 0, ..due(2_500) }, now), Ok(()));
+    // One that starts without capacity before its deadline may be late, but has an answer.
+    assert_eq!(queue.check(&Waiting { free_at: Time(4_000), ..due(2_500) }, now), Ok(()));
     let least = Duration::from_millis(400);
     let delay =
         |level: u8, bits| queue.retry_delay((level, level.into()), least, bits, now).as_millis();
--- a/crates/admit/tests/queue_policies.rs
+++ b/crates/admit/tests/queue_policies.rs
@@ -94,6 +94,7 @@
                 arrived: now,
                 goal: after(goal),
                 deadline: after(deadline),
+                free_at: Time::NEVER,
                 work,
                 is_begun: false,
                 bytes: 1,
--- a/crates/admit/tests/queue_rounds.rs
+++ b/crates/admit/tests/queue_rounds.rs
@@ -12,6 +12,7 @@
         arrived: Time(0),
         goal: Time(5_000),
         deadline: Time(9_000),
+        free_at: Time::NEVER,
         work: Duration::from_millis(50),
         is_begun: false,
         bytes: 1,
--- a/crates/relay/src/queue.rs
+++ b/crates/relay/src/queue.rs
@@ -17,7 +17,7 @@
 use fleet::{Config, Route, Team};
 use ident::Time;
 use parking_lot::Mutex;
-use place::Prompt;
+use place::{Headroom, Prompt};
 use tokio::sync::Notify;
 use tracing::info;
 
@@ -94,6 +94,14 @@
     }
 }
 
+/// Time from which a request goes to any replica, with headroom or not.
+fn free_at(route: &Route, prompt: Option<&Prompt>, start: Time, deadline: Time) -> Time {
+    match prompt.filter(|_| load(prompt).needs_headroom()) {
+        Some(_) => start.after(Headroom::longest_wait(route.goal, deadline.since(start))),
+        None => Time::NEVER,
+    }
+}
+
 /// What a new request without a body needs and how long it may wait.
 fn waiting(
     route: &Route,
@@ -109,6 +117,7 @@
         arrived: start,
         goal: start.after(route.goal),
         deadline,
+        free_at: free_at(route, prompt, start, deadline),
         work: load(prompt).work(shared).max(MIN_TIME_LEFT),
         is_begun: false,
         bytes: 0,
@@ -272,7 +281,7 @@
             return Ok(None);
         }
         let request = self.waiting();
-        let level = request.level;
+        let (level, free_at) = (request.level, request.free_at);
         let queue = state.queue_or_new(&kind, &core.settings);
         if !was_tried && !queue.rounds.queue().must_wait(&request) {
             return Ok(None);
@@ -300,11 +309,8 @@
         let is_first = queue.rounds.is_first(ticket, now);
         core.queues.waiting.fetch_add(1, Ordering::Relaxed);
         drop(state);
-        let total = job.deadline.since(job.start);
-        let longest = match kind.headroom {
-            true => place::Headroom::longest_wait(job.route.goal, total),
-            false => MAX_LIMITED_WAIT,
-        };
+        let limited_at =
+            if kind.headroom { Time::NEVER } else { job.start.after(MAX_LIMITED_WAIT) };
         let pause = if is_first { pause } else { pause.max(FALLBACK_INTERVAL) };
         Ok(Some(Spot {
             core: core.clone(),
@@ -313,7 +319,8 @@
             notify,
             level,
             since: now,
-            free_at: job.start.after(longest),
+            free_at,
+            try_at: free_at.min(limited_at),
             retry_at: now.after(pause),
             starts: false,
         }))
--- a/crates/relay/src/spot.rs
+++ b/crates/relay/src/spot.rs
@@ -25,8 +25,11 @@
     pub(crate) notify: Arc<Notify>,
     pub(crate) level: u8,
     pub(crate) since: Time,
-    /// Time from which the request is tried without a turn, by rules that depend on its age.
+    /// Time from which the request is tried without a turn: it starts without capacity.
     pub(crate) free_at: Time,
+    /// Time at which it is tried once without a turn: at `free_at`, or, where it needs no headroom, once
+    /// it does not wait any longer for replicas that are at their limits.
+    pub(crate) try_at: Time,
     /// Time before which it is not tried without a turn, and at which its queue is checked.
     pub(crate) retry_at: Time,
     pub(crate) starts: bool,
@@ -79,6 +82,10 @@
         }
         let is_over = job.time_left(now) < MIN_TIME_LEFT;
         let is_due = self.retry_at.passed(now);
+        if self.try_at.passed(now) {
+            self.try_at = Time::NEVER;
+            return Turn::Try;
+        }
         if is_over || queue.rounds.has_turn(self.ticket) || (is_due && self.free_at.passed(now)) {
             return Turn::Try;
         }
@@ -91,8 +98,7 @@
             self.retry_at = now.after(FALLBACK_INTERVAL);
         }
         let last = job.deadline.before(MIN_TIME_LEFT).after(Duration::from_millis(1));
-        let free_at = if self.free_at.passed(now) { Time::NEVER } else { self.free_at };
-        Turn::Wait(self.retry_at.min(last).min(free_at))
+        Turn::Wait(self.retry_at.min(last).min(self.try_at))
     }
 
     /// Records that the request was tried and found no capacity. One may be free after `pause`.
