--- a/crates/relay/src/accept.rs
+++ b/crates/relay/src/accept.rs
@@ -5,7 +5,7 @@
 use fleet::Snapshot;
 use hyper::{
     Request,
-    body::Incoming,
+    body::{Body as _, Incoming},
     header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING},
     http::request::Parts,
 };
@@ -17,6 +17,7 @@
     core::Core,
     detour::DETOUR,
     job::{Job, request_digest},
+    queue,
 };
 
 /// Timeout of a request that names none.
@@ -43,6 +44,8 @@
     };
     let request_timeout = meta.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let deadline = start.after(request_timeout);
+    let bytes = body.size_hint().exact().unwrap_or(0) as usize;
+    queue::check_arrival(core, (&route, team.as_ref()), &meta, (start, deadline), bytes)?;
     let max_bytes = config.limits.body_bytes;
     let (body, hold) = bodies::read(&core.bodies, body, max_bytes, deadline).await?;
     let mut headers = head.headers;
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -8,7 +8,7 @@
 use hyper::{HeaderMap, Response, header::CONTENT_TYPE};
 use ident::Time;
 use origin::{Origin, Record};
-use place::{Choice, Headroom, Load, Outcome, PlacementError, PlacementRequest};
+use place::{Choice, Headroom, Load, Outcome, PlacementError, PlacementRequest, Prompt};
 use tracing::info;
 
 use crate::{
@@ -20,12 +20,13 @@
     permits::{self, ColdPermit},
     relay,
     send::{AttemptOutcome, ReplicaAnswer},
+    spot::Spot,
     tracking, verdicts, versions,
     whole::{MAX_BUFFERED_BYTES, Start, content_length, read_start, whole_answer},
 };
 
 /// Shortest time left for which a request is still sent.
-const MIN_TIME_LEFT: Duration = Duration::from_millis(30);
+pub(crate) const MIN_TIME_LEFT: Duration = Duration::from_millis(30);
 /// Pause between two checks for a replica with free capacity.
 const CAPACITY_CHECK_INTERVAL: Duration = Duration::from_millis(15);
 /// Longest wait for the end of a replica's cooldown.
@@ -33,7 +34,7 @@
 /// Shortest pause before another look at replicas that are excluded or at their limits.
 const MIN_WAIT: Duration = Duration::from_millis(5);
 /// Age from which a request does not wait for replicas that are at their limits.
-const MAX_LIMITED_WAIT: Duration = Duration::from_millis(250);
+pub(crate) const MAX_LIMITED_WAIT: Duration = Duration::from_millis(250);
 /// Most attempts of one request, refused ones included.
 const MAX_ATTEMPTS: usize = 5;
 /// Delay after which callers should retry where all replicas are full or loading weights.
@@ -154,12 +155,19 @@
         last: Option<u64>,
     ) -> Result<ReplicaAnswer, Stopped> {
         self.try_trial().await;
+        let mut spot = self.join_behind()?;
         loop {
+            if let Some(spot) = &mut spot {
+                spot.turn(self).await?;
+            }
             self.refresh_work().await;
             let attempt = match self.next_step() {
-                Step::Send(attempt) => attempt,
+                Step::Send(attempt) => {
+                    spot.take().map_or_else(|| self.start_unqueued(), Spot::start);
+                    attempt
+                }
                 Step::Wait(pause) => {
-                    tokio::time::sleep(pause).await;
+                    self.wait(&mut spot, pause).await?;
                     continue;
                 }
                 Step::Detour => return Err(Stopped::CutOff),
@@ -379,7 +387,7 @@
     /// The refusal for a request that is not sent any more.
     fn refusal(&self, why: &'static str, retry_delay: Duration) -> Refusal {
         if self.possible_runs == 0 {
-            return Refusal::NotRun { why, retry_delay };
+            return Refusal::NotRun { why, retry_delay: self.retry_delay(retry_delay) };
         }
         // The caller's error does not tell the reason once the request may have run.
         info!(
@@ -466,14 +474,7 @@
     }
 
     pub(crate) fn load(&self) -> Load {
-        match self.job.prompt() {
-            Some(p) => Load {
-                prefill_tokens: p.input_tokens,
-                memory_tokens: p.input_tokens + p.output_tokens,
-                requests: 1,
-            },
-            None => Load { prefill_tokens: 0, memory_tokens: 0, requests: 1 },
-        }
+        load(self.job.prompt())
     }
 
     /// Number of replicas that may have run the request.
@@ -482,6 +483,12 @@
     }
 }
 
+/// What a request needs of a replica.
+pub(crate) fn load(prompt: Option<&Prompt>) -> Load {
+    let tokens = prompt.map_or((0, 0), |p| (p.input_tokens, p.input_tokens + p.output_tokens));
+    Load { prefill_tokens: tokens.0, memory_tokens: tokens.1, requests: 1 }
+}
+
 /// Forwards a request and returns the answer for the caller.
 pub(crate) async fn forward(core: Arc<Core>, job: Arc<Job>) -> Result<Response<Body>, Refusal> {
     let mut forwarder = Forwarder::new(core.clone(), job.clone());
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -1,8 +1,10 @@
 //! Counters and latency histograms.
 
+use std::time::Duration;
+
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
 /// Upper bounds of the latency histograms' buckets, in seconds.
@@ -93,6 +95,10 @@
     pub first_byte: Histogram,
     /// Seconds from the request to the end of a relayed answer.
     pub answer_time: Histogram,
+    /// Seconds for which requests waited in a target's queue, by priority level.
+    queue_wait: HistogramVec,
+    /// Requests that a target's queue rejected, by priority level and reason.
+    pub rejections: IntCounterVec,
 }
 
 impl Metrics {
@@ -118,6 +124,16 @@
         let short_engines = IntGaugeVec::new(opts, &["target"]);
         let short_engines = short_engines.expect("metric names and labels are valid");
         registry.register(Box::new(short_engines.clone())).expect("metric names are unique");
+        let rejections = IntCounterVec::new(
+            Opts::new("lentil_queue_rejections_total", "Requests rejected by a target's queue"),
+            &["level", "reason"],
+        );
+        let rejections = rejections.expect("metric names and labels are valid");
+        registry.register(Box::new(rejections.clone())).expect("metric names are unique");
+        let opts = HistogramOpts::new("lentil_queue_wait_seconds", "Wait in a target's queue");
+        let queue_wait = HistogramVec::new(opts.buckets(BUCKETS.to_vec()), &["level"]);
+        let queue_wait = queue_wait.expect("metric names and labels are valid");
+        registry.register(Box::new(queue_wait.clone())).expect("metric names are unique");
         let seconds = |name: &str, help: &str| {
             let opts = HistogramOpts::new(name, help).buckets(BUCKETS.to_vec());
             let out = Histogram::with_opts(opts).expect("bucket bounds are in ascending order");
@@ -217,10 +233,17 @@
             ),
             ended,
             held,
+            queue_wait,
+            rejections,
             registry,
         }
     }
 
+    /// Records how long a request of a priority level waited in a target's queue.
+    pub(crate) fn observe_wait(&self, level: u8, wait: Duration) {
+        self.queue_wait.with_label_values(&[&*level.to_string()]).observe(wait.as_secs_f64());
+    }
+
     /// The metrics as text.
     pub fn text(&self) -> Vec<u8> {
         let mut out = Vec::new();
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -69,6 +69,7 @@
 impl Drop for LoadGuard {
     fn drop(&mut self) {
         self.core.pool.lock().remove_load(&self.replica, self.load);
+        self.core.queues.wake(self.core.now());
     }
 }
 
@@ -185,7 +186,7 @@
             team: job.team.as_ref().map(|t| &*t.name),
             salt: salt.as_deref(),
             version: choice.version,
-            priority: job.priority(),
+            priority: self.engine_priority(),
             plan: plan.as_ref(),
             last_event: last.or(job.meta.last_event),
         };
