Place requests by expected completion where replicas report a pace

Cause: requests were placed by counts with constant costs. A replica that worked at 2.5 times the usual time looked as good as any other, and where fewer than 12 peers are known, all instances chose the one replica that the same old report showed as the best.

Change: for targets whose replicas report a pace, the cost of a replica is the work ahead there times its slowdown. Time in a slot and prefill speed are learned for each target from this instance's measured times, starting with 45 tokens per ms. Requests are those of the last report and this instance's since; the older a report, the more its count tends to the replica's mean and its pace to the usual one. As soon as there are peers, the choice is made among two sampled replicas and the preferred one, also at plain servers. Targets without a pace keep their formula, which moves to cost.rs.

--- a/crates/place/src/choice.rs
+++ b/crates/place/src/choice.rs
@@ -11,39 +11,11 @@
     pool::{Entry, FAILURE_THRESHOLD, FULL_COOLDOWN, is_short},
 };
 
-/// Prompt tokens that an engine prefills per ms.
-pub(crate) const PREFILL_TOKENS_PER_MS: f64 = 45.0;
-/// Delay of a first token for each request that runs at the replica, in ms.
-const RUNNING_COST_MS: f64 = 1.5;
-/// Cost of each request beyond the number of an engine's slots, in ms.
-const QUEUED_COST_MS: f64 = 50.0;
-/// Cost of a replica that is not an engine and whose slots are all in use, in ms. The cost of other
-/// loads is proportional.
-const FULL_SLOTS_COST_MS: f64 = 100.0;
-/// Cost of a replica in another zone, in ms.
-const CROSS_ZONE_COST_MS: f64 = 3.0;
-/// Cost of a fallback replica instead of the preferred one for the context, in ms, in addition to
-/// the time of the transfer. 25 ms and 160 ms give a lower benchmark score; with 300 ms fewer
-/// requests are answered in time.
-const FALLBACK_COST_MS: f64 = 80.0;
-/// Cost of memory that an engine would have to take from other requests, in ms for its whole
-/// memory. The cost of smaller amounts is proportional.
-const MEMORY_COST_MS: f64 = 4000.0;
-/// Share of an engine's memory above which [`MEMORY_COST_MS`] applies.
-const MEMORY_COST_THRESHOLD: f64 = 0.85;
-/// Cost of a replica whose weights are not the newest, in ms.
-const OLD_WEIGHTS_COST_MS: f64 = 150.0;
-/// Cost of a short prompt at a replica for long prompts, in ms.
-const SHORT_FALLBACK_COST_MS: f64 = 40.0;
-/// Cost of a long prompt at a replica for short prompts, in ms.
-const LONG_FALLBACK_COST_MS: f64 = 400.0;
 /// Engines of each part of a target among which one is chosen besides the preferred one, where
 /// there are many peers.
 const SAMPLE_SIZE: usize = 2;
 /// The same where the engines' trackers are asked first.
 const TRACKED_SAMPLE_SIZE: usize = 4;
-/// Cost of a cold replica, in ms: that of a replica whose slots are all in use.
-const COLD_COST_MS: f64 = 100.0;
 /// Delay after which a caller finds another instance, where this one sends to none of the limited
 /// replicas.
 const LIMITED_DELAY: Duration = Duration::from_secs(1);
@@ -134,20 +106,20 @@
 
 /// A replica that accepts requests, and whether it is preferred for short prompts.
 #[derive(Debug, Clone, Copy)]
-struct Member<'e> {
-    entry: &'e Entry,
-    for_short: bool,
+pub(crate) struct Member<'e> {
+    pub(crate) entry: &'e Entry,
+    pub(crate) for_short: bool,
 }
 
 impl PlacementRequest<'_> {
     /// Whether this instance may send to a replica; `None` if the replica has no limit.
-    fn permit(&self, entry: &Entry) -> Option<Permit> {
+    pub(crate) fn permit(&self, entry: &Entry) -> Option<Permit> {
         let found = self.permits.binary_search_by(|(id, _)| id.cmp(&entry.replica.id));
         found.ok().map(|at| self.permits[at].1)
     }
 
     /// Whether the prompt is a short one.
-    fn is_short(&self) -> bool {
+    pub(crate) fn is_short(&self) -> bool {
         is_short(self.load.prefill_tokens)
     }
 }
@@ -182,7 +154,10 @@
     members: &'m [Member<'e>],
     request: &PlacementRequest<'_>,
 ) -> Vec<&'m Member<'e>> {
-    members.iter().filter(|m| m.for_short == request.is_short()).collect()
+    members
+        .iter()
+        .filter(|m| request.engine.is_none() || m.for_short == request.is_short())
+        .collect()
 }
 
 /// A random sample of some engines.
@@ -295,10 +270,12 @@
         Ok(Choice { replica: entry.replica.clone(), preferred, version, delay_ms, load, requests })
     }
 
-    /// Whether an engine is chosen among a sample. Many instances that choose the least loaded of all
-    /// engines, by the same report of its load, would all send there.
+    /// Whether a replica is chosen among a sample. Many instances that choose the least loaded of all
+    /// replicas, by the same report of its load, would all send there.
     fn needs_sample(&self, request: &PlacementRequest<'_>) -> bool {
-        self.has_many_peers() && request.engine.is_some() && request.software.is_none()
+        let by_counts = request.engine.is_some() && self.has_many_peers();
+        let by_pace = self.speed(request.target).is_some() && self.has_peers();
+        (by_counts || by_pace) && request.software.is_none()
     }
 
     /// The engines with free slots in the part to which a short prompt does not belong; none for a
@@ -407,58 +384,4 @@
         let is_open = entry.excluded_until.passed(now) && entry.declined_until.passed(now);
         !tried && version && is_open
     }
-
-    /// Expected delay of the first token, or of the answer if the replica is not an engine, in ms.
-    fn cost(
-        &self,
-        member: &Member<'_>,
-        preferred: Option<&Entry>,
-        request: &PlacementRequest<'_>,
-        now: Time,
-    ) -> f64 {
-        let entry = member.entry;
-        let total = match request.engine {
-            Some(_) => self.engine_load(entry, member.for_short, now),
-            None => self.total_load(entry, now),
-        };
-        let zone = if &*entry.replica.zone == request.zone { 0.0 } else { CROSS_ZONE_COST_MS };
-        let cold = if request.permit(entry) == Some(Permit::Cold) { COLD_COST_MS } else { 0.0 };
-        let noise =
-            (request.tie_breaker.wrapping_mul(entry.replica.addr.port().into()) % 64) as f64 / 64.0;
-        let Some(engine) = request.engine else {
-            let load = f64::from(self.requests(entry, now)) + 1.0;
-            return load / f64::from(entry.replica.slots.max(1)) * FULL_SLOTS_COST_MS
-                + zone
-                + cold
-                + noise;
-        };
-        let is_preferred = preferred.is_some_and(|p| p.replica.id == entry.replica.id);
-        // A limited replica gets few requests; those that are permitted should be used.
-        let fallback = match is_preferred || request.shared_tokens == 0 {
-            false if request.permit(entry) != Some(Permit::Now) => FALLBACK_COST_MS,
-            _ => 0.0,
-        };
-        let transfer = request.shared_tokens as f64 * engine.token_bytes as f64 * 8.0
-            / (engine.link_mbps * 1000.0);
-        let transfer = if is_preferred { 0.0 } else { transfer };
-        let own = request.load.prefill_tokens.saturating_sub(request.shared_tokens);
-        let prefill = (total.prefill_tokens + own) as f64 / PREFILL_TOKENS_PER_MS;
-        let capacity = engine.capacity_tokens.max(1) as f64;
-        let over = ((total.memory_tokens + request.load.memory_tokens) as f64 / capacity
-            - MEMORY_COST_THRESHOLD)
-            .max(0.0);
-        let old = match request.model {
-            Some((model, newest)) if entry.version(model) < Some(newest) => OLD_WEIGHTS_COST_MS,
-            _ => 0.0,
-        };
-        let running = f64::from(self.requests(entry, now));
-        let queued = (running + 1.0 - f64::from(engine.slots)).max(0.0) * QUEUED_COST_MS;
-        let mismatch = match (request.is_short(), member.for_short) {
-            (true, false) => SHORT_FALLBACK_COST_MS,
-            (false, true) => LONG_FALLBACK_COST_MS,
-            _ => 0.0,
-        };
-        let load = prefill + transfer + queued + running * RUNNING_COST_MS + over * MEMORY_COST_MS;
-        load + fallback + zone + cold + noise + old + mismatch
-    }
 }
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -9,6 +9,7 @@
 mod catalog;
 mod choice;
 mod cold;
+mod cost;
 mod limits;
 mod partition;
 mod plan;
@@ -20,6 +21,7 @@
 mod roster;
 mod salt;
 mod share;
+mod speed;
 mod tracker;
 
 pub use crate::{
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -5,7 +5,11 @@
 use fleet::Replica;
 use ident::Time;
 
-use crate::{LoadReport, ReplicaLoad, partition::Demand};
+use crate::{
+    LoadReport, ReplicaLoad,
+    partition::Demand,
+    speed::{Speed, USUAL_WEIGHT},
+};
 
 /// How long a replica is excluded after [`FAILURE_THRESHOLD`] attempts in a row without an answer.
 /// Each further one doubles the time.
@@ -58,13 +62,18 @@
     !is_short(tokens)
 }
 
-/// Number of the requests of a load if they are long prompts. The memory that a prompt needs does
-/// not shrink while it is in flight.
-fn long_requests(load: Load) -> u32 {
-    if is_short(load.memory_tokens) { 0 } else { load.requests }
-}
-
 impl Load {
+    /// Whether it is the load of long prompts. The memory that a prompt needs does not shrink while
+    /// it is in flight.
+    pub fn is_long(&self) -> bool {
+        is_long(self.memory_tokens)
+    }
+
+    /// Number of its requests that are long prompts.
+    fn long_requests(&self) -> u32 {
+        if self.is_long() { self.requests } else { 0 }
+    }
+
     pub(crate) fn add(&mut self, other: Self) {
         self.prefill_tokens = self.prefill_tokens.saturating_add(other.prefill_tokens);
         self.memory_tokens = self.memory_tokens.saturating_add(other.memory_tokens);
@@ -109,6 +118,10 @@
     pub(crate) own_long: u32,
     /// Load that the replica last reported, and when the report arrived, at this instance or a peer.
     pub(crate) reported: Option<(ReplicaLoad, Time)>,
+    /// Requests that this instance sent there since the report.
+    pub(crate) sent_since: u32,
+    /// Mean number of requests in its reports.
+    pub(crate) usual_requests: f64,
     /// Whether the report arrived at this instance.
     is_own_report: bool,
     /// Whether a malformed report arrived at this instance.
@@ -169,6 +182,8 @@
     reports: u64,
     /// Demand at the engines of each target. Sorted by target.
     pub(crate) demands: Vec<Demand>,
+    /// What was learned of the targets whose replicas report a pace. Sorted by target.
+    pub(crate) speeds: Vec<Speed>,
 }
 
 impl Pool {
@@ -190,6 +205,8 @@
                     own: Load::default(),
                     own_long: 0,
                     reported: None,
+                    sent_since: 0,
+                    usual_requests: 0.0,
                     is_own_report: false,
                     is_malformed: false,
                     report_rev: 0,
@@ -244,7 +261,8 @@
         self.learn_typical(load);
         if let Some(entry) = self.find(id) {
             entry.own.add(load);
-            entry.own_long = entry.own_long.saturating_add(long_requests(load));
+            entry.sent_since = entry.sent_since.saturating_add(load.requests);
+            entry.own_long = entry.own_long.saturating_add(load.long_requests());
         }
     }
 
@@ -252,7 +270,7 @@
     pub fn remove_load(&mut self, id: &str, load: Load) {
         if let Some(entry) = self.find(id) {
             entry.own.sub(load);
-            entry.own_long = entry.own_long.saturating_sub(long_requests(load));
+            entry.own_long = entry.own_long.saturating_sub(load.long_requests());
         }
     }
 
@@ -376,6 +394,13 @@
             (entry.reported, entry.is_own_report) = (Some((load, at)), is_own);
             entry.is_shared |= load.pace.is_some();
             entry.report_rev = rev;
+            entry.sent_since = 0;
+            entry.usual_requests +=
+                (f64::from(load.requests()) - entry.usual_requests) * USUAL_WEIGHT;
+            if load.pace.is_some() {
+                let target = entry.replica.target.clone();
+                self.learn_speed(&target);
+            }
         }
     }
 
@@ -401,6 +426,11 @@
         *typical = Some((mix(prefill, new.0), mix(memory, new.1)));
     }
 
+    /// Whether other instances choose among the same replicas.
+    pub(crate) fn has_peers(&self) -> bool {
+        !self.peers.is_empty()
+    }
+
     /// Whether there are so many peers that what they say of their loads is old.
     pub(crate) fn has_many_peers(&self) -> bool {
         self.peers.len() >= MANY_PEERS
--- a/crates/place/src/room.rs
+++ b/crates/place/src/room.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use crate::{Load, choice::PREFILL_TOKENS_PER_MS, pool::is_short};
+use crate::{Load, pool::is_short, speed::PREFILL_TOKENS_PER_MS};
 
 /// Largest share of an engine's memory that requests may need for [`Headroom::Ample`].
 const AMPLE_MEMORY_SHARE: f64 = 0.75;
--- a/crates/place/tests/engine_shares.rs
+++ b/crates/place/tests/engine_shares.rs
@@ -128,8 +128,15 @@
 }
 
 fn burst(deployment: Deployment, instances: usize, bursts: [f64; 2]) -> [Figures; 2] {
-    let [mut short, mut long] =
-        play(Play { deployment, instances, seed: 1, length: 10_000, bursts });
+    let [mut short, mut long] = play(Play {
+        deployment,
+        instances,
+        seed: 1,
+        length: 10_000,
+        bursts,
+        has_slow: false,
+        has_pace: false,
+    });
     for (class, figures) in [("short", &mut short), ("long", &mut long)] {
         println!(
             "{instances} instances, {class}: {:.3} on time, median {} ms, {} of {} rejected, \
--- a/crates/place/tests/simulated/mod.rs
+++ b/crates/place/tests/simulated/mod.rs
@@ -77,6 +77,10 @@
     pub length: u64,
     /// Factors of the classes' rates after the warm-up.
     pub bursts: [f64; 2],
+    /// Whether 15 % of the engines at a time work at 2.5 times the usual time, for 600 ms.
+    pub has_slow: bool,
+    /// Whether reports name a pace.
+    pub has_pace: bool,
 }
 
 impl Play {
@@ -144,9 +148,10 @@
         self.running.len() + self.waiting.len()
     }
 
-    fn report(&self) -> ReplicaLoad {
+    fn report(&self, has_pace: bool) -> ReplicaLoad {
         let (running, waiting) = (self.running.len() as u32, self.waiting.len() as u32);
-        ReplicaLoad { running, waiting, slots: SLOTS as u32, pace: None }
+        let pace = has_pace.then_some((self.pace.max(1.0) * 100.0) as u32);
+        ReplicaLoad { running, waiting, slots: SLOTS as u32, pace }
     }
 
     fn admit(&mut self, spec: &Deployment, now: u64) {
@@ -162,8 +167,8 @@
             let cached = self.cache.iter().position(|(c, _)| *c == job.context);
             let kept = cached.and_then(|at| self.cache.remove(at));
             job.unread = match kept.is_some() || job.fetched {
-                true => class.own,
-                false => class.own + class.shared,
+                true => job.unread,
+                false => job.unread + class.shared,
             };
             self.cache.push_back((job.context, class.shared));
             let mut held: u64 = self.cache.iter().map(|(_, t)| t).sum();
@@ -241,22 +246,32 @@
     let mut reports: Vec<Option<LoadReport>> = vec![None; spec.engines];
     for now in 0..play.length {
         let time = Time(100_000 + now);
+        for sim in sims.iter_mut().filter(|_| play.has_slow && now.is_multiple_of(600)) {
+            sim.pace = if rng.random_bool(0.15) { 2.5 } else { 1.0 };
+        }
         for (at, sim) in sims.iter_mut().enumerate() {
             if sim.step_end > now {
                 continue;
             }
             let (begun, ended) = sim.step(&spec, now);
-            let (load, id) = (sim.report(), &replicas[at].id);
+            let (load, id) = (sim.report(play.has_pace), &replicas[at].id);
             for job in begun {
                 let pool = &mut pools[job.instance];
                 pool.record_report(id, load, time);
                 pool.record_outcome(id, Outcome::Answered, time);
                 pool.remove_load(id, Load { memory_tokens: 0, requests: 0, ..job.load });
+                if job.load.is_long() {
+                    let taken = Duration::from_millis(now - job.arrived);
+                    pool.record_first_byte(id, job.load.prefill_tokens, taken, time);
+                }
                 reports[at] = Some(LoadReport { replica: id.clone(), load, at: time });
             }
             for job in ended {
                 let load = Load { prefill_tokens: 0, ..job.load };
-                pools[job.instance].remove_load(id, load);
+                let pool = &mut pools[job.instance];
+                pool.remove_load(id, load);
+                let taken = Duration::from_millis(now - job.arrived);
+                pool.record_end(id, load.is_long(), taken, time);
                 if play.counts(job.class, job.arrived) {
                     let figures = &mut out[job.class];
                     figures.latencies.push(now - job.arrived);
@@ -284,7 +299,7 @@
                 let instance = rng.random_range(0..play.instances);
                 let job = job(&spec, at, instance, now, &mut rng);
                 let sent =
-                    send(job, &mut pools[instance], &engine, &spec, &mut sims, time, &mut rng);
+                    send(job, &mut pools[instance], &engine, &play, &mut sims, time, &mut rng);
                 if play.counts(at, now) {
                     out[at].sent += 1;
                     sent.arrivals.iter().for_each(|to| out[at].arrivals[*to] += 1);
@@ -303,6 +318,8 @@
         false => rng.random_range(0..contexts),
     };
     let context = context + class as u64 * 1_000_000;
+    let size: f64 = 0.35 - 0.65 * rng.random_range(f64::EPSILON..1.0_f64).ln();
+    let own = (own as f64 * size) as u64 + 1;
     let memory_tokens = shared + own + output;
     let load = Load { prefill_tokens: shared + own, memory_tokens, requests: 1 };
     let (unread, fetched, read) = (own, false, false);
@@ -319,12 +336,12 @@
     mut job: Job,
     pool: &mut Pool,
     engine: &Engine,
-    spec: &Deployment,
+    play: &Play,
     sims: &mut [Sim],
     time: Time,
     rng: &mut SmallRng,
 ) -> Sent {
-    let class = spec.classes[job.class];
+    let class = play.deployment.classes[job.class];
     let context = format!("c-{}", job.context);
     let (mut tried, mut arrivals): (Vec<Arc<str>>, Vec<usize>) = (Vec::new(), Vec::new());
     while tried.len() < 3 {
@@ -349,7 +366,7 @@
         let at = usize::from(choice.replica.addr.port() - 1000);
         arrivals.push(at);
         if sims[at].requests() >= SLOTS + QUEUE {
-            pool.record_report(&id, sims[at].report(), time);
+            pool.record_report(&id, sims[at].report(play.has_pace), time);
             pool.record_outcome(&id, Outcome::Full, time);
             tried.push(id);
             continue;
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -46,12 +46,17 @@
     load: Load,
     /// Tells the engine's tracker; `None` if the request is not tracked.
     reservation: Option<Reservation>,
+    sent: Time,
+    /// Whether the answer has begun.
+    begun: bool,
 }
 
 impl LoadGuard {
     fn new(core: &Arc<Core>, replica: &Arc<str>, load: Load) -> Self {
         core.pool.lock().add_load(replica, load);
-        Self { core: core.clone(), replica: replica.clone(), load, reservation: None }
+        let sent = core.now();
+        let (core, replica) = (core.clone(), replica.clone());
+        Self { core, replica, load, reservation: None, sent, begun: false }
     }
 
     /// Removes the prefill tokens from the load, once the replica has begun to answer.
@@ -62,14 +67,26 @@
         if let Some(reservation) = &self.reservation {
             reservation.prefill_done();
         }
-        self.core.pool.lock().remove_load(&self.replica, prefill);
+        let now = self.core.now();
+        let mut pool = self.core.pool.lock();
+        pool.remove_load(&self.replica, prefill);
+        if !std::mem::replace(&mut self.begun, true) && self.load.is_long() {
+            let (tokens, time) = (prefill.prefill_tokens, now.since(self.sent));
+            pool.record_first_byte(&self.replica, tokens, time, now);
+        }
     }
 }
 
 impl Drop for LoadGuard {
     fn drop(&mut self) {
-        self.core.pool.lock().remove_load(&self.replica, self.load);
-        self.core.queues.wake(self.core.now());
+        let now = self.core.now();
+        let mut pool = self.core.pool.lock();
+        pool.remove_load(&self.replica, self.load);
+        if self.begun {
+            pool.record_end(&self.replica, self.load.is_long(), now.since(self.sent), now);
+        }
+        drop(pool);
+        self.core.queues.wake(now);
     }
 }
 
