--- a/crates/relay/src/conns.rs
+++ b/crates/relay/src/conns.rs
@@ -218,6 +218,14 @@
         }
     }
 
+    /// Closes all connections that are not in use.
+    pub fn close_kept(&self) {
+        for replica in self.replicas.lock().iter() {
+            let kept = replica.idle.lock().as_mut().map(std::mem::take);
+            drop(kept);
+        }
+    }
+
     /// Number of connections that are open or being opened, kept ones included.
     pub fn open_conns(&self) -> u32 {
         self.replicas.lock().iter().map(|r| r.open.load(Ordering::Relaxed)).sum()
--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -342,10 +342,10 @@
     Some(Answer { batch, rows, full, age, is_old: wire.failing || age >= max_age(topic) })
 }
 
-/// Reads the answer of a reader. `None` if there is none; the reader is left for some time then.
+/// Reads the answer of a reader. `None` if there is none; the reader is left for some time then, and
+/// kept connections to all peers are closed, since those that are silent went so together.
 async fn fetch(core: &Core, reader: &Arc<str>, path: &str, limit: Duration) -> Option<Bytes> {
-    let now = core.now();
-    let snapshot = core.view.snapshot();
+    let (now, snapshot) = (core.now(), core.view.snapshot());
     let found = snapshot.instances.binary_search_by(|i| i.name.cmp(reader)).ok();
     let outcome = match found {
         Some(at) => {
@@ -363,6 +363,7 @@
             let waited_ms = core.now().since(now).as_millis() as u64;
             info!(reader = &**reader, path, waited_ms, %error, "reader left, it did not answer");
             core.feeds.failed(reader, core.now());
+            core.peer_conns.close_kept();
             None
         }
     }
@@ -379,8 +380,7 @@
     *request.uri_mut() = path.parse().map_err(|e| broken(&e))?;
     let host = hyper::header::HeaderValue::from_str(&addr.to_string());
     request.headers_mut().insert(hyper::header::HOST, host.map_err(|e| broken(&e))?);
-    let now = core.now();
-    let sent = core.peer_conns.send(reader, addr, MAX_CONNS, request, &Open, now).await;
+    let sent = core.peer_conns.send(reader, addr, MAX_CONNS, request, &Open, core.now()).await;
     let (response, conn) = sent?;
     let (head, body) = response.into_parts();
     let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await.map_err(|e| broken(&e))?;
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -17,8 +17,11 @@
     versions,
 };
 
-/// Longest wait of a poll for a change. Each answer also confirms that there is nothing newer.
-const MAX_POLL_WAIT: Duration = Duration::from_millis(2400);
+/// Longest wait of a poll for a change. Each answer also confirms that there is nothing newer. A silent
+/// connection is found at the end of the wait, which must be well within 3 s.
+const MAX_POLL_WAIT: Duration = Duration::from_millis(2200);
+/// Shortest wait of a poll, as a share of the longest one.
+const MIN_POLL_SHARE: f64 = 0.65;
 /// The same while other instances follow this one.
 const READER_POLL_WAIT: Duration = Duration::from_millis(700);
 /// Longest wait of a poll while entries of replicas are missing and about to be dropped.
@@ -56,6 +59,8 @@
     failures: u32,
     /// Whether the next poll of the registry must not wait: the first follower has asked.
     is_urgent: bool,
+    /// Whether the last poll was followed by a pause.
+    has_paused: bool,
     /// The reader that answered last; `None` where the registry was asked or the reader did not
     /// answer.
     followed: Option<Arc<str>>,
@@ -70,7 +75,8 @@
     fn new(core: Arc<Core>, topic: Topic) -> Self {
         let (missing, heard) = (Vec::new(), Vec::new());
         let (next, failures, is_urgent, followed) = (None, 0, false, None);
-        Self { core, topic, next, failures, is_urgent, followed, missing, heard }
+        let has_paused = false;
+        Self { core, topic, next, failures, is_urgent, has_paused, followed, missing, heard }
     }
 
     async fn poll(&mut self) {
@@ -160,10 +166,12 @@
                 // A change ends the polls of all instances at the same time. The random waits make
                 // the next answers arrive at different times. Each of them confirms to all peers
                 // that there is nothing newer.
-                let spread = rand::rng().random_range(0.5..1.0);
+                let spread = rand::rng().random_range(MIN_POLL_SHARE..1.0);
                 let has_followers = self.core.feeds.has_followers();
                 let longest = match self.topic {
                     Topic::Operator | Topic::Replicas if has_followers => READER_POLL_WAIT,
+                    // The pause delays the next sign that the connection works.
+                    _ if self.has_paused => MAX_POLL_WAIT - CHANGE_POLL_INTERVAL,
                     _ => MAX_POLL_WAIT,
                 };
                 let is_urgent = std::mem::take(&mut self.is_urgent);
@@ -217,10 +225,11 @@
                     clock.to_local(batch.clock).unwrap_or(asked_at)
                 };
                 let changed = !batch.updates.is_empty();
+                self.has_paused = changed && self.topic != Topic::Operator;
                 let rows = batch.updates.iter().map(feed_wire::encode).collect();
                 self.core.feeds.record(self.topic, rows, full, batch.next, batch.clock);
                 self.take(batch, full, made_at.max(asked_at));
-                if changed && self.topic != Topic::Operator {
+                if self.has_paused {
                     tokio::time::sleep(CHANGE_POLL_INTERVAL).await;
                 }
             }
