Close connections whose clients read no answer

Cause: an answer of up to 256 KiB is in memory until its client has read it, for each connection, and nothing counted them together.

Change: such answers, from 16 KiB on, are given to the connection in parts and counted while any of it is left. An answer that is ready is always taken in.

--- a/crates/relay/src/bodies.rs
+++ b/crates/relay/src/bodies.rs
@@ -15,6 +15,7 @@
     answer::Refusal,
     body_budget::{BodyBudget, Grow, WAIT_TIMEOUT},
     metrics::Metrics,
+    unread::Unread,
 };
 
 /// Memory reserved for a body's first bytes.
@@ -26,6 +27,8 @@
 /// Address space for a longer body. glibc never takes more than 32 MiB from the heap but maps it: pages
 /// without data take no memory, and all are returned at once, which a fragmented heap does not do.
 const MAPPED_BYTES: usize = 33 * 1024 * 1024;
+/// Answers that clients don't read may take one part in this many of the memory for bodies.
+const UNREAD_DIVISOR: usize = 4;
 /// Shortest time between two log lines about bodies that are given up.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -37,6 +40,8 @@
     /// Wakes all bodies when some are given up.
     given_up: Notify,
     clock: Arc<dyn Clock>,
+    /// Answers in memory.
+    pub(crate) unread: Arc<Unread>,
     held: IntGauge,
     rejected: IntCounterVec,
     /// When bodies that were given up were last logged, and how many since.
@@ -46,13 +51,16 @@
 impl Bodies {
     /// Memory of `bytes`, of which nothing is held.
     pub(crate) fn new(bytes: usize, clock: Arc<dyn Clock>, metrics: &Metrics) -> Arc<Self> {
+        let rejected = metrics.rejected_clients.clone();
+        let unread = Unread::new(bytes / UNREAD_DIVISOR, clock.clone(), rejected.clone());
         Arc::new(Self {
+            unread,
             budget: Mutex::new(BodyBudget::new(bytes)),
             freed: Notify::new(),
             given_up: Notify::new(),
             clock,
             held: metrics.body_bytes.clone(),
-            rejected: metrics.rejected_clients.clone(),
+            rejected,
             logged: Mutex::new((Time(0), 0)),
         })
     }
--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -8,18 +8,25 @@
 use std::{
     pin::Pin,
     sync::Arc,
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
 };
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::{Frame, SizeHint};
+use hyper::body::{Body as _, Frame, SizeHint};
 use ident::{Clock, Time};
 use parking_lot::Mutex;
 use prometheus::IntCounterVec;
 use tokio::sync::Notify;
 
-use crate::answer::{AbortedBody, Body};
+use crate::{
+    answer::{AbortedBody, Body},
+    unread::{Unread, Unsent},
+};
+
+/// Parts in which an answer in memory is given to its connection, which buffers about as much. Shorter
+/// answers are given whole.
+const PART_BYTES: usize = 16 * 1024;
 
 struct Entry {
     id: u64,
@@ -72,7 +79,8 @@
                 is_closing: false,
                 close: close.clone(),
             });
-            return Some(Arc::new(Slot { list: self.clone(), id, close }));
+            let abort = Arc::default();
+            return Some(Arc::new(Slot { list: self.clone(), id, close, abort }));
         }
         if !entries.iter().any(|e| e.is_closing) {
             let idle = entries.iter_mut().filter(|e| e.idle_since.is_some());
@@ -101,9 +109,15 @@
     list: Arc<Connections>,
     id: u64,
     close: Arc<Notify>,
+    abort: Arc<Notify>,
 }
 
 impl Slot {
+    /// Completes when the connection must end although its answer is not written.
+    pub(crate) async fn must_abort(&self) {
+        self.abort.notified().await;
+    }
+
     /// Completes when the connection must end for another.
     pub(crate) async fn must_close(&self) {
         self.close.notified().await;
@@ -144,9 +158,13 @@
 pub(crate) struct Busy(Arc<Slot>);
 
 impl Busy {
-    /// Keeps the guard until the body is written or dropped.
-    pub(crate) fn until_end(self, body: Body) -> Body {
-        Guarded { body, _busy: self }.boxed_unsync()
+    /// Keeps the guard until the body is written or dropped. A long body that is in memory is counted
+    /// in `unread`.
+    pub(crate) fn until_end(self, body: Body, unread: &Arc<Unread>) -> Body {
+        let bytes = body.size_hint().exact().unwrap_or(0) as usize;
+        let abort = self.0.abort.clone();
+        let unsent = (bytes > PART_BYTES).then(|| unread.hold(bytes, abort));
+        Guarded { body, rest: Bytes::new(), unsent, _busy: self }.boxed_unsync()
     }
 }
 
@@ -161,6 +179,10 @@
 
 struct Guarded {
     body: Body,
+    /// What was taken of `body` and not given to the connection.
+    rest: Bytes,
+    /// Set where the whole body is in memory.
+    unsent: Option<Unsent>,
     _busy: Busy,
 }
 
@@ -172,14 +194,29 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, AbortedBody>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        let Some(unsent) = &self.unsent else { return Pin::new(&mut self.body).poll_frame(cx) };
+        unsent.record_taken();
+        if self.rest.is_empty() {
+            match ready!(Pin::new(&mut self.body).poll_frame(cx)) {
+                Some(Ok(frame)) => self.rest = frame.into_data().unwrap_or_default(),
+                other => return Poll::Ready(other),
+            }
+        }
+        // A part that shared the answer's memory would keep all of it.
+        let len = self.rest.len().min(PART_BYTES);
+        let part = Bytes::copy_from_slice(&self.rest.split_to(len));
+        Poll::Ready(Some(Ok(Frame::data(part))))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        self.rest.is_empty() && self.body.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
+        let mut hint = self.body.size_hint();
+        if let (Some(left), Some(_)) = (hint.exact(), &self.unsent) {
+            hint.set_exact(left + self.rest.len() as u64);
+        }
+        hint
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -40,6 +40,7 @@
 mod send;
 mod serve;
 pub mod services;
+mod unread;
 mod verdicts;
 mod versions;
 mod whole;
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -86,7 +86,13 @@
         };
         match accepted {
             Ok(((stream, from), slot)) => {
-                tokio::spawn(serve_connection(core.clone(), stream, from, kind, slot));
+                let (core, aborted) = (core.clone(), slot.clone());
+                tokio::spawn(async move {
+                    tokio::select! {
+                        () = serve_connection(core, stream, from, kind, slot) => {}
+                        () = aborted.must_abort() => {}
+                    }
+                });
             }
             Err(e) => {
                 let now = core.now();
@@ -120,8 +126,9 @@
     let service = service_fn(move |request| {
         let (core, incomplete, busy) = (core.clone(), incomplete.clone(), served.busy());
         async move {
+            let unread = core.bodies.unread.clone();
             let answer = respond(core, request, kind, from, incomplete).await?;
-            Ok::<_, Infallible>(answer.map(|body| busy.until_end(body)))
+            Ok::<_, Infallible>(answer.map(|body| busy.until_end(body, &unread)))
         }
     });
     let mut builder = http1::Builder::new();
