--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -47,6 +47,7 @@
 mod spot;
 mod tracking;
 pub mod unacked;
+mod unread;
 mod unwritten;
 mod verdicts;
 mod versions;
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -88,7 +88,13 @@
         };
         match accepted {
             Ok(((stream, from), slot)) => {
-                tokio::spawn(serve_connection(core.clone(), stream, from, kind, slot));
+                let (core, aborted) = (core.clone(), slot.clone());
+                tokio::spawn(async move {
+                    tokio::select! {
+                        () = serve_connection(core, stream, from, kind, slot) => {}
+                        () = aborted.must_abort() => {}
+                    }
+                });
             }
             Err(e) => {
                 let now = core.now();
@@ -127,8 +133,9 @@
             // Followers ask again and again, also while the instance stops.
             let is_counted = kind != ListenerKind::Peer || request.headers().contains_key(DETOUR);
             let active = is_counted.then(|| ActiveGuard::new(&core));
+            let unread = core.bodies.unread.clone();
             let answer = respond(core, request, kind, from, incomplete).await;
-            let answer = answer.map(|body| busy.until_end(body));
+            let answer = answer.map(|body| busy.until_end(body, &unread));
             Ok::<_, Infallible>(answer.map(|body| CountedBody::new(body, active, unwritten)))
         }
     });
