Serve the largest requests of a class at least half as often

Cause: a request counted as late once its whole expected work no longer fit into its goal, so the largest ones were late first and were passed over by all others: the largest tenth of the long prompts was served 0.15 times as often as all of them in the load model (mix A, load 1.5, one instance).

Change: at most a sixth of the goal counts for the work.

--- a/crates/admit/src/policy.rs
+++ b/crates/admit/src/policy.rs
@@ -29,9 +29,12 @@
 }
 
 impl Waiting {
-    /// Whether the answer is late even if the request starts now.
-    pub fn is_late(&self, now: Time) -> bool {
-        now.after(self.work) > self.goal
+    /// Time from which the request counts as late: its answer is, even if it starts then. No more
+    /// than a sixth of the goal is counted for its work. With all of it, the largest tenth of a class
+    /// is late first, and was served 0.15 times as often as the class at 1.5 times the capacity.
+    pub fn late_at(&self) -> Time {
+        let part = self.goal.since(self.arrived) / 6;
+        self.goal.before(self.work.min(part)).after(Duration::from_millis(1))
     }
 
     /// Whether the deadline passes before the answer even if the request starts now.
--- a/crates/admit/src/wait_queue.rs
+++ b/crates/admit/src/wait_queue.rs
@@ -103,11 +103,6 @@
     }
 }
 
-/// Time from which [`Waiting::is_late`] is true.
-fn late_at(request: &Waiting) -> Time {
-    request.goal.before(request.work).after(Duration::from_millis(1))
-}
-
 /// The waiting requests of one level.
 #[derive(Debug)]
 struct Level {
@@ -263,9 +258,9 @@
 
     fn insert(&mut self, ticket: Ticket, request: Waiting, now: Time) {
         let (number, turns) = (self.policy.level(&request), self.policy.takes_turns());
-        let is_late = request.is_late(now);
+        let is_late = request.late_at().passed(now);
         if !is_late {
-            self.next_late = self.next_late.min(late_at(&request));
+            self.next_late = self.next_late.min(request.late_at());
         }
         let key = self.policy.key(&request, is_late);
         let team = if turns { request.team.clone() } else { "".into() };
@@ -371,10 +366,10 @@
         self.next_late = Time::NEVER;
         for queue in self.levels.iter_mut().flat_map(|l| [&mut l.begun, &mut l.new]) {
             queue.rekey(|e| {
-                let is_late = e.request.is_late(now);
+                let is_late = e.request.late_at().passed(now);
                 e.key = policy.key(&e.request, is_late);
                 if !is_late {
-                    self.next_late = self.next_late.min(late_at(&e.request));
+                    self.next_late = self.next_late.min(e.request.late_at());
                 }
             });
         }
--- a/crates/admit/tests/queue_policies.rs
+++ b/crates/admit/tests/queue_policies.rs
@@ -31,6 +31,8 @@
     late: f64,
     /// Time until a rejected client was told, in ms.
     told_ms: f64,
+    /// Requests, and served ones, of the largest tenth, the fifth below it, and the smaller team.
+    groups: [(f64, f64); 3],
 }
 
 struct Random(u64);
@@ -100,6 +102,7 @@
                 bytes: 1,
             };
             out[class].all += 1.0;
+            groups(&mix[class], &request).for_each(|at| out[class].groups[at].0 += 1.0);
             if queues[at].check(&request, now).is_err() {
                 continue;
             }
@@ -135,6 +138,9 @@
                 let (_, class, request) = waiting[at].swap_remove(found);
                 let end = now.after(request.work);
                 ends.push((end.0, at));
+                if end <= request.deadline {
+                    groups(&mix[class], &request).for_each(|at| out[class].groups[at].1 += 1.0);
+                }
                 out[class].on_time += f64::from(u8::from(end <= request.goal));
                 out[class].late +=
                     f64::from(u8::from(end > request.goal && end <= request.deadline));
@@ -144,6 +150,13 @@
     out
 }
 
+/// The groups of [`Served::groups`] that a request belongs to.
+fn groups(class: &Class, request: &Waiting) -> impl Iterator<Item = usize> {
+    let size = request.work.as_millis() as f64 / class.2 as f64;
+    let is_in = [size >= 1.4, (1.2..1.4).contains(&size), &*request.team == "b"];
+    (0..3).filter(move |at| is_in[*at])
+}
+
 fn value(mix: &[Class; 2], served: [Served; 2]) -> f64 {
     (0..2).map(|c| served[c].on_time * mix[c].5 + served[c].late * mix[c].6).sum()
 }
@@ -170,19 +183,25 @@
         {
             let case = format!("{name}, load {load}, {instances} instances");
             let fair: fn() -> Box<dyn Policy> = || Box::new(FairLevels { max_passes: 16 });
+            let plays = |policy| SEEDS.map(|seed| play(&mix, load, instances, policy, seed));
+            let (after, before) = (plays(fair), plays(|| Box::new(FirstCome)));
+            let sum = |of: &dyn Fn([Served; 2]) -> f64| after.iter().map(|s| of(*s)).sum::<f64>();
+            let shares = [0, 1].map(|class: usize| {
+                sum(&|s| s[class].on_time + s[class].late) / sum(&|s| s[class].all)
+            });
+            let all = mix[0].0 * shares[0] + mix[1].0 * shares[1];
+            assert!(shares[1] >= shares[0] - 0.05, "urgent ones are served less often: {case}");
+            for (class, share) in shares.into_iter().enumerate() {
+                let group =
+                    |at: usize| sum(&|s| s[class].groups[at].1) / sum(&|s| s[class].groups[at].0);
+                assert!(share.min(group(2)) >= all / 4.0, "a class or team starves: {case}");
+                assert!(group(0).min(group(1)) >= share / 2.0, "large ones starve: {case}");
+            }
             let total =
-                |policy| SEEDS.map(|seed| value(&mix, play(&mix, load, instances, policy, seed)));
-            let (after, before) = (total(fair), total(|| Box::new(FirstCome)));
-            let served = play(&mix, load, instances, fair, SEEDS[0]);
-            let share = |s: Served| (s.on_time + s.late) / s.all;
-            let [long, short] = served.map(share);
-            let all = mix[0].0 * long + mix[1].0 * short;
-            assert!(short >= long - 0.05, "urgent ones are served less often: {case}");
-            assert!(long.min(short) >= all / 4.0, "a class is starved: {case}");
-            let sum = |values: [f64; 4]| values.iter().sum::<f64>();
-            // At low loads and with 110 instances the difference is chance: single seeds differ by -5
-            // to 4 in 100, the lowest sum of the four is 0.983 of the other.
-            assert!(sum(after) >= 0.98 * sum(before), "value is lost: {case}");
+                |plays: [[Served; 2]; 4]| plays.iter().map(|s| value(&mix, *s)).sum::<f64>();
+            // At low loads and with 110 instances the difference is chance: single seeds differ by -8
+            // to 4 in 100, the lowest sum of the four is 0.992 of the other.
+            assert!(total(after) >= 0.99 * total(before), "value is lost: {case}");
         }
     }
 }
