Close connections whose head is not complete in time

Cause: header_ms had no effect where it is shorter than idle_ms, since hyper's timer also covers the time before a request. A slow head held a connection for all of idle_ms.

Change: a connection ends header_ms after the first byte of a head that is not complete. What has arrived is read first, so a process that was stopped closes none for the time it lost. The time between two requests is bounded by idle_ms as before.

--- a/crates/relay/src/caller_conn.rs
+++ b/crates/relay/src/caller_conn.rs
@@ -24,7 +24,7 @@
     net::TcpStream,
 };
 
-use crate::answer::Body;
+use crate::{answer::Body, connections::Slot};
 
 /// Whether the caller would take the end of the connection for the end of an answer that is not
 /// complete. Clones share the state.
@@ -65,11 +65,12 @@
     incomplete: Incomplete,
     /// Whether closing the socket resets the connection.
     resets: bool,
+    slot: Arc<Slot>,
 }
 
 impl CallerConn {
-    pub(crate) fn new(stream: TcpStream, incomplete: Incomplete) -> Self {
-        Self { stream, incomplete, resets: false }
+    pub(crate) fn new(stream: TcpStream, incomplete: Incomplete, slot: Arc<Slot>) -> Self {
+        Self { stream, incomplete, resets: false, slot }
     }
 
     fn update(&mut self) -> io::Result<()> {
@@ -88,7 +89,12 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > before {
+            self.slot.record_read();
+        }
+        read
     }
 }
 
--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -9,6 +9,7 @@
     pin::Pin,
     sync::Arc,
     task::{Context, Poll, ready},
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -17,7 +18,7 @@
 use ident::{Clock, Time};
 use parking_lot::Mutex;
 use prometheus::IntCounterVec;
-use tokio::sync::Notify;
+use tokio::{sync::Notify, time::sleep};
 
 use crate::{
     answer::{AbortedBody, Body},
@@ -80,7 +81,8 @@
                 close: close.clone(),
             });
             let abort = Arc::default();
-            return Some(Arc::new(Slot { list: self.clone(), id, close, abort }));
+            let (head, head_begun) = (Mutex::new(Head::Awaited), Notify::new());
+            return Some(Arc::new(Slot { list: self.clone(), id, close, abort, head, head_begun }));
         }
         if !entries.iter().any(|e| e.is_closing) {
             let idle = entries.iter_mut().filter(|e| e.idle_since.is_some());
@@ -110,9 +112,49 @@
     id: u64,
     close: Arc<Notify>,
     abort: Arc<Notify>,
+    head: Mutex<Head>,
+    /// Wakes the connection when the first byte of a head was read.
+    head_begun: Notify,
+}
+
+/// What was read of the head of a connection's next request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Head {
+    /// Nothing.
+    Awaited,
+    /// A part. The first byte was read at this time.
+    Begun(Time),
+    /// All of it; the request is in progress.
+    Complete,
 }
 
 impl Slot {
+    /// Records that bytes were read from the connection.
+    pub(crate) fn record_read(&self) {
+        let mut head = self.head.lock();
+        if *head == Head::Awaited {
+            *head = Head::Begun(self.list.clock.now());
+            self.head_begun.notify_one();
+        }
+    }
+
+    /// Completes when a head is not complete `limit` after its first byte.
+    pub(crate) async fn head_overdue(&self, limit: Duration) {
+        loop {
+            let begun = *self.head.lock();
+            let Head::Begun(at) = begun else {
+                self.head_begun.notified().await;
+                continue;
+            };
+            let left = at.after(limit).since(self.list.clock.now());
+            if left.is_zero() {
+                self.list.rejected.with_label_values(&["slow_head"]).inc();
+                return;
+            }
+            sleep(left).await;
+        }
+    }
+
     /// Completes when the connection must end although its answer is not written.
     pub(crate) async fn must_abort(&self) {
         self.abort.notified().await;
@@ -140,6 +182,7 @@
     /// Records that a request is in progress until the guard is dropped.
     pub(crate) fn busy(self: &Arc<Self>) -> Busy {
         self.list.update(self.id, |e| (e.idle_since, e.has_served) = (None, true));
+        *self.head.lock() = Head::Complete;
         Busy(self.clone())
     }
 }
@@ -172,6 +215,7 @@
     fn drop(&mut self) {
         let list = &self.0.list;
         let now = list.clock.now();
+        *self.0.head.lock() = Head::Awaited;
         list.update(self.0.id, |e| e.idle_since = Some(now));
         list.changed.notify_one();
     }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -74,7 +74,7 @@
     pub body_bytes: IntGauge,
     /// Requests and connections of clients that were given up for others, by cause: `body_stalled`
     /// (no byte for a while), `body_memory` (its body held most) or `connection_idle` (it had no
-    /// request in progress) or `answer_unread` (its client took nothing of an answer).
+    /// request in progress), `slow_head` (its head was not complete in time) or `answer_unread` (its client took nothing of an answer).
     pub rejected_clients: IntCounterVec,
     /// Seconds from the request to the head of a replica's answer, before its body is read.
     pub first_byte: Histogram,
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -121,7 +121,7 @@
     let head = limits.map_or(DEFAULT_HEAD_BYTES, |l| l.head_bytes.max(8192));
     let mut closing = core.closing.subscribe();
     let incomplete = Incomplete::default();
-    let stream = CallerConn::new(stream, incomplete.clone());
+    let stream = CallerConn::new(stream, incomplete.clone(), slot.clone());
     let served = slot.clone();
     let service = service_fn(move |request| {
         let (core, incomplete, busy) = (core.clone(), incomplete.clone(), served.busy());
@@ -133,18 +133,22 @@
     });
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new()).max_buf_size(head);
-    // hyper's timer also covers the idle time before a request, so the longer limit applies.
+    // hyper's timer also covers the idle time before a request, so the longer limit applies to it.
     builder.header_read_timeout(
         limits.map_or(DEFAULT_HEAD_TIMEOUT, |l| l.idle_timeout.max(l.head_timeout)),
     );
     let conn = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(conn);
     // An error means that the caller went away, or a protocol error that was already answered.
+    let head_timeout = limits.map_or(DEFAULT_HEAD_TIMEOUT, |l| l.head_timeout);
     let is_closing = tokio::select! {
+        // What has arrived is read before the time for a head is checked.
+        biased;
         _ = conn.as_mut() => return,
         is_closing = async { closing.wait_for(|c| *c).await.is_ok() },
             if kind == ListenerKind::Front => is_closing,
         () = slot.must_close() => false,
+        () = slot.head_overdue(head_timeout) => return,
     };
     // A head that is not complete would delay the end of the connection.
     if !is_closing && !slot.has_served() {
