--- a/crates/relay/src/caller_conn.rs
+++ b/crates/relay/src/caller_conn.rs
@@ -24,7 +24,7 @@
     net::TcpStream,
 };
 
-use crate::{answer::Body, unwritten::Unwritten};
+use crate::{answer::Body, connections::Slot, unwritten::Unwritten};
 
 /// Whether the caller would take the end of the connection for the end of an answer that is not
 /// complete. Clones share the state.
@@ -66,11 +66,17 @@
     unwritten: Unwritten,
     /// Whether closing the socket resets the connection.
     resets: bool,
+    slot: Arc<Slot>,
 }
 
 impl CallerConn {
-    pub(crate) fn new(stream: TcpStream, incomplete: Incomplete, unwritten: Unwritten) -> Self {
-        Self { stream, incomplete, unwritten, resets: false }
+    pub(crate) fn new(
+        stream: TcpStream,
+        incomplete: Incomplete,
+        unwritten: Unwritten,
+        slot: Arc<Slot>,
+    ) -> Self {
+        Self { stream, incomplete, unwritten, resets: false, slot }
     }
 
     fn update(&mut self) -> io::Result<()> {
@@ -89,7 +95,12 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > before {
+            self.slot.record_read();
+        }
+        read
     }
 }
 
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -88,7 +88,13 @@
         };
         match accepted {
             Ok(((stream, from), slot)) => {
-                tokio::spawn(serve_connection(core.clone(), stream, from, kind, slot));
+                let (core, aborted) = (core.clone(), slot.clone());
+                tokio::spawn(async move {
+                    tokio::select! {
+                        () = serve_connection(core, stream, from, kind, slot) => {}
+                        () = aborted.must_abort() => {}
+                    }
+                });
             }
             Err(e) => {
                 let now = core.now();
@@ -118,7 +124,7 @@
     let mut closing = core.closing.subscribe();
     let incomplete = Incomplete::default();
     let unwritten = Unwritten::default();
-    let stream = CallerConn::new(stream, incomplete.clone(), unwritten.clone());
+    let stream = CallerConn::new(stream, incomplete.clone(), unwritten.clone(), slot.clone());
     let served = slot.clone();
     let service = service_fn(move |request| {
         let (core, incomplete, unwritten) = (core.clone(), incomplete.clone(), unwritten.clone());
@@ -127,25 +133,30 @@
             // Followers ask again and again, also while the instance stops.
             let is_counted = kind != ListenerKind::Peer || request.headers().contains_key(DETOUR);
             let active = is_counted.then(|| ActiveGuard::new(&core));
+            let unread = core.bodies.unread.clone();
             let answer = respond(core, request, kind, from, incomplete).await;
-            let answer = answer.map(|body| busy.until_end(body));
+            let answer = answer.map(|body| busy.until_end(body, &unread));
             Ok::<_, Infallible>(answer.map(|body| CountedBody::new(body, active, unwritten)))
         }
     });
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new()).max_buf_size(head);
-    // hyper's timer also covers the idle time before a request, so the longer limit applies.
+    // hyper's timer also covers the idle time before a request, so the longer limit applies to it.
     builder.header_read_timeout(
         limits.map_or(DEFAULT_HEAD_TIMEOUT, |l| l.idle_timeout.max(l.head_timeout)),
     );
     let conn = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(conn);
     // An error means that the caller went away, or a protocol error that was already answered.
+    let head_timeout = limits.map_or(DEFAULT_HEAD_TIMEOUT, |l| l.head_timeout);
     let is_closing = tokio::select! {
+        // What has arrived is read before the time for a head is checked.
+        biased;
         _ = conn.as_mut() => return,
         is_closing = async { closing.wait_for(|c| *c).await.is_ok() },
             if kind == ListenerKind::Front => is_closing,
         () = slot.must_close() => false,
+        () = slot.head_overdue(head_timeout) => return,
     };
     // A head that is not complete would delay the end of the connection.
     if !is_closing && !slot.has_served() {
