--- a/crates/place/src/cost.rs
+++ b/crates/place/src/cost.rs
@@ -50,7 +50,7 @@
 fn completion_ms(speed: &Speed, estimate: Estimate, is_long: bool) -> f64 {
     let queue = queue_ms(speed, estimate, 1, is_long);
     let own = speed.slot_ms(is_long);
-    let spread = estimate.requests / f64::from(estimate.slots.max(1));
+    let spread = (estimate.requests / f64::from(estimate.slots.max(1))).min(1.0);
     (queue + own * (1.0 + spread * SPREAD_SHARE)) * estimate.slowdown
 }
 
