Compute ages of replicas that started before the machine

Cause: a start before the zero of the instance's clock counted as that zero, so that a replica that had run for long counted as cold at a machine that had just booted. Change: ages are differences of Unix times.

--- a/crates/place/src/cold.rs
+++ b/crates/place/src/cold.rs
@@ -232,7 +232,8 @@
             place: Place { rank: usize::MAX, count: 0 },
             bucket: Bucket::empty(now),
         };
-        let age = now.since(Time(replica.started_ms.saturating_sub(self.origin_ms)));
+        let age = (self.origin_ms + now.0).saturating_sub(replica.started_ms);
+        let age = Duration::from_millis(age);
         let young = limit.span.saturating_sub(age);
         let is_doubted = is_new || !young.is_zero();
         entry.cold_until = match replica.cold {
