--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -8,7 +8,7 @@
 use hyper::{HeaderMap, Response, header::CONTENT_TYPE};
 use ident::Time;
 use origin::{Origin, Record};
-use place::{Choice, Headroom, Load, Outcome, PlacementError, PlacementRequest, Prompt};
+use place::{Choice, Outcome, PlacementError};
 use tracing::info;
 
 use crate::{
@@ -21,7 +21,7 @@
     relay,
     send::{AttemptOutcome, ReplicaAnswer},
     spot::Spot,
-    tracking, verdicts, versions,
+    verdicts, versions,
     whole::{MAX_BUFFERED_BYTES, Start, content_length, read_start, whole_answer},
 };
 
@@ -114,7 +114,7 @@
     /// What replicas may end under: the prompt's shared parts, and the request.
     pub(crate) suspects: Suspects,
     /// At which replicas the request's stream may go on.
-    pin: Pin,
+    pub(crate) pin: Pin,
     /// Whether the next attempt is a trial of something under which replicas ended.
     is_trial: bool,
     /// Number of replicas that may have run the request.
@@ -122,9 +122,9 @@
     /// Number of attempts that reached a replica or may have.
     arrivals: u32,
     /// Selects the candidates of the next choice.
-    tie_breaker: u64,
+    pub(crate) tie_breaker: u64,
     /// When the trackers of engines were last asked.
-    asked_at: Time,
+    pub(crate) asked_at: Time,
 }
 
 impl Forwarder {
@@ -417,78 +417,12 @@
         budget.try_retry(allowance, now)
     }
 
-    fn choose(&self, snapshot: &Snapshot, now: Time) -> Result<Choice, PlacementError> {
-        self.with_request(snapshot, now, |request| self.core.pool.lock().choose(request, now))
-    }
-
-    /// Calls `use_request` with what the choice of a replica goes by.
-    fn with_request<T, F>(&self, snapshot: &Snapshot, now: Time, use_request: F) -> T
-    where
-        F: FnOnce(&PlacementRequest<'_>) -> T,
-    {
-        let config = snapshot.config.as_ref();
-        let engine = config.and_then(|s| s.target(&self.target)).and_then(|t| t.engine.as_ref());
-        let prompt = self.job.prompt();
-        let newest = |model: &str| snapshot.announced(model).map_or(1, |w| w.version);
-        let total = self.job.deadline.since(self.job.start);
-        let permits = permits::permits(&self.core, now);
-        let request = PlacementRequest {
-            target: &self.target,
-            context: prompt.and_then(|p| p.context()).map(|c| &*c.id),
-            load: self.load(),
-            shared_tokens: prompt.map_or(0, |p| p.shared_tokens()),
-            model: prompt.map(|p| (&*p.model, newest(&p.model))),
-            software: match &self.pin {
-                Pin::Software(software) => Some(software),
-                Pin::Free | Pin::Nowhere => None,
-            },
-            min_version: self.job.min_version(&self.core, snapshot, now),
-            headroom: Headroom::after_wait(now.since(self.job.start), self.job.route.goal, total),
-            zone: &self.core.settings.zone,
-            tried: &self.tried,
-            permits: &permits,
-            engine,
-            goal: self.job.route.goal,
-            tie_breaker: self.tie_breaker,
-        };
-        use_request(&request)
-    }
-
-    /// Draws other candidates, and asks the trackers of their engines how much work these have.
-    async fn refresh_work(&mut self) {
-        let now = self.core.now();
-        let is_long = self.job.prompt().is_some_and(|p| place::is_long(p.input_tokens));
-        if is_long && now.since(self.asked_at) < tracking::ASK_INTERVAL {
-            return;
-        }
-        self.tie_breaker = rand::random();
-        if !is_long {
-            return;
-        }
-        self.asked_at = now;
-        let snapshot = self.core.view.snapshot();
-        let candidates = self.with_request(&snapshot, now, |request| {
-            self.core.pool.lock().tracked_candidates(request, now)
-        });
-        tracking::refresh(&self.core, &candidates).await;
-    }
-
-    pub(crate) fn load(&self) -> Load {
-        load(self.job.prompt())
-    }
-
     /// Number of replicas that may have run the request.
     pub(crate) fn possible_runs(&self) -> u32 {
         self.possible_runs
     }
 }
 
-/// What a request needs of a replica.
-pub(crate) fn load(prompt: Option<&Prompt>) -> Load {
-    let tokens = prompt.map_or((0, 0), |p| (p.input_tokens, p.input_tokens + p.output_tokens));
-    Load { prefill_tokens: tokens.0, memory_tokens: tokens.1, requests: 1 }
-}
-
 /// Forwards a request and returns the answer for the caller.
 pub(crate) async fn forward(core: Arc<Core>, job: Arc<Job>) -> Result<Response<Body>, Refusal> {
     let mut forwarder = Forwarder::new(core.clone(), job.clone());
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -35,6 +35,7 @@
 mod origins;
 mod peers;
 mod permits;
+mod placement;
 pub mod protocol;
 mod queue;
 mod relay;
--- a/crates/relay/src/queue.rs
+++ b/crates/relay/src/queue.rs
@@ -24,7 +24,8 @@
 use crate::{
     answer::Refusal,
     core::{Core, Settings},
-    forward::{BUSY_RETRY_DELAY, Forwarder, MAX_LIMITED_WAIT, MIN_TIME_LEFT, load},
+    forward::{BUSY_RETRY_DELAY, Forwarder, MAX_LIMITED_WAIT, MIN_TIME_LEFT},
+    placement::load,
     protocol::RequestMeta,
     spot::Spot,
 };
