Ask peers about evacuations only where the registry answers others

Cause: each instance whose polls of the registry failed asked a random peer, also where the registry was away for all. Its return then found instances that had learned the new era from each other, and more than a third of 91 instances read the registry anew. Change: peers are asked only if the registry has answered another instance since the own polls began to fail.

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -61,6 +61,8 @@
     is_urgent: bool,
     /// Whether the last poll was followed by a pause.
     has_paused: bool,
+    /// When the first of the polls that failed in a row was sent.
+    failing_since: Option<Time>,
     /// The reader that answered last; `None` where the registry was asked or the reader did not
     /// answer.
     followed: Option<Arc<str>>,
@@ -75,8 +77,19 @@
     fn new(core: Arc<Core>, topic: Topic) -> Self {
         let (missing, heard) = (Vec::new(), Vec::new());
         let (next, failures, is_urgent, followed) = (None, 0, false, None);
-        let has_paused = false;
-        Self { core, topic, next, failures, is_urgent, has_paused, followed, missing, heard }
+        let (has_paused, failing_since) = (false, None);
+        Self {
+            core,
+            topic,
+            next,
+            failures,
+            is_urgent,
+            has_paused,
+            failing_since,
+            followed,
+            missing,
+            heard,
+        }
     }
 
     async fn poll(&mut self) {
@@ -220,7 +233,7 @@
                     let failures = self.failures;
                     info!(topic = ?self.topic, failures, steady_ms, "registry answers again");
                 }
-                self.failures = 0;
+                (self.failures, self.failing_since) = (0, None);
                 let made_at = {
                     let mut clock = self.core.registry_clock.lock();
                     clock.observe(batch.next.era, batch.clock, self.core.now());
@@ -237,7 +250,8 @@
             }
             Err(e) => {
                 // What operators order must reach an instance that is a reader itself too.
-                let peer = zones::choose_peer(&self.core).filter(|_| is_failing);
+                let since = *self.failing_since.get_or_insert(asked_at);
+                let peer = zones::choose_peer(&self.core, since).filter(|_| is_failing);
                 if let (Topic::Operator, Some(peer)) = (self.topic, peer) {
                     self.poll_reader(peer, true).await;
                 }
--- a/crates/relay/src/zones.rs
+++ b/crates/relay/src/zones.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use fleet::{ColdLimit, Instance, Replica};
+use ident::Time;
 use rand::seq::IndexedRandom;
 use tracing::{debug, info, warn};
 
@@ -15,9 +16,14 @@
 /// Most ended incarnations in one datagram.
 const MAX_ENDED: usize = 8;
 
-/// A peer that may know what the registry does not tell this instance.
-pub(crate) fn choose_peer(core: &Core) -> Option<Arc<str>> {
+/// A peer that may know what the registry does not tell this instance, whose polls have failed since
+/// `failing`. `None` unless the registry has answered another instance since: otherwise peers know
+/// nothing newer, and questions of all to all would add load to its return.
+pub(crate) fn choose_peer(core: &Core, failing: Time) -> Option<Arc<str>> {
     let snapshot = core.view.snapshot();
+    if snapshot.confirmed.registry <= failing {
+        return None;
+    }
     let others = snapshot.instances.iter().filter(|i| i.name != core.settings.name);
     let heard: Vec<&Arc<Instance>> = others.filter(|i| core.is_heard(&i.name)).collect();
     heard.choose(&mut rand::rng()).map(|i| i.name.clone())
