Tell how far retry budgets are used

Change: lentil_retries_total by target and outcome, the gauge lentil_retry_budget, the histogram lentil_first_attempt_seconds, and the line "retry budget used up" with the figures that decided it, at most once a second for each target. What is allowed did not change.

--- a/crates/place/src/budget.rs
+++ b/crates/place/src/budget.rs
@@ -12,6 +12,29 @@
 /// Share that is left for younger processes.
 const YOUNG_SHARE: f64 = 1.0 - STEADY_SHARE;
 
+/// Shortest time between two reports of retries that were denied.
+const DENIAL_INTERVAL: Duration = Duration::from_secs(1);
+
+/// How far a retry budget is used.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BudgetUse {
+    /// First attempts within the window.
+    pub requests: u64,
+    /// Retries within the window.
+    pub retries: u64,
+    /// Retries that are left now.
+    pub left: f64,
+}
+
+/// Retries that were denied since the last report.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Denials {
+    /// Number of denied retries.
+    pub count: u32,
+    /// How far the budget is used.
+    pub budget: BudgetUse,
+}
+
 /// The retry budgets of all targets. Requests to one target do not add to the budget of another.
 #[derive(Debug)]
 pub struct RetryBudgets {
@@ -78,6 +101,17 @@
         self.extra * share / f64::from(*most)
     }
 
+    /// How far the budget of each target is used. `instances` is as in [`Self::allowance`].
+    pub fn used(&mut self, instances: u32, now: Time) -> Vec<(Arc<str>, BudgetUse)> {
+        let allowance = self.allowance(instances, now);
+        let targets: Vec<Arc<str>> = self.targets.iter().map(|(name, _)| name.clone()).collect();
+        let used = |target: Arc<str>| {
+            let used = self.for_target(&target).used(allowance, now);
+            (target, used)
+        };
+        targets.into_iter().map(used).collect()
+    }
+
     /// Returns the budget of a target; creates it if there is none yet.
     pub fn for_target(&mut self, target: &Arc<str>) -> &mut RetryBudget {
         let at = match self.targets.binary_search_by(|(name, _)| name.cmp(target)) {
@@ -117,13 +151,18 @@
     slice_len: Duration,
     /// Oldest first, with strictly increasing numbers.
     slices: VecDeque<Slice>,
+    /// Retries denied since `reported_at`.
+    denied: u32,
+    /// When denials were last reported.
+    reported_at: Time,
 }
 
 impl RetryBudget {
     /// Creates a budget that allows `ratio` retries for each first attempt within `window`.
     pub fn new(ratio: f64, window: Duration) -> Self {
         let slice_len = (window / SLICES as u32).max(Duration::from_millis(1));
-        Self { ratio, slice_len, slices: VecDeque::new() }
+        let (slices, denied, reported_at) = (VecDeque::new(), 0, Time(0));
+        Self { ratio, slice_len, slices, denied, reported_at }
     }
 
     /// Counts the first attempt of a request.
@@ -134,18 +173,34 @@
     /// Takes one retry from the budget; returns false if none is left. `allowance` is this
     /// instance's share of the fixed allowance.
     pub fn try_retry(&mut self, allowance: f64, now: Time) -> bool {
-        let newest = self.current_slice(now).number;
-        let inside = self.slices.iter().filter(|s| s.number + SLICES > newest);
-        let attempts: u64 = inside.map(|s| u64::from(s.attempts)).sum();
-        let retries: u64 = self.slices.iter().map(|s| u64::from(s.retries)).sum();
-        let allowed = self.ratio * attempts as f64 + allowance;
-        if (retries + 1) as f64 > allowed {
+        if self.used(allowance, now).left < 1.0 {
+            self.denied += 1;
             return false;
         }
         self.current_slice(now).retries += 1;
         true
     }
 
+    /// How far the budget is used; `allowance` is as in [`Self::try_retry`].
+    pub fn used(&mut self, allowance: f64, now: Time) -> BudgetUse {
+        let newest = self.current_slice(now).number;
+        let inside = self.slices.iter().filter(|s| s.number + SLICES > newest);
+        let requests: u64 = inside.map(|s| u64::from(s.attempts)).sum();
+        let retries: u64 = self.slices.iter().map(|s| u64::from(s.retries)).sum();
+        let left = self.ratio * requests as f64 + allowance - retries as f64;
+        BudgetUse { requests, retries, left }
+    }
+
+    /// Retries that were denied since the last report, at most once in [`DENIAL_INTERVAL`].
+    pub fn take_denials(&mut self, allowance: f64, now: Time) -> Option<Denials> {
+        if self.denied == 0 || now.since(self.reported_at) < DENIAL_INTERVAL {
+            return None;
+        }
+        self.reported_at = now;
+        let (count, budget) = (std::mem::take(&mut self.denied), self.used(allowance, now));
+        Some(Denials { count, budget })
+    }
+
     fn current_slice(&mut self, now: Time) -> &mut Slice {
         let number = now.0 / self.slice_len.as_millis().max(1) as u64;
         // Keeps one slice more than the window has, since the oldest lies only partly inside.
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -25,7 +25,7 @@
 mod tracker;
 
 pub use crate::{
-    budget::{RetryBudget, RetryBudgets},
+    budget::{BudgetUse, Denials, RetryBudget, RetryBudgets},
     catalog::{Catalog, Change, HeldPart},
     choice::{Choice, PlacementError, PlacementRequest},
     cold::{ColdBound, ColdReplicas},
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -18,7 +18,7 @@
     job::Job,
     origins,
     permits::{self, ColdPermit},
-    relay,
+    relay, retries,
     send::{AttemptOutcome, ReplicaAnswer},
     spot::Spot,
     verdicts, versions,
@@ -362,7 +362,7 @@
             // Another request has taken it since the choice.
             return Step::Wait(Duration::ZERO);
         };
-        if !self.within_budget(&snapshot, now) {
+        if !self.within_budget(now) {
             return stop("the budget of repeats is used up", BUSY_RETRY_DELAY);
         }
         self.tried.push(choice.replica.id.clone());
@@ -371,7 +371,7 @@
 
     /// Sends the request on to a peer.
     async fn send_on(&self) -> Result<Response<Body>, Refusal> {
-        if self.arrivals > 0 && !self.within_budget(&self.core.view.snapshot(), self.core.now()) {
+        if self.arrivals > 0 && !self.within_budget(self.core.now()) {
             return Err(self.refusal("the budget of repeats is used up", BUSY_RETRY_DELAY));
         }
         detour::send(self, self.possible_runs).await
@@ -402,19 +402,15 @@
         if late { Refusal::TimedOut } else { Refusal::Lost }
     }
 
-    fn within_budget(&self, snapshot: &Snapshot, now: Time) -> bool {
-        let (steady, live) = self.core.steady_instances();
-        let mut budgets = self.core.budgets.lock();
-        budgets.record_peers(steady, live, now);
-        let allowance = budgets.allowance(self.core.instance_count(snapshot), now);
-        let budget = budgets.for_target(&self.target);
-        if self.arrivals == 0 {
-            if self.tried.is_empty() {
-                budget.record_request(now);
-            }
-            return true;
+    /// Takes the next attempt from the retry budget, unless it is the first one.
+    fn within_budget(&self, now: Time) -> bool {
+        if self.arrivals > 0 {
+            return retries::take(&self.core, &self.target, &self.job.meta.id, now);
+        }
+        if self.tried.is_empty() {
+            retries::note_request(&self.core, &self.target, self.job.start, now);
         }
-        budget.try_retry(allowance, now)
+        true
     }
 
     /// Number of replicas that may have run the request.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -41,6 +41,7 @@
 mod relay;
 mod releases;
 pub mod returns;
+mod retries;
 mod rows;
 mod send;
 mod serve;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -18,6 +18,13 @@
     pub requests: IntCounterVec,
     /// Attempts at replicas by outcome.
     pub attempts: IntCounterVec,
+    /// Retries by target, and by whether the budget allowed them: `taken` or `denied`.
+    pub retries: IntCounterVec,
+    /// Retry budgets by target: `requests` and `retries` within the window, and retries that are
+    /// `left`.
+    pub retry_budget: IntGaugeVec,
+    /// Seconds from the request to its first attempt, after waits for capacity.
+    pub first_attempt: Histogram,
     /// Streams that were resumed at another replica.
     pub resumed: IntCounter,
     /// Answers of replicas that ended early, by cause: `silent`, `broken` (the connection),
@@ -130,6 +137,16 @@
         );
         let rejections = rejections.expect("metric names and labels are valid");
         registry.register(Box::new(rejections.clone())).expect("metric names are unique");
+        let retries = IntCounterVec::new(
+            Opts::new("lentil_retries_total", "Retries by target and by whether they were allowed"),
+            &["target", "outcome"],
+        );
+        let retries = retries.expect("metric names and labels are valid");
+        registry.register(Box::new(retries.clone())).expect("metric names are unique");
+        let opts = Opts::new("lentil_retry_budget", "Retry budgets by target");
+        let retry_budget = IntGaugeVec::new(opts, &["target", "kind"]);
+        let retry_budget = retry_budget.expect("metric names and labels are valid");
+        registry.register(Box::new(retry_budget.clone())).expect("metric names are unique");
         let opts = HistogramOpts::new("lentil_queue_wait_seconds", "Wait in a target's queue");
         let queue_wait = HistogramVec::new(opts.buckets(BUCKETS.to_vec()), &["level"]);
         let queue_wait = queue_wait.expect("metric names and labels are valid");
@@ -166,6 +183,7 @@
                 "lentil_verdict_changes_total",
                 "Changes of what counts as fatal to replicas",
             ),
+            first_attempt: seconds("lentil_first_attempt_seconds", "Until the first attempt"),
             first_byte: seconds("lentil_first_byte_seconds", "Until the first byte is passed on"),
             answer_time: seconds("lentil_answer_seconds", "Until the end of an answer"),
             interrupted: family(
@@ -235,6 +253,8 @@
             held,
             queue_wait,
             rejections,
+            retries,
+            retry_budget,
             registry,
         }
     }
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     core::{Core, Listen},
-    duty, feed, follow, holdings, links, origins, peers,
+    duty, feed, follow, holdings, links, origins, peers, retries,
     serve::{ListenerKind, listen},
     services::Topic,
     unacked::unacked_bytes,
@@ -276,7 +276,7 @@
         drop(refusals);
         core.conns.sweep(|id| snapshot.replica(id).is_some(), now);
         core.peer_conns.sweep(|name| snapshot.instances.iter().any(|i| *i.name == *name), now);
-        core.budgets.lock().record_instances(core.instance_count(&snapshot), now);
+        retries::record(&core);
         holdings::record(&core);
     }
 }
