Bound the retries of all instances over every window

Cause: each instance kept its budget in the window that ends with its own last retry. Instances whose budgets are used up at different moments count requests of different windows, so the sum over all instances may exceed what any one window allows. Worst after a restart of all processes: no retries for a window, then those of ten seconds within moments, the wave of returning callers among the requests. Class: a bound that every part keeps in a frame of its own and that does not add up.

Change: before each retry a process checks all windows that hold it: retries at most the ratio times half of its requests in the window and in the one before. That is linear and the same everywhere, so it adds up over all processes, and nothing has to be known of peers; the rule for young fleets is gone. 400 ms of lag between both clocks are covered.

--- a/crates/place/src/budget.rs
+++ b/crates/place/src/budget.rs
@@ -5,8 +5,10 @@
 use ident::Time;
 
 /// Number of slices that a window is divided into for counting.
-const SLICES: u64 = 20;
-
+const SLICES: u64 = 50;
+/// Longest time from a caller's request until it is counted, and from a retry that is allowed until
+/// it reaches its replica, for which the bound on retries holds.
+const MAX_LAG: Duration = Duration::from_millis(400);
 /// Share of the fixed allowance that processes use which have run for a window or longer.
 const STEADY_SHARE: f64 = 0.7;
 /// Share that is left for younger processes.
@@ -47,8 +49,6 @@
     /// Numbers of instances, each with when it was last seen, oldest first. Invariant: the numbers
     /// strictly decrease, since one that a later one reaches is dropped.
     counts: VecDeque<(Time, u32)>,
-    /// Whether first attempts allow no retries for now; see [`Self::record_peers`].
-    is_withheld: bool,
     /// Sorted by target.
     targets: Vec<(Arc<str>, RetryBudget)>,
 }
@@ -58,7 +58,7 @@
     /// `extra` ones that all instances share. `start` is when the process started.
     pub fn new(ratio: f64, window: Duration, extra: f64, start: Time) -> Self {
         let (counts, targets) = (VecDeque::new(), Vec::new());
-        Self { ratio, window, extra, start, counts, is_withheld: false, targets }
+        Self { ratio, window, extra, start, counts, targets }
     }
 
     /// Records the number of instances. Call this also while there are no requests, since the
@@ -73,17 +73,6 @@
         }
     }
 
-    /// Records how many of `live` instances have run for a window or longer.
-    ///
-    /// Processes that ended together may have spent the retries of a whole window just before, for
-    /// requests that are out of the window by now. So while most instances are younger than a window,
-    /// first attempts allow no retries in the young ones. Where few are young, they retry as others: what
-    /// their earlier processes have spent is not known, and small beside the budget of all.
-    pub fn record_peers(&mut self, steady: u32, live: u32, now: Time) {
-        let is_young = now.since(self.start) < self.window;
-        self.is_withheld = is_young && steady * 2 < live;
-    }
-
     /// The fixed allowance of one of `instances` instances.
     ///
     /// Instances that were removed within the window may have used their shares, so the largest
@@ -122,9 +111,7 @@
                 at
             }
         };
-        let budget = &mut self.targets[at].1;
-        budget.ratio = if self.is_withheld { 0.0 } else { self.ratio };
-        budget
+        &mut self.targets[at].1
     }
 }
 
@@ -138,17 +125,20 @@
     retries: u32,
 }
 
-/// Allows retries up to a ratio of the first attempts within a sliding window, plus this instance's
-/// share of a fixed allowance.
+/// Allows retries up to a ratio of the first attempts, plus this instance's share of a fixed allowance.
 ///
-/// Invariant: the retries within any window that ends with a retry are at most `ratio` times the
-/// first attempts of that window, plus the largest allowance passed to [`RetryBudget::try_retry`].
-/// For that, the slice that lies only partly inside the window counts for retries alone.
+/// Invariant: the retries that reach replicas within any window are at most `ratio` times half of the
+/// first attempts whose requests callers sent in that window or in the one before it, plus the largest
+/// allowance passed to [`RetryBudget::try_retry`]. Windows start at any time, so the sum over all
+/// instances keeps the bound as well, however callers move between them. What a process has spent that
+/// has ended is covered by its own requests.
 #[derive(Debug)]
 pub struct RetryBudget {
     ratio: f64,
     /// Length of a slice.
     slice_len: Duration,
+    /// [`MAX_LAG`] in slices, rounded up.
+    lag: u64,
     /// Oldest first, with strictly increasing numbers.
     slices: VecDeque<Slice>,
     /// Retries denied since `reported_at`.
@@ -161,8 +151,9 @@
     /// Creates a budget that allows `ratio` retries for each first attempt within `window`.
     pub fn new(ratio: f64, window: Duration) -> Self {
         let slice_len = (window / SLICES as u32).max(Duration::from_millis(1));
+        let lag = MAX_LAG.as_millis().div_ceil(slice_len.as_millis()) as u64;
         let (slices, denied, reported_at) = (VecDeque::new(), 0, Time(0));
-        Self { ratio, slice_len, slices, denied, reported_at }
+        Self { ratio, slice_len, lag, slices, denied, reported_at }
     }
 
     /// Counts the first attempt of a request.
@@ -184,13 +175,38 @@
     /// How far the budget is used; `allowance` is as in [`Self::try_retry`].
     pub fn used(&mut self, allowance: f64, now: Time) -> BudgetUse {
         let newest = self.current_slice(now).number;
-        let inside = self.slices.iter().filter(|s| s.number + SLICES > newest);
-        let requests: u64 = inside.map(|s| u64::from(s.attempts)).sum();
-        let retries: u64 = self.slices.iter().map(|s| u64::from(s.retries)).sum();
-        let left = self.ratio * requests as f64 + allowance - retries as f64;
+        let inside = || self.slices.iter().filter(|s| s.number + SLICES > newest);
+        let requests = inside().map(|s| u64::from(s.attempts)).sum();
+        let retries = inside().map(|s| u64::from(s.retries)).sum();
+        let left = self.earned(newest) + allowance;
         BudgetUse { requests, retries, left }
     }
 
+    /// Retries that first attempts allow in slice `newest` besides those that were made: the fewest
+    /// over all windows in which such a retry may arrive.
+    fn earned(&self, newest: u64) -> f64 {
+        // Sums over the slices before the one at each position; the first is `oldest`.
+        let oldest = newest.saturating_sub(2 * SLICES);
+        let mut sums = vec![(0, 0)];
+        let mut slices = self.slices.iter().skip_while(|s| s.number < oldest).peekable();
+        for number in oldest..=newest {
+            let slice = slices.next_if(|s| s.number == number).copied().unwrap_or_default();
+            let (attempts, retries) = sums[sums.len() - 1];
+            sums.push((attempts + slice.attempts, retries + slice.retries));
+        }
+        let sum = |number: u64| sums[(number.clamp(oldest, newest + 1) - oldest) as usize];
+        let all = sum(newest + 1);
+        // A window starts somewhere within its first slice, `start`.
+        let left = (newest.saturating_sub(SLICES)..=newest + self.lag).map(|start| {
+            let retries = all.1 - sum(start.saturating_sub(self.lag)).1;
+            // The first slices of the window before are left out, whose requests may be older.
+            let first = (start + 1 + self.lag).saturating_sub(SLICES);
+            let attempts = all.0 - sum(first).0;
+            self.ratio * f64::from(attempts) / 2.0 - f64::from(retries)
+        });
+        left.fold(f64::INFINITY, f64::min)
+    }
+
     /// Retries that were denied since the last report, at most once in [`DENIAL_INTERVAL`].
     pub fn take_denials(&mut self, allowance: f64, now: Time) -> Option<Denials> {
         if self.denied == 0 || now.since(self.reported_at) < DENIAL_INTERVAL {
@@ -203,8 +219,8 @@
 
     fn current_slice(&mut self, now: Time) -> &mut Slice {
         let number = now.0 / self.slice_len.as_millis().max(1) as u64;
-        // Keeps one slice more than the window has, since the oldest lies only partly inside.
-        while self.slices.front().is_some_and(|s| s.number + SLICES < number) {
+        // The window before one that ends now counts as well.
+        while self.slices.front().is_some_and(|s| s.number + 2 * SLICES < number) {
             self.slices.pop_front();
         }
         let last = self.slices.back().map_or(0, |s| s.number);
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -172,8 +172,6 @@
     /// Ready peers with the time of the last datagram, kept for four times `PEER_TTL`. A peer that
     /// reports that it is not ready is removed. Sorted by name.
     pub last_heard: Mutex<Vec<(Arc<str>, Time)>>,
-    /// Names of peers that have run for less than a window of the retry budget. Sorted.
-    pub(crate) young_peers: Mutex<Vec<Arc<str>>>,
     /// Releases of peers.
     pub(crate) releases: Mutex<Releases>,
     /// Bytes of the configuration in force, served to peers that can't reach the registry.
@@ -269,7 +267,6 @@
             leaving: AtomicBool::new(false),
             live_instances: AtomicU32::new(1),
             last_heard: Mutex::default(),
-            young_peers: Mutex::default(),
             releases: Mutex::default(),
             config_bytes: Mutex::default(),
             last_datagrams: Mutex::default(),
@@ -474,19 +471,12 @@
         self.returns.observe(self.adapters.registry.era(), confirmed, self.now(), &self.metrics);
     }
 
-    /// Time until this process has run for a window of the retry budget.
+    /// Time until this process has run for a window of the retry budget. Peers of earlier releases ask
+    /// for it.
     pub(crate) fn young_for(&self) -> Duration {
         self.feeds.started().after(self.settings.bounds.window).since(self.now())
     }
 
-    /// Number of live instances that have run for a window of the retry budget, and of all live ones.
-    pub(crate) fn steady_instances(&self) -> (u32, u32) {
-        let young = self.young_peers.lock();
-        let heard = self.last_heard.lock();
-        let steady = heard.iter().filter(|(name, _)| young.binary_search(name).is_err()).count();
-        (steady as u32 + u32::from(self.young_for().is_zero()), heard.len() as u32 + 1)
-    }
-
     /// Number of instances among which limits for the whole deployment are divided, at least 1.
     pub fn instance_count(&self, snapshot: &Snapshot) -> u32 {
         let live = self.live_instances.load(Ordering::Relaxed);
--- a/crates/relay/src/datagram.rs
+++ b/crates/relay/src/datagram.rs
@@ -77,7 +77,8 @@
     pub(crate) full: Vec<RefusalWire>,
     /// Whether each replica in [`Datagram::leaving`] said so itself.
     pub(crate) said: Vec<bool>,
-    /// Time until the sender has run for a window of the retry budget, in ms; 0 once it has.
+    /// Time until the sender has run for a window of the retry budget, in ms; 0 once it has. Read by
+    /// earlier releases only.
     pub(crate) young_ms: u64,
     /// The sender's [`RELEASE`].
     pub(crate) release: u32,
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -370,7 +370,7 @@
     zones::merge(core, &trailer.lost);
     core.releases.lock().note(&name, trailer.release, &core.view.snapshot().instances);
     fetch_config(core, &name, datagram.rev);
-    note_peer(core, name, datagram.ready, trailer.young_ms > 0, now);
+    note_peer(core, name, datagram.ready, now);
 }
 
 /// Applies a limit that a peer saw in an answer.
@@ -383,20 +383,14 @@
 }
 
 /// Records that a peer is ready, or removes one that is not.
-fn note_peer(core: &Core, name: Arc<str>, ready: bool, is_young: bool, now: Time) {
+fn note_peer(core: &Core, name: Arc<str>, ready: bool, now: Time) {
     let mut datagrams = core.last_datagrams.lock();
     match datagrams.binary_search_by(|(n, _)| n.cmp(&name)) {
         Ok(at) => datagrams[at].1 = now,
         Err(at) => datagrams.insert(at, (name.clone(), now)),
     }
     datagrams.retain(|(_, at)| now.since(*at) < HEARD_TTL);
-    let mut young = core.young_peers.lock();
-    young.retain(|n| *n != name && datagrams.binary_search_by(|(known, _)| known.cmp(n)).is_ok());
-    if is_young {
-        let at = young.partition_point(|n| *n < name);
-        young.insert(at, name.clone());
-    }
-    drop((datagrams, young));
+    drop(datagrams);
     let mut last_heard = core.last_heard.lock();
     match (last_heard.binary_search_by(|(n, _)| n.cmp(&name)), ready) {
         (Ok(at), true) => last_heard[at].1 = now,
--- a/crates/relay/src/retries.rs
+++ b/crates/relay/src/retries.rs
@@ -15,10 +15,8 @@
 
 /// Takes one retry of the request `id` from the budget of `target`; returns false if none is left.
 pub(crate) fn take(core: &Core, target: &Arc<str>, id: &str, now: Time) -> bool {
-    let (steady, live) = core.steady_instances();
     let instances = core.instance_count(&core.view.snapshot());
     let mut budgets = core.budgets.lock();
-    budgets.record_peers(steady, live, now);
     let allowance = budgets.allowance(instances, now);
     let budget = budgets.for_target(target);
     let is_taken = budget.try_retry(allowance, now);
@@ -36,7 +34,6 @@
             left = denials.budget.left,
             allowance,
             instances,
-            steady,
             "retry budget used up"
         );
     }
