Count requests for the retry budget when they are read

Cause: a request counted when it was first sent. One that waits for capacity, for seconds in a burst, allowed retries in a window that begins after its caller sent it.

Change: requests count at the time at which their head was read, before they wait; rejected ones that are not read do not count, as before.

--- a/crates/place/src/budget.rs
+++ b/crates/place/src/budget.rs
@@ -20,7 +20,7 @@
 /// How far a retry budget is used.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct BudgetUse {
-    /// First attempts within the window.
+    /// Requests within the window.
     pub requests: u64,
     /// Retries within the window.
     pub retries: u64,
@@ -54,7 +54,7 @@
 }
 
 impl RetryBudgets {
-    /// Creates budgets that allow `ratio` retries for each first attempt within `window`, and
+    /// Creates budgets that allow `ratio` retries for each request within `window`, and
     /// `extra` ones that all instances share. `start` is when the process started.
     pub fn new(ratio: f64, window: Duration, extra: f64, start: Time) -> Self {
         let (counts, targets) = (VecDeque::new(), Vec::new());
@@ -119,16 +119,16 @@
 struct Slice {
     /// Position on the time line: time divided by the length of a slice.
     number: u64,
-    /// First attempts that were sent in this slice.
-    attempts: u32,
+    /// Requests that were read in this slice.
+    requests: u32,
     /// Retries that were sent in this slice.
     retries: u32,
 }
 
-/// Allows retries up to a ratio of the first attempts, plus this instance's share of a fixed allowance.
+/// Allows retries up to a ratio of the requests, plus this instance's share of a fixed allowance.
 ///
 /// Invariant: the retries that reach replicas within any window are at most `ratio` times half of the
-/// first attempts whose requests callers sent in that window or in the one before it, plus the largest
+/// requests that callers sent in that window or in the one before it, plus the largest
 /// allowance passed to [`RetryBudget::try_retry`]. Windows start at any time, so the sum over all
 /// instances keeps the bound as well, however callers move between them. What a process has spent that
 /// has ended is covered by its own requests.
@@ -148,7 +148,7 @@
 }
 
 impl RetryBudget {
-    /// Creates a budget that allows `ratio` retries for each first attempt within `window`.
+    /// Creates a budget that allows `ratio` retries for each request within `window`.
     pub fn new(ratio: f64, window: Duration) -> Self {
         let slice_len = (window / SLICES as u32).max(Duration::from_millis(1));
         let lag = MAX_LAG.as_millis().div_ceil(slice_len.as_millis()) as u64;
@@ -156,9 +156,15 @@
         Self { ratio, slice_len, lag, slices, denied, reported_at }
     }
 
-    /// Counts the first attempt of a request.
-    pub fn record_request(&mut self, now: Time) {
-        self.current_slice(now).attempts += 1;
+    /// Counts a request that was read from its caller at `at`, whether it has been sent or not. One that
+    /// waits for capacity allows no retries in a window that begins after it was read.
+    pub fn record_request(&mut self, at: Time) {
+        let number = self.number(at);
+        let index = self.slices.partition_point(|s| s.number < number);
+        if self.slices.get(index).is_none_or(|s| s.number != number) {
+            self.slices.insert(index, Slice { number, ..Slice::default() });
+        }
+        self.slices[index].requests += 1;
     }
 
     /// Takes one retry from the budget; returns false if none is left. `allowance` is this
@@ -176,13 +182,13 @@
     pub fn used(&mut self, allowance: f64, now: Time) -> BudgetUse {
         let newest = self.current_slice(now).number;
         let inside = || self.slices.iter().filter(|s| s.number + SLICES > newest);
-        let requests = inside().map(|s| u64::from(s.attempts)).sum();
+        let requests = inside().map(|s| u64::from(s.requests)).sum();
         let retries = inside().map(|s| u64::from(s.retries)).sum();
         let left = self.earned(newest) + allowance;
         BudgetUse { requests, retries, left }
     }
 
-    /// Retries that first attempts allow in slice `newest` besides those that were made: the fewest
+    /// Retries that requests allow in slice `newest` besides those that were made: the fewest
     /// over all windows in which such a retry may arrive.
     fn earned(&self, newest: u64) -> f64 {
         // Sums over the slices before the one at each position; the first is `oldest`.
@@ -191,8 +197,8 @@
         let mut slices = self.slices.iter().skip_while(|s| s.number < oldest).peekable();
         for number in oldest..=newest {
             let slice = slices.next_if(|s| s.number == number).copied().unwrap_or_default();
-            let (attempts, retries) = sums[sums.len() - 1];
-            sums.push((attempts + slice.attempts, retries + slice.retries));
+            let (requests, retries) = sums[sums.len() - 1];
+            sums.push((requests + slice.requests, retries + slice.retries));
         }
         let sum = |number: u64| sums[(number.clamp(oldest, newest + 1) - oldest) as usize];
         let all = sum(newest + 1);
@@ -201,8 +207,8 @@
             let retries = all.1 - sum(start.saturating_sub(self.lag)).1;
             // The first slices of the window before are left out, whose requests may be older.
             let first = (start + 1 + self.lag).saturating_sub(SLICES);
-            let attempts = all.0 - sum(first).0;
-            self.ratio * f64::from(attempts) / 2.0 - f64::from(retries)
+            let requests = all.0 - sum(first).0;
+            self.ratio * f64::from(requests) / 2.0 - f64::from(retries)
         });
         left.fold(f64::INFINITY, f64::min)
     }
@@ -217,8 +223,12 @@
         Some(Denials { count, budget })
     }
 
+    fn number(&self, at: Time) -> u64 {
+        at.0 / self.slice_len.as_millis() as u64
+    }
+
     fn current_slice(&mut self, now: Time) -> &mut Slice {
-        let number = now.0 / self.slice_len.as_millis().max(1) as u64;
+        let number = self.number(now);
         // The window before one that ends now counts as well.
         while self.slices.front().is_some_and(|s| s.number + 2 * SLICES < number) {
             self.slices.pop_front();
--- a/crates/place/tests/budget_search.rs
+++ b/crates/place/tests/budget_search.rs
@@ -40,8 +40,9 @@
     bursts: Vec<(Range<u64>, f64)>,
     /// Spans in which attempts fail, and the share that does.
     failures: Vec<(Range<u64>, f64)>,
-    /// Share of requests that wait for capacity while attempts fail, and the longest wait.
-    waits: (f64, u64),
+    /// Spans in which requests wait for capacity, and the share that does.
+    waits: Vec<(Range<u64>, f64)>,
+    longest_wait: u64,
     /// Share of requests whose retries a peer makes.
     detours: f64,
     length: u64,
@@ -162,18 +163,17 @@
         match event {
             Event::Read { at } => {
                 let Some(boot) = self.running(at, None, ms, event) else { return };
-                let (share, longest) = self.day.waits;
-                let failing = Self::share(&self.day.failures, ms, 0.0) > 0.0;
-                let waits = failing && self.random.random_bool(share);
-                let wait = if waits { self.random.random_range(0..=longest) } else { 0 };
+                let process = self.processes[at].as_mut().expect("the process runs");
+                process.budgets.for_target(&"llm".into()).record_request(Time(ms));
+                let waits = self.random.random_bool(Self::share(&self.day.waits, ms, 0.0));
+                let longest = if waits { self.day.longest_wait } else { 0 };
+                let wait = self.random.random_range(0..=longest);
                 self.push(ms + wait, Event::First { at, boot });
             }
             Event::First { at, boot } => {
                 if self.running(at, Some(boot), ms, event).is_none() {
                     return;
                 }
-                let process = self.processes[at].as_mut().expect("the process runs");
-                process.budgets.for_target(&"llm".into()).record_request(Time(ms));
                 self.fail(at, ms, 1);
             }
             Event::Retry { at, boot, number } => {
@@ -252,7 +252,8 @@
         rate: 13.5 * instances as f64,
         bursts: Vec::new(),
         failures: Vec::new(),
-        waits: (0.0, 0),
+        waits: Vec::new(),
+        longest_wait: 0,
         detours: 0.0,
         length: 40_000,
     }
@@ -295,7 +296,8 @@
         day.failures.push((from..until, random.random_range(0.1..1.0)));
         from = until + random.random_range(0..6_000);
     }
-    day.waits = (random.random_range(0.0..1.0), random.random_range(50..1_500));
+    day.waits = vec![(0..day.length, random.random_range(0.0..1.0))];
+    day.longest_wait = random.random_range(50..4_000);
     day.detours = if random.random_bool(0.5) { 0.1 } else { 0.0 };
     day
 }
@@ -309,6 +311,16 @@
     }
 }
 
+#[test]
+fn requests_that_waited_allow_no_retries_in_a_later_window() {
+    let mut day = quiet(85);
+    day.bursts = vec![(8_000..12_000, 4.0)];
+    (day.waits, day.longest_wait) = (vec![(8_000..12_000, 1.0)], 4_000);
+    day.failures = vec![(22_000..32_000, 0.9)];
+    let (excess, from) = Play::new(day, 1).run();
+    assert!(excess <= 0.0, "{excess} retries above the budget from {from} ms");
+}
+
 /// `BUDGET_SEARCH_SEEDS=0..200` searches further.
 #[test]
 fn no_day_exceeds_the_budget() {
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -408,7 +408,8 @@
             return retries::take(&self.core, &self.target, &self.job.meta.id, now);
         }
         if self.tried.is_empty() {
-            retries::note_request(&self.core, &self.target, self.job.start, now);
+            let age = now.since(self.job.start);
+            self.core.metrics.first_attempt.observe(age.as_secs_f64());
         }
         true
     }
@@ -425,6 +426,7 @@
     if job.route.resumable && job.meta.last_event.is_some() {
         forwarder.pin_to_origin().await?;
     }
+    retries::note_request(&core, &forwarder.target, &job);
     loop {
         let mut answer = match forwarder.send_until_answered(None).await {
             Ok(answer) => answer,
--- a/crates/relay/src/retries.rs
+++ b/crates/relay/src/retries.rs
@@ -5,12 +5,11 @@
 use ident::Time;
 use tracing::info;
 
-use crate::core::Core;
+use crate::{core::Core, job::Job};
 
-/// Counts the first attempt of a request to `target` that was accepted at `start`.
-pub(crate) fn note_request(core: &Core, target: &Arc<str>, start: Time, now: Time) {
-    core.budgets.lock().for_target(target).record_request(now);
-    core.metrics.first_attempt.observe(now.since(start).as_secs_f64());
+/// Counts a request to `target` that was read from its caller.
+pub(crate) fn note_request(core: &Core, target: &Arc<str>, job: &Job) {
+    core.budgets.lock().for_target(target).record_request(job.start);
 }
 
 /// Takes one retry of the request `id` from the budget of `target`; returns false if none is left.
