Count no requests for the retry budget after a suspension

Cause: requests that arrive while a process is suspended are read together once it goes on, and counted then. They allowed retries in windows that begin after their callers sent them.

After a gap of more than the lag that the bound covers, requests that are read within that lag don't count.

--- a/crates/place/src/budget.rs
+++ b/crates/place/src/budget.rs
@@ -46,6 +46,10 @@
     extra: f64,
     /// When the process started.
     start: Time,
+    /// When the process was last known to run.
+    ran_at: Time,
+    /// Requests that are read before this time may have waited while the process was suspended.
+    caught_up_at: Time,
     /// Numbers of instances, each with when it was last seen, oldest first. Invariant: the numbers
     /// strictly decrease, since one that a later one reaches is dropped.
     counts: VecDeque<(Time, u32)>,
@@ -58,7 +62,27 @@
     /// `extra` ones that all instances share. `start` is when the process started.
     pub fn new(ratio: f64, window: Duration, extra: f64, start: Time) -> Self {
         let (counts, targets) = (VecDeque::new(), Vec::new());
-        Self { ratio, window, extra, start, counts, targets }
+        let (ran_at, caught_up_at) = (start, start);
+        Self { ratio, window, extra, start, ran_at, caught_up_at, counts, targets }
+    }
+
+    /// Records that the process runs. Call this more often than [`MAX_LAG`], so that a suspension is
+    /// noticed.
+    pub fn record_running(&mut self, now: Time) {
+        if now.since(self.ran_at) > MAX_LAG {
+            self.caught_up_at = now.after(MAX_LAG);
+        }
+        self.ran_at = self.ran_at.max(now);
+    }
+
+    /// Counts a request to `target` that was read from its caller at `at`, whether it has been sent or
+    /// not; one that waits for capacity allows no retries in a window that begins after it was read.
+    /// Requests that are read just after a suspension don't count: callers may have sent them long before.
+    pub fn record_request(&mut self, target: &Arc<str>, at: Time) {
+        self.record_running(at);
+        if self.caught_up_at.passed(at) {
+            self.for_target(target).record_request(at);
+        }
     }
 
     /// Records the number of instances. Call this also while there are no requests, since the
@@ -156,8 +180,7 @@
         Self { ratio, slice_len, lag, slices, denied, reported_at }
     }
 
-    /// Counts a request that was read from its caller at `at`, whether it has been sent or not. One that
-    /// waits for capacity allows no retries in a window that begins after it was read.
+    /// Counts a request that was read from its caller at `at`.
     pub fn record_request(&mut self, at: Time) {
         let number = self.number(at);
         let index = self.slices.partition_point(|s| s.number < number);
--- a/crates/place/tests/budget_search.rs
+++ b/crates/place/tests/budget_search.rs
@@ -111,7 +111,7 @@
         spans.iter().find(|(span, _)| span.contains(&ms)).map_or(other, |(_, share)| *share)
     }
 
-    /// Ends and starts processes.
+    /// Ends and starts processes, and tells those that run that they do.
     fn sync_processes(&mut self, ms: u64) {
         let extra = self.day.rate * EXTRA_PER_RATE;
         for at in 0..self.processes.len() {
@@ -122,6 +122,10 @@
                 }
                 _ => {}
             }
+            let is_frozen = self.frozen_until(at, ms).is_some();
+            if let Some(process) = self.processes[at].as_mut().filter(|_| !is_frozen) {
+                process.budgets.record_running(Time(ms));
+            }
         }
     }
 
@@ -164,7 +168,7 @@
             Event::Read { at } => {
                 let Some(boot) = self.running(at, None, ms, event) else { return };
                 let process = self.processes[at].as_mut().expect("the process runs");
-                process.budgets.for_target(&"llm".into()).record_request(Time(ms));
+                process.budgets.record_request(&"llm".into(), Time(ms));
                 let waits = self.random.random_bool(Self::share(&self.day.waits, ms, 0.0));
                 let longest = if waits { self.day.longest_wait } else { 0 };
                 let wait = self.random.random_range(0..=longest);
@@ -321,6 +325,19 @@
     assert!(excess <= 0.0, "{excess} retries above the budget from {from} ms");
 }
 
+/// Requests that arrive while a process is suspended are read late, all at once.
+#[test]
+fn requests_read_after_a_freeze_allow_no_retries_in_a_later_window() {
+    let mut day = quiet(85);
+    day.bursts = vec![(8_000..12_000, 4.0)];
+    for outages in &mut day.outages {
+        outages.push(Outage { span: 8_000..14_000, kills: false });
+    }
+    day.failures = vec![(22_000..32_000, 0.9)];
+    let (excess, from) = Play::new(day, 1).run();
+    assert!(excess <= 0.0, "{excess} retries above the budget from {from} ms");
+}
+
 /// `BUDGET_SEARCH_SEEDS=0..200` searches further.
 #[test]
 fn no_day_exceeds_the_budget() {
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -240,12 +240,14 @@
     }
 }
 
-/// Measures by how much timers fire late, and logs long delays.
+/// Measures by how much timers fire late, logs long delays, and tells the retry budgets that the process
+/// runs.
 async fn watch_timers(core: Arc<Core>) {
     loop {
         let due = core.now().after(TIMER_INTERVAL);
         tokio::time::sleep(TIMER_INTERVAL).await;
         let delay = core.now().since(due);
+        core.budgets.lock().record_running(core.now());
         core.metrics.timer_delay.observe(delay.as_secs_f64());
         if delay >= LONG_TIMER_DELAY {
             let active = core.active.load(Ordering::Relaxed);
--- a/crates/relay/src/retries.rs
+++ b/crates/relay/src/retries.rs
@@ -9,7 +9,7 @@
 
 /// Counts a request to `target` that was read from its caller.
 pub(crate) fn note_request(core: &Core, target: &Arc<str>, job: &Job) {
-    core.budgets.lock().for_target(target).record_request(job.start);
+    core.budgets.lock().record_request(target, job.start);
 }
 
 /// Takes one retry of the request `id` from the budget of `target`; returns false if none is left.
