Count a request that goes through a peer once for the retry budget

Cause: the instance that a request came from and the peer that it was sent on to both counted it, so it allowed twice the retries.

Change: the peer counts its retries, not the request.

Result: requests_through_peers_allow_retries_once counted 40 for 20 requests before and counts 20.

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -426,7 +426,10 @@
     if job.route.resumable && job.meta.last_event.is_some() {
         forwarder.pin_to_origin().await?;
     }
-    retries::note_request(&core, &forwarder.target, &job);
+    // What a peer sends on counts there.
+    if !job.is_detour {
+        retries::note_request(&core, &forwarder.target, &job);
+    }
     loop {
         let mut answer = match forwarder.send_until_answered(None).await {
             Ok(answer) => answer,
