Take a detour to another peer from the retry budget

Cause: where a peer gave a request back that replicas had refused there, the next peer's first arrival was counted by nobody.

Change: each further peer after one that answered is a retry. A peer that gave it back for an older configuration had sent nothing; it is paid for as well, since the answer does not tell.

--- a/crates/relay/src/detour.rs
+++ b/crates/relay/src/detour.rs
@@ -22,9 +22,9 @@
     answer::{AbortedBody, Body, Refusal, full_body},
     conns::{Conn, Gate, SendError},
     core::Core,
-    forward::{BUSY_RETRY_DELAY, Forwarder, forward},
+    forward::{BUDGET_USED_UP, BUSY_RETRY_DELAY, Forwarder, forward},
     job::Job,
-    links,
+    links, retries,
     whole::MAX_BUFFERED_BYTES,
 };
 
@@ -97,8 +97,12 @@
 }
 
 /// Sends a request on to a peer and returns its answer for the caller. `runs` replicas may have run
-/// it before.
-pub(crate) async fn send(forwarder: &Forwarder, runs: u32) -> Result<Response<Body>, Refusal> {
+/// it before, and it reached a replica before if `has_arrived`.
+pub(crate) async fn send(
+    forwarder: &Forwarder,
+    runs: u32,
+    has_arrived: bool,
+) -> Result<Response<Body>, Refusal> {
     let (core, job) = (&forwarder.core, &forwarder.job);
     let attempts = job.route.attempts.saturating_sub(runs);
     if attempts == 0 || (runs > 0 && !job.route.repeatable()) {
@@ -107,6 +111,11 @@
     let snapshot = core.view.snapshot();
     let rev = snapshot.config.as_ref().map_or(0, |c| c.rev);
     let mut tried: Vec<Arc<str>> = Vec::new();
+    let mut needs_retry = has_arrived;
+    let refuse = |why| match runs {
+        0 => Refusal::NotRun { why, retry_delay: BUSY_RETRY_DELAY },
+        _ => Refusal::Lost,
+    };
     while tried.len() < MAX_PEERS {
         let now = core.now();
         let mut candidates = candidates(core);
@@ -114,6 +123,10 @@
         let target = &forwarder.target;
         let peer = core.reach.lock().choose_peer(target, &candidates, rand::random(), now);
         let Some(peer) = peer else { break };
+        if needs_retry && !retries::take(core, target, &job.meta.id, now) {
+            return Err(refuse(BUDGET_USED_UP));
+        }
+        needs_retry = false;
         tried.push(peer.clone());
         let Some(instance) = snapshot.instances.iter().find(|i| i.name == peer) else { continue };
         let time_left = job.time_left(now);
@@ -133,6 +146,8 @@
                 Some(value) if *value == TAKEN => ("taken", Ok(Some((response, conn)))),
                 _ => {
                     core.reach.lock().not_taken(&peer, target, core.now());
+                    // It may have sent the request to replicas that refused it.
+                    needs_retry = true;
                     ("not_taken", Ok(None))
                 }
             },
@@ -146,13 +161,7 @@
             None => info!(request = &*job.meta.id, peer = &*peer, outcome, "detour ended"),
         }
     }
-    match runs {
-        0 => Err(Refusal::NotRun {
-            why: "no replica is reached, and no peer takes it",
-            retry_delay: BUSY_RETRY_DELAY,
-        }),
-        _ => Err(Refusal::Lost),
-    }
+    Err(refuse("no replica is reached, and no peer takes it"))
 }
 
 /// The request for a peer.
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -37,6 +37,8 @@
 pub(crate) const MAX_LIMITED_WAIT: Duration = Duration::from_millis(250);
 /// Most attempts of one request, refused ones included.
 const MAX_ATTEMPTS: usize = 5;
+/// Why a request is not sent again.
+pub(crate) const BUDGET_USED_UP: &str = "the budget of repeats is used up";
 /// Delay after which callers should retry where all replicas are full or loading weights.
 pub(crate) const BUSY_RETRY_DELAY: Duration = Duration::from_millis(400);
 /// Shortest delay after which callers should retry where the replicas are at their limits.
@@ -363,7 +365,7 @@
             return Step::Wait(Duration::ZERO);
         };
         if !self.within_budget(now) {
-            return stop("the budget of repeats is used up", BUSY_RETRY_DELAY);
+            return stop(BUDGET_USED_UP, BUSY_RETRY_DELAY);
         }
         self.tried.push(choice.replica.id.clone());
         Step::Send(Attempt { snapshot, choice, cold })
@@ -371,10 +373,7 @@
 
     /// Sends the request on to a peer.
     async fn send_on(&self) -> Result<Response<Body>, Refusal> {
-        if self.arrivals > 0 && !self.within_budget(self.core.now()) {
-            return Err(self.refusal("the budget of repeats is used up", BUSY_RETRY_DELAY));
-        }
-        detour::send(self, self.possible_runs).await
+        detour::send(self, self.possible_runs, self.arrivals > 0).await
     }
 
     /// Whether to retry at another replica after a replica answered with a server error.
