Answer what is in progress before a planned stop ends the process

A report of another operator: requests that came late in the grace period were cut at its end with no answer, some of which may run once only.

Cause: the process ended with whatever was in progress: requests at replicas, on their way through peers or still being read.

Change: 0.25 s before the end those without the head of an answer get one: 502 where the request may have run, else 503, and other instances take it.

Result: a_request_at_a_replica_is_answered_before_the_instance_ends and a_request_that_was_not_sent_is_refused_before_the_instance_ends failed before (the process ended first) and pass; the 5 tests of planned_stops pass. Answers that have begun are still cut if they last longer.

--- a/crates/relay/src/accept.rs
+++ b/crates/relay/src/accept.rs
@@ -1,6 +1,9 @@
 //! Turns a caller's request into a [`Job`], or refuses it.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::AtomicBool},
+    time::Duration,
+};
 
 use fleet::Snapshot;
 use hyper::{
@@ -47,7 +50,10 @@
     let bytes = body.size_hint().exact().unwrap_or(0) as usize;
     queue::check_arrival(core, (&route, team.as_ref()), &meta, (start, deadline), bytes)?;
     let max_bytes = config.limits.body_bytes;
-    let (body, hold) = bodies::read(&core.bodies, body, max_bytes, deadline).await?;
+    let (body, hold) = tokio::select! {
+        read = bodies::read(&core.bodies, body, max_bytes, deadline) => read?,
+        () = core.ending() => return Err(Refusal::STOPPING),
+    };
     let mut headers = head.headers;
     core.adapters.protocol.strip_request(&mut headers);
     headers.remove(DETOUR);
@@ -66,6 +72,7 @@
         start,
         deadline,
         is_detour: false,
+        in_doubt: AtomicBool::new(false),
         _body_hold: hold,
     })
 }
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -80,6 +80,10 @@
 const UNREADY_RETRY_DELAY: Duration = Duration::from_millis(300);
 
 impl Refusal {
+    /// The refusal of a request that was not sent before the process ends. Other instances take it.
+    pub(crate) const STOPPING: Self =
+        Self::NotRun { why: "the instance stops", retry_delay: Duration::from_millis(50) };
+
     /// The HTTP status of the refusal.
     pub fn status(&self) -> StatusCode {
         match self {
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -191,6 +191,8 @@
     pub loading: Mutex<Vec<Arc<str>>>,
     /// Set once no new request is accepted: listeners close and idle connections end.
     pub closing: watch::Sender<bool>,
+    /// Set shortly before a stopping process ends: requests without an answer are given up.
+    pub(crate) ending: watch::Sender<bool>,
     /// Wakes the task that sends datagrams to peers.
     pub notify_peers: Notify,
     /// Limits on requests that replicas name.
@@ -276,6 +278,7 @@
             fetching_config: AtomicBool::new(false),
             loading: Mutex::default(),
             closing: watch::Sender::new(false),
+            ending: watch::Sender::new(false),
             notify_peers: Notify::new(),
             limits: Mutex::default(),
             refusals: Mutex::default(),
@@ -309,6 +312,12 @@
         self.leaving.load(Ordering::Relaxed)
     }
 
+    /// Completes shortly before the process ends.
+    pub(crate) async fn ending(&self) {
+        // The sender lives as long as the state does.
+        let _ = self.ending.subscribe().wait_for(|ending| *ending).await;
+    }
+
     /// Whether the instance takes requests: it has a configuration, knows the replicas and is not
     /// stopping. Where the replicas can't be read, requests are refused or go through peers after a
     /// moment.
--- a/crates/relay/src/detour.rs
+++ b/crates/relay/src/detour.rs
@@ -2,7 +2,11 @@
 //!
 //! The peer takes such a request as if the caller had sent it there, but sends it to replicas only.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use futures_util::stream;
@@ -140,6 +144,7 @@
         );
         let guard = PeerGuard::new(core, &peer);
         let request = request(core, job, time_left, rev, attempts);
+        job.in_doubt.store(true, Ordering::Relaxed);
         let sent = core.peer_conns.send(&peer, instance.peer, MAX_CONNS, request, &Open, now);
         let (outcome, response) = match timeout(time_left, sent).await {
             Ok(Ok((response, conn))) => match response.headers().get(DETOUR) {
@@ -156,7 +161,10 @@
             Err(_) => ("silent", Err(Refusal::TimedOut)),
         };
         core.metrics.detours.with_label_values(&[outcome]).inc();
-        match response? {
+        let response = response?;
+        // A peer that does not take the request promises that no replica runs it.
+        job.in_doubt.store(response.is_some() || runs > 0, Ordering::Relaxed);
+        match response {
             Some((response, conn)) => return pass_on(core, job, response, conn, guard).await,
             None => info!(request = &*job.meta.id, peer = &*peer, outcome, "detour ended"),
         }
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -1,6 +1,9 @@
 //! Forwards a request to a replica, retries where that is allowed, and passes the answer on.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use blame::{Admission, SuspectKey, Suspects};
 use bytes::Bytes;
@@ -245,6 +248,7 @@
         };
         self.arrivals += arrivals;
         self.possible_runs += runs;
+        self.job.in_doubt.store(self.possible_runs > 0, Ordering::Relaxed);
         // A trial is one arrival.
         self.is_trial &= arrivals == 0;
         outcome
@@ -419,8 +423,18 @@
     }
 }
 
-/// Forwards a request and returns the answer for the caller.
+/// Forwards a request and returns the answer for the caller, in any case before the process ends.
 pub(crate) async fn forward(core: Arc<Core>, job: Arc<Job>) -> Result<Response<Body>, Refusal> {
+    tokio::select! {
+        answer = forward_in_time(core.clone(), job.clone()) => answer,
+        () = core.ending() => {
+            let in_doubt = job.in_doubt.load(Ordering::Relaxed);
+            Err(if in_doubt { Refusal::Lost } else { Refusal::STOPPING })
+        }
+    }
+}
+
+async fn forward_in_time(core: Arc<Core>, job: Arc<Job>) -> Result<Response<Body>, Refusal> {
     let mut forwarder = Forwarder::new(core.clone(), job.clone());
     if job.route.resumable && job.meta.last_event.is_some() {
         forwarder.pin_to_origin().await?;
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -1,7 +1,10 @@
 //! An accepted request with its route, team and deadline.
 
 use std::{
-    sync::{Arc, atomic::Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -56,6 +59,8 @@
     pub deadline: Time,
     /// Whether a peer sent it on, so that it goes to replicas only.
     pub is_detour: bool,
+    /// Whether the request may have reached a replica that has not refused it.
+    pub(crate) in_doubt: AtomicBool,
     /// Holds the memory that the body takes.
     pub _body_hold: Option<Hold>,
 }
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -37,6 +37,9 @@
 const LONG_TIMER_DELAY: Duration = Duration::from_millis(250);
 /// The process ends this long before the platform would kill it.
 const GRACE_MARGIN: Duration = Duration::from_millis(250);
+/// Requests without an answer are given up this long before the process ends, so that their callers
+/// are told.
+const ANSWER_MARGIN: Duration = Duration::from_millis(250);
 /// Interval at which a stopping instance checks whether its answers are written and acknowledged.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Share of the grace period in which new requests are still accepted. Callers learn late that an
@@ -157,6 +160,9 @@
         if close.passed(now) {
             core.closing.send_replace(true);
         }
+        if end.before(ANSWER_MARGIN).passed(now) {
+            core.ending.send_replace(true);
+        }
         if end.passed(now) || (idle && close.passed(now)) {
             break;
         }
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -1,6 +1,9 @@
 //! One attempt to have a replica answer a request, and the check of the answer's head.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use fleet::{CacheScope, Replica, Snapshot};
 use http_body_util::Full;
@@ -142,10 +145,15 @@
             && permits::may_write(core, &self.replica.id, self.cold, now);
         let begin = || FlightGuard::new(core, self.replica, suspects.clone());
         *self.flight.lock() = may_send.then(begin);
+        if may_send {
+            self.forwarder.job.in_doubt.store(true, Ordering::Relaxed);
+        }
         may_send
     }
 
     fn unsent(&self) {
+        let in_doubt = self.forwarder.possible_runs() > 0;
+        self.forwarder.job.in_doubt.store(in_doubt, Ordering::Relaxed);
         self.flight.lock().take();
     }
 
