Tell how old the configuration was by which a request was refused

Cause: a refusal named the revision in force only, so a late configuration, a lost one and one that is in force could not be told apart from outside.

What is refused did not change. The id of the request is still missing there: it is read after the head was taken apart.

--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -343,6 +343,8 @@
             // An error means that it is not the first one.
             let _ = self.configured_at.set(self.now());
             *self.config_bytes.lock() = bytes;
+            self.metrics.config_rev.set(rev as i64);
+            self.metrics.config_delay.observe(known.as_secs_f64());
             let known_ms = known.as_millis() as u64;
             info!(rev, routes, known_ms, from, "configuration applied");
             kept::sync_catalogs(self);
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -49,6 +49,11 @@
     pub verdict_changes: IntCounter,
     /// Seconds by which timers fire late: tasks wait for the processor.
     pub timer_delay: Histogram,
+    /// Revision of the configuration in force.
+    pub config_rev: IntGauge,
+    /// Seconds for which a newer configuration may have been unknown when it was applied: the time
+    /// since the one before was confirmed.
+    pub config_delay: Histogram,
     /// Returns of the platform's registry from an older copy of its content.
     pub store_returns: IntCounter,
     /// Highest era in which the platform's registry has answered.
@@ -197,6 +202,11 @@
                 "outcome",
             ),
             resumed: counter("lentil_streams_resumed_total", "Streams resumed elsewhere"),
+            config_rev: gauge("lentil_config_rev", "Revision of the configuration in force"),
+            config_delay: seconds(
+                "lentil_config_delay_seconds",
+                "For which a newer configuration may have been unknown",
+            ),
             store_returns: counter(
                 "lentil_store_returns_total",
                 "Returns of the platform's registry from an older copy",
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -3,8 +3,11 @@
 use std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use hyper::{
-    Request, Response, StatusCode, body::Incoming, header::CONNECTION, header::HeaderValue,
-    server::conn::http1, service::service_fn,
+    Request, Response, StatusCode,
+    body::Incoming,
+    header::{CONNECTION, HOST, HeaderValue},
+    server::conn::http1,
+    service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
 use ident::Time;
@@ -206,12 +209,23 @@
 
 async fn serve_request(core: &Arc<Core>, request: Request<Incoming>) -> Response<Body> {
     let start = core.now();
-    let rev = core.view.snapshot().config.as_ref().map(|s| s.rev);
+    let snapshot = core.view.snapshot();
+    let rev = snapshot.config.as_ref().map(|s| s.rev);
+    let (uri, host) = (request.uri().clone(), request.headers().get(HOST).cloned());
     let job = match accept(core, request, start).await {
         Ok(job) => Arc::new(job),
         Err(refusal) => {
             core.metrics.requests.with_label_values(&[refusal.name()]).inc();
-            info!(outcome = refusal.name(), rev, why = %refusal, "request refused");
+            let known_ms = start.since(snapshot.confirmed.config).as_millis() as u64;
+            info!(
+                outcome = refusal.name(),
+                rev,
+                known_ms,
+                host = host.as_ref().and_then(|h| h.to_str().ok()),
+                path = uri.path(),
+                why = %refusal,
+                "request refused"
+            );
             return refusal.response(&*core.adapters.protocol);
         }
     };
