Ask of followers what the shortest bound on configuration asks

The simulation of readers that are lost together had the bound of the deployment of 195 instances, 4 s. Those of 85 to 110 instances follow readers too, and have 3 s.

--- a/crates/feed/tests/reader_choice.rs
+++ b/crates/feed/tests/reader_choice.rs
@@ -114,8 +114,8 @@
 const MAX_AGE: Duration = Duration::from_millis(1400);
 /// Time until a poll that waits for changes, and one that doesn't, counts as unanswered.
 const TIMEOUTS: (Duration, Duration) = (Duration::from_millis(1300), Duration::from_millis(500));
-/// Time within which a change must be in force on large deployments.
-const PROPAGATE: Duration = Duration::from_secs(4);
+/// Shortest time within which a change must be in force on deployments with followers.
+const PROPAGATE: Duration = Duration::from_secs(3);
 
 /// Oldest word of any follower of `count` instances. `bad` says of each reader whether it does not
 /// answer, or answers without the source, from the third second on.
