Ask the registry after two readers without an answer

Cause: a follower asked five readers in a row before the registry itself, which takes 1.3 s for the first and half a second for each other one. Where readers are lost together, its word got 3.4 s old, and a change may have to be in force within 3 s. Class: a bound kept for one deployment and taken for all.

Change: after two readers without an answer the registry is asked; where it does not answer either, the readers that are left are asked for 1.5 s. without_a_usable_reader_an_instance_reads_itself expects that order now.

--- a/crates/feed/src/readers.rs
+++ b/crates/feed/src/readers.rs
@@ -12,6 +12,11 @@
 const KEY: &[u8] = b"feed";
 /// Most readers of other zones that a follower tries.
 const MAX_FAR: usize = 2;
+/// Readers without an answer after which the source itself is asked: the first costs up to 1.3 s, and
+/// each other one half a second.
+const MAX_LOST: usize = 2;
+/// How long a source that did not answer is not preferred to readers.
+const SOURCE_TTL: Duration = Duration::from_millis(1500);
 /// How long a reader that did not answer is not asked again.
 const FAILED_TTL: Duration = Duration::from_secs(4);
 /// How long a reader whose word was too old is not asked again. It may only be late.
@@ -54,6 +59,8 @@
     barred: Vec<Bar>,
     /// Whether there are readers to follow; otherwise this instance reads.
     follows: bool,
+    /// Time from which the source may be asked before readers that are left.
+    source_at: Time,
 }
 
 /// The readers of a zone: the first `count` in rendezvous order.
@@ -109,8 +116,17 @@
     /// The reader to ask now; `None` if this instance must ask the source itself.
     pub fn choose(&self, now: Time) -> Option<Arc<str>> {
         let barred =
-            |name: &Arc<str>| self.barred.iter().any(|b| b.name == *name && !b.until.passed(now));
-        self.order.iter().find(|name| !barred(name)).cloned()
+            |name: &Arc<str>| self.barred.iter().find(|b| b.name == *name && !b.until.passed(now));
+        let lost = self.order.iter().filter_map(barred).filter(|b| !b.is_stale).count();
+        if lost >= MAX_LOST && self.source_at.passed(now) {
+            return None;
+        }
+        self.order.iter().find(|name| barred(name).is_none()).cloned()
+    }
+
+    /// Records that the source itself did not answer this instance.
+    pub fn source_failed(&mut self, now: Time) {
+        self.source_at = now.after(SOURCE_TTL);
     }
 
     /// Records that a reader did not answer.
@@ -126,6 +142,7 @@
     /// Allows readers again whose word was too old: the source has returned.
     pub fn source_returned(&mut self) {
         self.barred.retain(|b| !b.is_stale);
+        self.source_at = Time(0);
     }
 
     fn bar(&mut self, name: &Arc<str>, until: Time, is_stale: bool, now: Time) {
--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -195,6 +195,11 @@
         self.readers.lock().stale(reader, now);
     }
 
+    /// Prefers readers that are left to the registry, which did not answer.
+    pub(crate) fn registry_failed(&self, now: Time) {
+        self.readers.lock().source_failed(now);
+    }
+
     /// Follows readers again that were left while the registry was away.
     pub(crate) fn registry_returned(&self) {
         self.readers.lock().source_returned();
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -249,6 +249,9 @@
                 }
             }
             Err(e) => {
+                if is_failing {
+                    self.core.feeds.registry_failed(self.core.now());
+                }
                 // What operators order must reach an instance that is a reader itself too.
                 let since = *self.failing_since.get_or_insert(asked_at);
                 let peer = zones::choose_peer(&self.core, since).filter(|_| is_failing);
