--- a/crates/place/tests/budget_search.rs
+++ b/crates/place/tests/budget_search.rs
@@ -16,8 +16,9 @@
 const EXTRA_PER_RATE: f64 = 0.18;
 /// Most retries of one request.
 const MAX_RETRIES: u8 = 4;
-/// Longest time from a caller to the instance, and from the instance to a replica, in ms.
-const MAX_TRANSIT: u64 = 60;
+/// Longest time from a caller to the instance, and from the instance to a replica, in ms, on quiet days
+/// and on slow ones, for which the budget must hold.
+const TRANSITS: (u64, u64) = (60, 400);
 /// Step in which requests are made, in ms.
 const STEP: u64 = 20;
 
@@ -45,6 +46,8 @@
     longest_wait: u64,
     /// Share of requests whose retries a peer makes.
     detours: f64,
+    /// Longest time from a caller to the instance, and from the instance to a replica.
+    transit: u64,
     length: u64,
 }
 
@@ -66,7 +69,9 @@
     random: SmallRng,
     /// By instance; `None` while its process is down.
     processes: Vec<Option<Process>>,
+    /// Events by time; those of the same time in the order in which they were added.
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    /// Number of events so far.
     count: u64,
     /// When callers sent requests, and when retries reached replicas.
     sent: Vec<u64>,
@@ -147,7 +152,7 @@
                 continue;
             }
             self.sent.push(ms);
-            let transit = self.random.random_range(1..MAX_TRANSIT);
+            let transit = self.random.random_range(1..self.day.transit);
             self.push(ms + transit, Event::Read { at });
         }
     }
@@ -184,7 +189,7 @@
                 if self.running(at, Some(boot), ms, event).is_none() || !self.take_retry(at, ms) {
                     return;
                 }
-                let transit = self.random.random_range(1..MAX_TRANSIT);
+                let transit = self.random.random_range(1..self.day.transit);
                 self.retries.push(ms + transit);
                 if number < MAX_RETRIES {
                     self.fail(at, ms, number + 1);
@@ -259,6 +264,7 @@
         waits: Vec::new(),
         longest_wait: 0,
         detours: 0.0,
+        transit: TRANSITS.0,
         length: 40_000,
     }
 }
@@ -303,6 +309,7 @@
     day.waits = vec![(0..day.length, random.random_range(0.0..1.0))];
     day.longest_wait = random.random_range(50..4_000);
     day.detours = if random.random_bool(0.5) { 0.1 } else { 0.0 };
+    day.transit = random.random_range(TRANSITS.0..=TRANSITS.1);
     day
 }
 
