End a contest of partly read bodies after one wait

Cause: bodies that each hold a part of the memory wait for each other. Each wait of 300 ms gave up one of them, whose bytes the others took at once, so a crowd of 64 went on waiting until its deadlines of 8 s. An ordinary request that comes meanwhile is one of the crowd. Ruled out: memory that stays reserved (nothing is held after the crowd).

Change: after a wait, bodies are given up until the rest find what they need in free memory, in that of the bodies given up, and in that of running requests. While requests run that release enough, one body is given up as before.

--- a/crates/relay/src/bodies.rs
+++ b/crates/relay/src/bodies.rs
@@ -130,11 +130,10 @@
             if deadline.passed(self.now()) {
                 return Err(Refusal::BodyTimeout);
             }
-            let victim = self.bodies.budget.lock().wait_over(self.id, bytes, self.now());
-            if victim.is_some() {
-                self.bodies.count_rejected("body_memory", 1);
-            }
-            if victim == Some(self.id) {
+            let victims = self.bodies.budget.lock().wait_over(self.id, bytes, self.now());
+            self.bodies.count_rejected("body_memory", victims.len());
+            if victims.contains(&self.id) {
+                self.bodies.given_up.notify_waiters();
                 return Err(self.refusal(bytes));
             }
             self.bodies.given_up.notify_waiters();
@@ -235,9 +234,9 @@
     if body.is_end_stream() {
         return Ok((Bytes::new(), None));
     }
-    let sized = size.exact().is_some();
-    let max_len = size.exact().map_or(max_bytes, |n| n as usize);
-    let id = bodies.budget.lock().open(sized, max_bytes, bodies.clock.now());
+    let len = size.exact().map(|n| n as usize);
+    let max_len = len.unwrap_or(max_bytes);
+    let id = bodies.budget.lock().open(len, max_bytes, bodies.clock.now());
     let hold = Hold { bodies: bodies.clone(), id };
     let read = tokio::select! {
         biased;
--- a/crates/relay/src/body_budget.rs
+++ b/crates/relay/src/body_budget.rs
@@ -39,7 +39,8 @@
     id: u64,
     /// Bytes reserved.
     bytes: usize,
-    sized: bool,
+    /// Length that its head announced.
+    len: Option<usize>,
     state: State,
     opened: Time,
     /// When its last byte arrived.
@@ -55,6 +56,19 @@
         };
         self.bytes as u128 * (stalled.as_millis() + 1)
     }
+
+    fn is_sized(&self) -> bool {
+        self.len.is_some()
+    }
+
+    fn is_given_up(&self) -> bool {
+        self.opened == Time::NEVER
+    }
+
+    /// Bytes that it is expected to need yet. A body without a length is expected to double.
+    fn remaining(&self) -> usize {
+        self.len.map_or(self.bytes, |len| len.saturating_sub(self.bytes))
+    }
 }
 
 /// The answer to a body that needs more memory.
@@ -118,13 +132,13 @@
         self.base.max(self.max_body)
     }
 
-    /// Adds a body that holds nothing yet.
-    pub fn open(&mut self, sized: bool, max_body: usize, now: Time) -> u64 {
+    /// Adds a body that holds nothing yet; `len` is the length that its head announced.
+    pub fn open(&mut self, len: Option<usize>, max_body: usize, now: Time) -> u64 {
         self.max_body = max_body;
         let id = self.next;
         self.next += 1;
         let (state, bytes) = (State::Reading, 0);
-        self.entries.push(Entry { id, bytes, sized, state, opened: now, heard: now });
+        self.entries.push(Entry { id, bytes, len, state, opened: now, heard: now });
         id
     }
 
@@ -150,7 +164,7 @@
         if entry.state == State::Settled {
             return Grow::Wait { victims: Vec::new() };
         }
-        let (sized, state) = (entry.sized, &mut entry.state);
+        let (sized, state) = (entry.is_sized(), &mut entry.state);
         // Time spent waiting for memory is no silence of the client.
         (*state, entry.heard) = (State::Waiting, now);
         let (all, of_unsized) = self.missing(sized, bytes);
@@ -174,19 +188,43 @@
         Grow::Wait { victims }
     }
 
-    /// Decides what happens after a body waited for [`WAIT_TIMEOUT`]: the body to give up, which may
-    /// be the waiting one, or `None` where enough others are being given up.
-    pub fn wait_over(&mut self, id: u64, bytes: usize, now: Time) -> Option<u64> {
-        let sized = self.position(id).is_none_or(|at| self.entries[at].sized);
+    /// Decides what happens after a body waited for [`WAIT_TIMEOUT`]: the bodies to give up, which may
+    /// include the waiting one. None are needed where enough others are being given up.
+    ///
+    /// So many are given up that the others can be read to their end: with one at a time, a crowd of
+    /// bodies that each hold a part of the memory would wait until their deadlines.
+    pub fn wait_over(&mut self, id: u64, bytes: usize, now: Time) -> Vec<u64> {
+        let sized = self.position(id).is_none_or(|at| self.entries[at].is_sized());
         let (all, of_unsized) = self.missing(sized, bytes);
+        let mut victims = Vec::new();
         if self.leaving >= all && self.unsized_leaving >= of_unsized {
-            return None;
+            return victims;
         }
         let only_unsized = self.leaving >= all;
         let incomplete = |e: &Entry| e.state != State::Settled;
-        let victim = self.worst(only_unsized, now, incomplete).unwrap_or(id);
-        self.give_up(victim);
-        Some(victim)
+        loop {
+            let victim = match self.worst(only_unsized, now, incomplete) {
+                Some(victim) => victim,
+                None if victims.is_empty() => id,
+                None => return victims,
+            };
+            self.give_up(victim);
+            victims.push(victim);
+            if self.waiting_can_end(only_unsized) {
+                return victims;
+            }
+        }
+    }
+
+    /// Whether the bodies that wait with a part of the memory find the rest in what is free, in what
+    /// is being given up, and in what running requests release.
+    fn waiting_can_end(&self, only_unsized: bool) -> bool {
+        let entries = || self.entries.iter().filter(|e| !only_unsized || !e.is_sized());
+        let waiting = entries().filter(|e| e.state == State::Waiting && e.bytes > 0);
+        let remaining: usize = waiting.map(Entry::remaining).sum();
+        let settled: usize = entries().filter(|e| e.state == State::Settled).map(|e| e.bytes).sum();
+        let free = if only_unsized { 0 } else { self.total().saturating_sub(self.held) };
+        remaining <= free + settled
     }
 
     fn worst<F>(&self, only_unsized: bool, now: Time, may: F) -> Option<u64>
@@ -194,7 +232,7 @@
         F: Fn(&Entry) -> bool,
     {
         let entries = self.entries.iter().filter(|e| e.bytes > 0 && may(e));
-        let entries = entries.filter(|e| !only_unsized || !e.sized);
+        let entries = entries.filter(|e| !only_unsized || !e.is_sized());
         entries.max_by_key(|e| e.rank(now)).map(|e| e.id)
     }
 
@@ -206,12 +244,12 @@
         // The mean is of bodies that were not given up.
         entry.opened = Time::NEVER;
         self.leaving += entry.bytes;
-        self.unsized_leaving += if entry.sized { 0 } else { entry.bytes };
+        self.unsized_leaving += if entry.is_sized() { 0 } else { entry.bytes };
     }
 
     /// Whether a body must drop what it holds.
     pub fn is_given_up(&self, id: u64) -> bool {
-        self.position(id).is_some_and(|at| self.entries[at].opened == Time::NEVER)
+        self.position(id).is_some_and(|at| self.entries[at].is_given_up())
     }
 
     /// Records that bytes of a body arrived.
@@ -233,7 +271,7 @@
         let spare = entry.bytes.saturating_sub(bytes);
         entry.bytes -= spare;
         self.held -= spare;
-        self.unsized_held -= if entry.sized { 0 } else { spare };
+        self.unsized_held -= if entry.is_sized() { 0 } else { spare };
         true
     }
 
@@ -241,10 +279,10 @@
     pub fn close(&mut self, id: u64, now: Time) {
         let Some(at) = self.position(id) else { return };
         let entry = self.entries.remove(at);
-        let of_unsized = if entry.sized { 0 } else { entry.bytes };
+        let of_unsized = if entry.is_sized() { 0 } else { entry.bytes };
         self.held -= entry.bytes;
         self.unsized_held -= of_unsized;
-        if entry.opened == Time::NEVER {
+        if entry.is_given_up() {
             self.leaving -= entry.bytes;
             self.unsized_leaving -= of_unsized;
             return;
