Wait in a test for acknowledgements that the kernel delays

bytes_count_until_the_other_end_acknowledges_them failed in 191 of 300 runs on this machine: the kernel acknowledges the last bytes up to 200 ms after they were read, and the test looked at once. The program polls, so it waits as it should. The test now waits up to 5 s for the count to become 0; bytes that stay counted fail it as before.

A trial with such a wait had hung, untraced. Seen again here once in 1,800 runs, six at a time: the test connected to "localhost", where another process may listen on the same port of the other address, and its own accept never returned. It connects to the listener's own address now, and also to a listener of both address families through IPv4.

--- a/crates/relay/tests/unacked_bytes.rs
+++ b/crates/relay/tests/unacked_bytes.rs
@@ -3,20 +3,36 @@
 
 use std::{
     io::{ErrorKind, Read, Write},
-    net::{TcpListener, TcpStream},
+    net::{SocketAddr, TcpListener, TcpStream},
+    time::Duration,
 };
 
 use relay::unacked::unacked_bytes;
+use tokio::time::{sleep, timeout};
+
+/// Longest time for which the kernel delays an acknowledgement, with room for a loaded machine.
+const ACK_TIMEOUT: Duration = Duration::from_secs(5);
+
+async fn all_acknowledged(listener: SocketAddr) {
+    while unacked_bytes(&[listener]).await.expect("it is told") > 0 {
+        sleep(Duration::from_millis(10)).await;
+    }
+}
 
 #[tokio::test]
 async fn bytes_count_until_the_other_end_acknowledges_them() {
-    for addr in ["127.0.0.1:0", "0.0.0.0:0", "[::1]:0", "[::]:0"] {
+    // Not to "localhost": another process may listen on the same port of its other address.
+    for (addr, host) in [
+        ("127.0.0.1:0", "127.0.0.1"),
+        ("0.0.0.0:0", "127.0.0.1"),
+        ("[::1]:0", "::1"),
+        ("[::]:0", "::1"),
+        ("[::]:0", "127.0.0.1"),
+    ] {
         // Without IPv6 there is nothing to check there.
         let Ok(listener) = TcpListener::bind(addr) else { continue };
         let addr = listener.local_addr().expect("it is bound");
-        let mut client = TcpStream::connect(("localhost", addr.port()))
-            .or_else(|_| TcpStream::connect(addr))
-            .expect("it listens");
+        let mut client = TcpStream::connect((host, addr.port())).expect("it listens");
         let (mut server, _) = listener.accept().expect("the client has connected");
         assert_eq!(unacked_bytes(&[addr]).await.expect("it is told"), 0, "{addr}");
         server.set_nonblocking(true).expect("the mode can be set");
@@ -33,6 +49,7 @@
         let others = [TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("free")];
         assert_eq!(unacked_bytes(&others).await.expect("it is told"), 0, "of another listener");
         client.read_to_end(&mut Vec::new()).expect("the connection ends");
-        assert_eq!(unacked_bytes(&[addr]).await.expect("it is told"), 0, "{addr}: all was read");
+        let acknowledged = timeout(ACK_TIMEOUT, all_acknowledged(addr)).await;
+        assert!(acknowledged.is_ok(), "{addr}: all was read");
     }
 }
