Allow no fixed retries before the list of instances was read

Cause: the fixed allowance of a target is divided by the number of instances. A process that has just started knows those that it has heard, at first none, so each of those that start together takes a share of one, or of few.

Change: the allowance is 0 until the registry's list of instances was read. The ratio's part does not depend on it and stays.

Test: the_allowance_waits_for_the_number_of_instances.

--- a/crates/place/src/budget.rs
+++ b/crates/place/src/budget.rs
@@ -97,7 +97,8 @@
         }
     }
 
-    /// The fixed allowance of one of `instances` instances.
+    /// The fixed allowance of one of `instances` instances. It is 0 as long as their number was never
+    /// known: a process that has just started knows too few, and all may have started with it.
     ///
     /// Instances that were removed within the window may have used their shares, so the largest
     /// number of instances within it counts.
@@ -106,16 +107,18 @@
     /// allowance of a process grows from nothing with its age until that is a window: processes
     /// that follow each other within a window get no more than [`YOUNG_SHARE`] together, whatever
     /// the one before them had.
-    pub fn allowance(&mut self, instances: u32, now: Time) -> f64 {
-        self.record_instances(instances, now);
-        let (_, most) = self.counts.front().expect("a number was recorded");
+    pub fn allowance(&mut self, instances: Option<u32>, now: Time) -> f64 {
+        if let Some(instances) = instances {
+            self.record_instances(instances, now);
+        }
+        let Some((_, most)) = self.counts.front() else { return 0.0 };
         let age = now.since(self.start).as_secs_f64() / self.window.as_secs_f64();
         let share = if age < 1.0 { YOUNG_SHARE * age } else { STEADY_SHARE };
         self.extra * share / f64::from(*most)
     }
 
     /// How far the budget of each target is used. `instances` is as in [`Self::allowance`].
-    pub fn used(&mut self, instances: u32, now: Time) -> Vec<(Arc<str>, BudgetUse)> {
+    pub fn used(&mut self, instances: Option<u32>, now: Time) -> Vec<(Arc<str>, BudgetUse)> {
         let allowance = self.allowance(instances, now);
         let targets: Vec<Arc<str>> = self.targets.iter().map(|(name, _)| name.clone()).collect();
         let used = |target: Arc<str>| {
--- a/crates/place/tests/budget_bounds.rs
+++ b/crates/place/tests/budget_bounds.rs
@@ -98,7 +98,7 @@
         for lifetime in lifetimes {
             let mut budgets = RetryBudgets::new(0.2, WINDOW, EXTRA, Time(start));
             for ms in (start..start + lifetime).step_by(20) {
-                let allowance = budgets.allowance(INSTANCES, Time(ms));
+                let allowance = budgets.allowance(Some(INSTANCES), Time(ms));
                 while budgets.for_target(&target).try_retry(allowance, Time(ms)) {
                     retries.push(ms);
                 }
@@ -132,7 +132,7 @@
         }
         let count = budgets.len() as u32;
         for own in &mut budgets {
-            let allowance = own.allowance(count, Time(ms));
+            let allowance = own.allowance(Some(count), Time(ms));
             while own.for_target(&target).try_retry(allowance, Time(ms)) {
                 retries.push(ms);
             }
@@ -146,6 +146,31 @@
     assert!(late > 40, "the others never get the share of the removed ones: {late}");
 }
 
+/// Guards against processes that start together and each take the whole allowance, since they have
+/// not read the list of instances and heard only a few of the others.
+#[test]
+fn the_allowance_waits_for_the_number_of_instances() {
+    const INSTANCES: u32 = 110;
+    const EXTRA: f64 = 210.0;
+    const READ: u64 = 1_500;
+    let target = "desk".into();
+    let new = || RetryBudgets::new(0.2, WINDOW, EXTRA, Time(0));
+    let mut all: Vec<_> = std::iter::repeat_with(new).take(INSTANCES as usize).collect();
+    let (mut early, mut retries) = (0, 0);
+    for ms in (0..10_000).step_by(20) {
+        let known = (ms >= READ).then_some(INSTANCES);
+        for budgets in &mut all {
+            let allowance = budgets.allowance(known, Time(ms));
+            while budgets.for_target(&target).try_retry(allowance, Time(ms)) {
+                retries += 1;
+                early += u32::from(known.is_none());
+            }
+        }
+    }
+    assert_eq!(early, 0, "retries before the list was read");
+    assert!(f64::from(retries) <= EXTRA, "{retries} in a window, {EXTRA} allowed");
+}
+
 /// Plays a deployment of which `killed` instances end at 20 s and start again at 21.5 s. All requests
 /// of the three seconds before and of the time after are worth a retry. Returns the largest excess of
 /// retries over what a window allows, and the number of retries after 21.5 s.
@@ -168,7 +193,7 @@
             if is_down(at) {
                 continue;
             }
-            let allowance = budgets.allowance(INSTANCES as u32, Time(ms));
+            let allowance = budgets.allowance(Some(INSTANCES as u32), Time(ms));
             let budget = budgets.for_target(&target);
             budget.record_request(Time(ms));
             if ms >= KILL - 3_000 && budget.try_retry(allowance, Time(ms)) {
--- a/crates/place/tests/budget_search.rs
+++ b/crates/place/tests/budget_search.rs
@@ -214,7 +214,7 @@
     fn take_retry(&mut self, at: usize, ms: u64) -> bool {
         let instances = self.processes.len() as u32;
         let process = self.processes[at].as_mut().expect("the process runs");
-        let allowance = process.budgets.allowance(instances, Time(ms));
+        let allowance = process.budgets.allowance(Some(instances), Time(ms));
         process.budgets.for_target(&"llm".into()).try_retry(allowance, Time(ms))
     }
 
--- a/crates/place/tests/budget_use.rs
+++ b/crates/place/tests/budget_use.rs
@@ -25,9 +25,9 @@
     let mut budgets = RetryBudgets::new(0.2, WINDOW, 70.0, Time(0));
     let desk = "desk".into();
     budgets.for_target(&desk).record_request(Time(19_000));
-    let allowance = budgets.allowance(7, Time(20_000));
+    let allowance = budgets.allowance(Some(7), Time(20_000));
     assert!(budgets.for_target(&desk).try_retry(allowance, Time(20_000)));
-    let used = budgets.used(7, Time(20_000));
+    let used = budgets.used(Some(7), Time(20_000));
     let [(target, used)] = &used[..] else { panic!("{used:?}") };
     assert_eq!((&**target, used.requests, used.retries), ("desk", 1, 1));
     assert!((6.0..7.0).contains(&used.left), "{} left of 7.2", used.left);
--- a/crates/relay/src/retries.rs
+++ b/crates/relay/src/retries.rs
@@ -12,9 +12,15 @@
     core.budgets.lock().record_request(target, job.start);
 }
 
+/// Number of instances that share the fixed allowance; `None` until the registry's list was read.
+fn known_instances(core: &Core) -> Option<u32> {
+    let snapshot = core.view.snapshot();
+    (!snapshot.instances.is_empty()).then(|| core.instance_count(&snapshot))
+}
+
 /// Takes one retry of the request `id` from the budget of `target`; returns false if none is left.
 pub(crate) fn take(core: &Core, target: &Arc<str>, id: &str, now: Time) -> bool {
-    let instances = core.instance_count(&core.view.snapshot());
+    let instances = known_instances(core);
     let mut budgets = core.budgets.lock();
     let allowance = budgets.allowance(instances, now);
     let budget = budgets.for_target(target);
@@ -41,7 +47,7 @@
 
 /// Sets the gauges of the retry budgets.
 pub(crate) fn record(core: &Core) {
-    let (instances, now) = (core.instance_count(&core.view.snapshot()), core.now());
+    let (instances, now) = (known_instances(core), core.now());
     for (target, used) in core.budgets.lock().used(instances, now) {
         let set = |kind: &str, value: i64| {
             core.metrics.retry_budget.with_label_values(&[&*target, kind]).set(value);
