Ask for a peer again once the last replica is found unreachable

What callers saw: 503 "no replica is usable now" at an instance that is cut off from a target, while a peer reaches it (1 of 195 runs of lookups_sent_before_a_silent_cut_is_known_are_served, all peers heard).

Cause, read from the code: the next step asks first whether the target is reached by peers only, then chooses a replica. If another request finds the last replica unreachable between the two, the first answer is still no and the choice finds all replicas excluded.

Change: where all replicas are excluded, the first question is asked again.

At 1 of 195 that alone is no proof.

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -315,7 +315,7 @@
         if let Some(step) = self.check_suspects(now).filter(|_| may_run) {
             return step;
         }
-        if may_run && !self.job.is_detour && detour::is_needed(&self.core, &self.target) {
+        if may_run && self.must_detour() {
             return Step::Detour;
         }
         if !may_run || self.tried.len() >= MAX_ATTEMPTS {
@@ -351,6 +351,8 @@
                 return stop("all replicas are in evacuated zones", EVACUATED_RETRY_DELAY);
             }
             Err(PlacementError::Overloaded) => return Step::Wait(CAPACITY_CHECK_INTERVAL),
+            // The last replica may have been found unreachable since the check above.
+            Err(PlacementError::Excluded { .. }) if self.must_detour() => return Step::Detour,
             Err(PlacementError::Excluded { until }) => {
                 let wait = until.since(now);
                 if wait > MAX_COOLDOWN_WAIT || self.job.time_left(now) < wait + MIN_TIME_LEFT {
@@ -375,6 +377,11 @@
         Step::Send(Attempt { snapshot, choice, cold })
     }
 
+    /// Whether only a peer reaches replicas of the target.
+    fn must_detour(&self) -> bool {
+        !self.job.is_detour && detour::is_needed(&self.core, &self.target)
+    }
+
     /// Sends the request on to a peer.
     async fn send_on(&self) -> Result<Response<Body>, Refusal> {
         detour::send(self, self.possible_runs, self.arrivals > 0).await
