--- a/crates/relay/tests/body_budget.rs
+++ b/crates/relay/tests/body_budget.rs
@@ -119,9 +119,12 @@
     let mut ordinary = None;
     for ms in (0..4_000).step_by(10) {
         // Each gets memory in turn.
-        while crowd.iter_mut().filter_map(|u| u.read(&mut budget, time(ms)).then_some(())).count()
-            > 0
-        {}
+        loop {
+            let reads = crowd.iter_mut().map(|u| u.read(&mut budget, time(ms)));
+            if reads.filter(|granted| *granted).count() == 0 {
+                break;
+            }
+        }
         if ms >= 2_500 {
             let sent = |b: &mut BodyBudget| Upload::new(b, Some(MAX_BODY), MAX_BODY, time(ms));
             let upload = ordinary.get_or_insert_with(|| sent(&mut budget));
