Give up no further bodies that are read for one that waits

Found in reading the change that ends a contest of partly read bodies: after the first victim it also took bodies whose bytes are arriving, by their rank. For one large body that waits, ten small ones of thirty were given up.

Change: further victims are bodies that wait themselves; only those hold each other up. The first one is chosen as before.

--- a/crates/relay/src/body_budget.rs
+++ b/crates/relay/src/body_budget.rs
@@ -191,8 +191,8 @@
     /// Decides what happens after a body waited for [`WAIT_TIMEOUT`]: the bodies to give up, which may
     /// include the waiting one. None are needed where enough others are being given up.
     ///
-    /// So many are given up that the others can be read to their end: with one at a time, a crowd of
-    /// bodies that each hold a part of the memory would wait until their deadlines.
+    /// So many waiting bodies are given up that the others can be read to their end: with one at a
+    /// time, a crowd that holds all the memory in parts would wait until its deadlines.
     pub fn wait_over(&mut self, id: u64, bytes: usize, now: Time) -> Vec<u64> {
         let sized = self.position(id).is_none_or(|at| self.entries[at].is_sized());
         let (all, of_unsized) = self.missing(sized, bytes);
@@ -202,18 +202,17 @@
         }
         let only_unsized = self.leaving >= all;
         let incomplete = |e: &Entry| e.state != State::Settled;
-        loop {
-            let victim = match self.worst(only_unsized, now, incomplete) {
-                Some(victim) => victim,
-                None if victims.is_empty() => id,
-                None => return victims,
-            };
+        let mut next = Some(self.worst(only_unsized, now, incomplete).unwrap_or(id));
+        while let Some(victim) = next {
             self.give_up(victim);
             victims.push(victim);
-            if self.waiting_can_end(only_unsized) {
-                return victims;
-            }
+            let waits = |e: &Entry| e.state == State::Waiting;
+            next = match self.waiting_can_end(only_unsized) {
+                true => None,
+                false => self.worst(only_unsized, now, waits),
+            };
         }
+        victims
     }
 
     /// Whether the bodies that wait with a part of the memory find the rest in what is free, in what
--- a/crates/relay/tests/body_budget.rs
+++ b/crates/relay/tests/body_budget.rs
@@ -151,6 +151,18 @@
     assert!(!budget.is_given_up(waiting[1]));
 }
 
+/// Guards against small bodies that are given up in numbers while they are read, for a large one.
+#[test]
+fn bodies_that_are_read_stay_while_a_large_one_waits() {
+    let mut budget = BodyBudget::new(TOTAL);
+    let large = body(&mut budget, true, 100);
+    let small: Vec<u64> = (0..30).map(|_| body(&mut budget, true, 30)).collect();
+    small.iter().for_each(|id| budget.record_arrival(*id, time(450)));
+    assert_eq!(budget.grow(large, 50, time(200)), Grow::Wait { victims: vec![] });
+    let victims = budget.wait_over(large, 50, time(500));
+    assert!(victims.len() <= 2, "{} are given up", victims.len());
+}
+
 /// Guards against bodies without a length that take the memory of those with one.
 #[test]
 fn bodies_without_a_length_leave_memory() {
