--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-rustc --edition 2021 -O -o target/review-2/rig-2 review/rig-2/main.rs
+rustc --edition 2021 -D warnings -O -o target/review-2/rig-2 review/rig-2/main.rs
--- a/review/rig-2/deployment.rs
+++ b/review/rig-2/deployment.rs
@@ -11,6 +11,7 @@
 };
 
 use crate::standins::{Answer, Request, Store, free_port, read_answer, serve, write_json};
+use crate::wire;
 
 pub const HOST: &str = "host.example";
 pub const KEY: &str = "key-a";
@@ -29,10 +30,6 @@
         Self { file, start: Instant::now() }
     }
 
-    pub fn now_ms(&self) -> u64 {
-        self.start.elapsed().as_millis() as u64
-    }
-
     pub fn note(&self, text: &str) {
         let line = format!("{:7.3} s  {text}\n", self.start.elapsed().as_secs_f64());
         let _ = self.file.lock().unwrap().write_all(line.as_bytes());
@@ -41,12 +38,9 @@
 
 /// One process of the program, as `deploy/system.toml` starts it.
 pub struct Instance {
-    pub name: String,
     child: Child,
     pub front: SocketAddr,
     pub ready: SocketAddr,
-    pub directory: SocketAddr,
-    settings: PathBuf,
 }
 
 impl Instance {
@@ -132,27 +126,13 @@
         fs::write(&settings, text).expect("the settings can be written");
         let log = fs::File::create(folder.join(format!("{name}.log"))).expect("a log");
         let child = Command::new(program())
-            .env("LENTILPITCH_BOOT", &settings)
+            .env(wire::SETTINGS, &settings)
             .stdout(Stdio::from(log.try_clone().expect("a log")))
             .stderr(Stdio::from(log))
             .spawn()
             .expect("the release build is there");
         let addr = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
-        let (front, ready, directory) = (addr(front), addr(ready), addr(directory));
-        Self { name: name.into(), child, front, ready, directory, settings }
-    }
-
-    /// Starts the process again with its settings, after it has ended.
-    pub fn restart(&mut self) {
-        let _ = self.child.wait();
-        let log = fs::OpenOptions::new().append(true).open(self.settings.with_extension("log"));
-        let log = log.expect("a log");
-        self.child = Command::new(program())
-            .env("LENTILPITCH_BOOT", &self.settings)
-            .stdout(Stdio::from(log.try_clone().expect("a log")))
-            .stderr(Stdio::from(log))
-            .spawn()
-            .expect("the release build is there");
+        Self { child, front: addr(front), ready: addr(ready) }
     }
 
     /// Sends a signal, such as `STOP`.
@@ -161,11 +141,6 @@
         let _ = Command::new("kill").arg(format!("-{name}")).arg(pid).status();
     }
 
-    /// Whether the process has ended.
-    pub fn has_ended(&mut self) -> bool {
-        self.child.try_wait().is_ok_and(|status| status.is_some())
-    }
-
     /// Whether it says that it is ready.
     pub fn is_ready(&self) -> bool {
         get(self.ready, "/v1/readyz", Duration::from_millis(500)).is_some_and(|a| a.status == 200)
@@ -207,14 +182,6 @@
     read_answer(&mut BufReader::new(stream))
 }
 
-/// A run at a replica.
-#[derive(Debug, Clone)]
-pub struct Run {
-    pub replica: String,
-    pub id: String,
-    pub at_ms: u64,
-}
-
 /// A replica. Requests with a model are answered by a stream of `events` events, one every
 /// `pause`; others by a short body after `work`.
 #[derive(Clone)]
@@ -224,7 +191,6 @@
     pub events: usize,
     pub pause: Duration,
     pub work: Duration,
-    pub runs: Arc<Mutex<Vec<Run>>>,
 }
 
 impl Replica {
@@ -252,21 +218,19 @@
                 r#"{"stage":"unified","models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"seq":0,"queued":0,"running":0,"kv_used":0,"kv_total":91473,"handles":0,"born":1760000000000}"#,
             );
         }
-        let id = request.header("x-lentilpitch-request-id").to_owned();
-        if request.header("x-lentilpitch-expect-replica") != self.id {
+        let id = request.header(wire::REQUEST_ID).to_owned();
+        if request.header(wire::EXPECT_REPLICA) != self.id {
             let head = format!(
                 "HTTP/1.1 421 X\r\nX-Lentilpitch-Request-Id: {id}\r\nX-Lentilpitch-Replica-Id: {}\r\nContent-Length: 0\r\n\r\n",
                 self.id
             );
             return out.write_all(head.as_bytes()).is_ok();
         }
-        let run = Run { replica: self.id.clone(), id: id.clone(), at_ms: record.now_ms() };
-        self.runs.lock().unwrap().push(run);
         record.note(&format!("replica {} runs {id}", self.id));
         let head = format!(
             "HTTP/1.1 200 OK\r\nX-Lentilpitch-Request-Id: {id}\r\nX-Lentilpitch-Server-Seal: seal.{id}\r\n"
         );
-        if request.header("x-lentilpitch-model").is_empty() {
+        if request.header(wire::MODEL).is_empty() {
             std::thread::sleep(self.work);
             let body = format!("answer to {id}");
             let text = format!("{head}Content-Length: {}\r\n\r\n{body}", body.len());
@@ -293,9 +257,9 @@
 /// The operator's configuration: the routes of the small deployment.
 pub fn config(version: u64) -> String {
     let route = |prefix: &str, kind: &str, service: &str, timeout: u64, attempts: u32| {
-        let sticky = kind == "streaming";
+        let (sticky, goal) = (kind == "streaming", wire::GOAL);
         format!(
-            r#"{{"name":"r-{prefix}","host":"{HOST}","prefix":"/{prefix}/","kind":"{kind}","timeout_ms":{timeout},"goal_ms":1000,"priority":1,"service":"{service}","attempts":{attempts},"public":false,"sticky":{sticky},"resumable":false}}"#
+            r#"{{"name":"r-{prefix}","host":"{HOST}","prefix":"/{prefix}/","kind":"{kind}","timeout_ms":{timeout},"{goal}":1000,"priority":1,"service":"{service}","attempts":{attempts},"public":false,"sticky":{sticky},"resumable":false}}"#
         )
     };
     let routes = [
--- a/review/rig-2/full_listener.rs
+++ b/review/rig-2/full_listener.rs
@@ -6,7 +6,7 @@
     net::{SocketAddr, TcpStream},
     path::PathBuf,
     sync::{
-        Arc, Barrier, Mutex,
+        Barrier, Mutex,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
@@ -74,14 +74,12 @@
 
 pub fn run(record: &Record, folder: &PathBuf, trouble: bool) -> Outcome {
     let (store, addr) = Store::start();
-    let runs = Arc::new(Mutex::new(Vec::new()));
     let replica = |id: &str, service: &str| Replica {
         id: id.into(),
         service: service.into(),
         events: 35,
         pause: Duration::from_millis(300),
         work: Duration::from_millis(5),
-        runs: runs.clone(),
     };
     for id in ["app-1", "app-2"] {
         replica(id, "app").start(&store, record);
@@ -113,7 +111,7 @@
     record.note(&format!("{KEPT} clients have asked and keep their connections"));
     let closed = |stream: &&TcpStream| {
         let _ = stream.set_nonblocking(true);
-        let ended = matches!(stream.peek(&mut [0]), Ok(0)) ;
+        let ended = matches!(stream.peek(&mut [0]), Ok(0));
         let _ = stream.set_nonblocking(false);
         ended
     };
@@ -193,7 +191,9 @@
             std::thread::sleep(Duration::from_millis(200));
             unready += usize::from(!instance.is_ready());
             if let Some(waiting) = untaken(instance.front) {
-                record.note(&format!("{waiting} connections that the kernel has set up are not taken"));
+                record.note(&format!(
+                    "{waiting} connections that the kernel has set up are not taken"
+                ));
             }
         }
         end = Instant::now();
@@ -202,7 +202,8 @@
     record.note(&format!("{} of {STREAMS} streams were answered", streams.lock().unwrap()));
     let from = from + AFTER;
     // The longest span without a client that was served on a new connection.
-    let mut times: Vec<Instant> = served.lock().unwrap().iter().filter(|t| **t > from && **t < end).copied().collect();
+    let mut times: Vec<Instant> =
+        served.lock().unwrap().iter().filter(|t| **t > from && **t < end).copied().collect();
     times.sort();
     times.insert(0, from);
     times.push(end);
--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -5,6 +5,11 @@
 mod full_listener;
 mod standins;
 
+/// The platform's names.
+mod wire {
+    include!("wire.in");
+}
+
 use deployment::Record;
 
 /// How a case ended.
--- a/review/rig-2/standins.rs
+++ b/review/rig-2/standins.rs
@@ -9,11 +9,12 @@
     time::{Duration, Instant},
 };
 
+use crate::wire;
+
 /// A JSON value, as far as the store needs it.
 #[derive(Debug, Clone)]
 pub enum Json {
     Null,
-    Bool(bool),
     Number(f64),
     Text(String),
     List(Vec<Json>),
@@ -29,7 +30,9 @@
 
     pub fn get(&self, name: &str) -> &Json {
         match self {
-            Json::Object(fields) => fields.iter().find(|(n, _)| n == name).map_or(&Json::Null, |f| &f.1),
+            Json::Object(fields) => {
+                fields.iter().find(|(n, _)| n == name).map_or(&Json::Null, |f| &f.1)
+            }
             _ => &Json::Null,
         }
     }
@@ -106,8 +109,6 @@
                 *at += 1;
             }
             match std::str::from_utf8(&bytes[from..*at]).unwrap_or("") {
-                "true" => Json::Bool(true),
-                "false" => Json::Bool(false),
                 text => text.parse().map_or(Json::Null, Json::Number),
             }
         }
@@ -132,7 +133,6 @@
 /// A request as a stand-in reads it.
 #[derive(Debug, Clone, Default)]
 pub struct Request {
-    pub method: String,
     pub path: String,
     pub query: String,
     pub headers: Vec<(String, String)>,
@@ -169,11 +169,10 @@
         return None;
     }
     let mut words = line.split_whitespace();
-    let method = words.next()?.to_owned();
+    words.next()?;
     let uri = words.next()?.to_owned();
     let (path, query) = uri.split_once('?').unwrap_or((&uri, ""));
-    let mut out =
-        Request { method, path: path.into(), query: query.into(), ..Request::default() };
+    let mut out = Request { path: path.into(), query: query.into(), ..Request::default() };
     loop {
         let mut line = String::new();
         reader.read_line(&mut line).ok()?;
@@ -327,10 +326,6 @@
         self.change(table, "", key, Some(base64(json.as_bytes())));
     }
 
-    pub fn remove(&self, table: &str, key: &str) {
-        self.change(table, "", key, None);
-    }
-
     fn change(&self, table: &str, part: &str, key: &str, value: Option<String>) {
         let mut rows = self.shared.0.lock().unwrap();
         rows.ver += 1;
@@ -361,7 +356,7 @@
 
     fn answer(&self, request: &Request, out: &mut TcpStream) -> bool {
         match request.path.as_str() {
-            "/v1/rows-get" => {
+            wire::ROWS_GET => {
                 let (table, part) = (request.parameter("table"), request.parameter("part"));
                 let from = request.parameter("from");
                 let limit: usize = request.parameter("limit").parse().unwrap_or(500);
@@ -374,7 +369,7 @@
                 drop(rows);
                 write_json(out, 200, &body)
             }
-            "/v1/rows-feed" => {
+            wire::ROWS_FEED => {
                 let table = request.parameter("table");
                 let after: u64 = request.parameter("after").parse().unwrap_or(0);
                 let wait: u64 = request.parameter("wait_ms").parse().unwrap_or(0);
@@ -392,14 +387,14 @@
                     rows = self.shared.1.wait_timeout(rows, left).unwrap().0;
                 }
             }
-            "/v1/rows-tx" => {
+            wire::ROWS_TX => {
                 let tx = Json::parse(&String::from_utf8_lossy(&request.body));
                 let mut rows = self.shared.0.lock().unwrap();
                 let name = |e: &Json| {
                     let text = |n| e.get(n).text().to_owned();
                     (text("table"), text("part"), text("key"))
                 };
-                let holds = tx.get("expect_rev").list().iter().all(|e| {
+                let holds = tx.get(wire::EXPECTED).list().iter().all(|e| {
                     let found = rows.rows.get(&name(e)).filter(|r| r.value.is_some());
                     found.map_or(0, |r| r.ver) == e.get("ver").number()
                 });
