--- a/review/rig-2/full_listener.rs
+++ b/review/rig-2/full_listener.rs
@@ -22,15 +22,17 @@
 const CONTACT: Duration = Duration::from_millis(3000);
 /// Time between two of the clients that come after the burst.
 const SPACING: Duration = Duration::from_millis(30);
-/// Clients that keep their connection. In a burst of 1.7 times the traffic of the sheet, 395.5 requests
-/// a second at 6 machines, a machine gets 112 a second; a client keeps its connection for up to 12 s.
-const KEPT: usize = 1000;
-/// Time between two of these clients.
-const KEPT_SPACING: Duration = Duration::from_millis(9);
+/// Clients that keep their connection.
+const KEPT: usize = 960;
+/// How many of them come at the rate of the sheet: 395.5 requests a second at 6 machines. The others
+/// come in two bursts of 3 s, with 1.7 times that rate.
+const BEFORE_BURSTS: usize = 290;
+/// Time between two clients at the rate of the sheet, and in a burst.
+const SPACINGS: [Duration; 2] = [Duration::from_micros(15_170), Duration::from_micros(8_924)];
 /// Clients that try a new connection.
 const TRYING: usize = 10;
 /// When other clients try new connections, from the first client of the burst on.
-const AFTER: Duration = Duration::from_millis(1500);
+const AFTER: Duration = Duration::from_millis(500);
 /// Clients of the burst, which ask for a stream each.
 const STREAMS: usize = 12;
 
@@ -98,7 +100,9 @@
     let mut kept = Vec::new();
     let begun = Instant::now();
     for client in 0..KEPT {
-        std::thread::sleep((KEPT_SPACING * client as u32).saturating_sub(begun.elapsed()));
+        let calm = client.min(BEFORE_BURSTS) as u32;
+        let due = SPACINGS[0] * calm + SPACINGS[1] * (client as u32 - calm);
+        std::thread::sleep(due.saturating_sub(begun.elapsed()));
         let Some(stream) = connect(&instance, Duration::from_secs(2)) else {
             return Outcome::CouldNotRun("no connection".into());
         };
@@ -147,9 +151,9 @@
                 if out.write_all(crate::deployment::stream(&id).as_bytes()).is_err() {
                     return record.note(&format!("{id}: the connection is closed"));
                 }
-                let _ = stream.peek(&mut [0]);
+                let heard = stream.peek(&mut [0]).is_ok();
                 drop(next);
-                let answer = read_answer(&mut BufReader::new(stream));
+                let answer = heard.then(|| read_answer(&mut BufReader::new(stream))).flatten();
                 let text = match answer {
                     Some(a) => {
                         *streams.lock().unwrap() += 1;
